--- /dev/null
+++ b/bilberrypath/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with ``python -m bilberrypath``."""
+
+from bilberrypath.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bilberrypath/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The library that callers use."""
--- /dev/null
+++ b/bilberrypath/caller/caller.py
@@ -0,0 +1,338 @@
+"""Requests and streams with outcomes, retries and re-attachment."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve, field, frozen
+
+from bilberrypath.caller.budget import RetryBudget
+from bilberrypath.caller.events import ItemParser, StreamItem
+from bilberrypath.caller.flow import CallerFlow, FlowLost, open_flow
+from bilberrypath.protocol.http import (
+    DEFAULT_DEADLINE,
+    OUTCOME_PATH,
+    SAFE_METHODS,
+    RequestHead,
+    read_outcome,
+)
+from bilberrypath.protocol.outcome import (
+    Answered,
+    Outcome,
+    Reason,
+    RefusedNotRun,
+    Unknown,
+)
+from bilberrypath.transport.quic import make_caller_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from bilberrypath.types import Address, Seconds
+
+MAX_FLOWS = 2
+OPEN_TRIES = 4
+ANSWER_GRACE: Seconds = 0.5
+ASK_LIMIT: Seconds = 6.0
+REOPEN_PAUSE: Seconds = 0.1
+MAX_REOPEN_PAUSE: Seconds = 2.0
+
+
+@frozen
+class CallerOptions:
+    """How a caller reaches a service.
+
+    ``authorities`` is a PEM file of the authorities to trust, ``server_name``
+    what the agents' certificate must say, ``local_host`` the address to send
+    from.
+    """
+
+    address: Address
+    authorities: str | None = None
+    server_name: str = "localhost"
+    local_host: str = "0.0.0.0"
+
+
+@define
+class CallerCounts:
+    """What a caller saw."""
+
+    flows_opened: int = 0
+    flows_lost: int = 0
+    reattached: int = 0
+    retries: int = 0
+    asked: int = 0
+
+
+@define
+class Caller:
+    """Call one service.
+
+    Every request ends in exactly one outcome: ``Answered``, ``RefusedNotRun``
+    or ``Unknown``. A non-idempotent request is sent a second time only when
+    the system said that it did not run and will not.
+
+    Examples
+    --------
+    Book a ride, then follow the board::
+
+        caller = Caller(CallerOptions(("127.0.0.1", 9443), "ca.pem"))
+        outcome = await caller.request("POST", "/rides", b"two seats")
+        async for item in caller.stream("/board"):
+            print(item.number, item.data)
+    """
+
+    options: CallerOptions
+    counts: CallerCounts = field(factory=CallerCounts)
+    budget: RetryBudget = field(factory=RetryBudget)
+    _flows: list[CallerFlow] = field(factory=list)
+    _opening: asyncio.Lock = field(factory=asyncio.Lock)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        key: str = "",
+        deadline: Seconds = DEFAULT_DEADLINE,
+        idempotent: bool | None = None,
+        traceparent: str = "",
+    ) -> Outcome:
+        """Send a request and return its outcome.
+
+        ``deadline`` is in seconds from now. ``key`` identifies the request;
+        one is made if it is empty. ``idempotent`` follows from the method
+        unless it is given.
+        """
+        until = time.monotonic() + deadline
+        is_idempotent = method in SAFE_METHODS if idempotent is None else idempotent
+        head = RequestHead(
+            method,
+            path,
+            key or uuid.uuid4().hex,
+            deadline,
+            is_idempotent,
+            traceparent=traceparent,
+        )
+        self.budget.earn()
+        tried: list[CallerFlow] = []
+        while True:
+            outcome = await self._try_once(head, body, until, tried)
+            if not self._may_retry(outcome, is_idempotent, until):
+                return outcome
+            if not self.budget.spend():
+                return outcome
+            self.counts.retries += 1
+            pause = getattr(outcome, "retry_after", 0.0) * random.uniform(0.05, 0.2)
+            await asyncio.sleep(min(pause, max(0.0, until - time.monotonic())))
+
+    async def stream(
+        self, path: str, *, after_item: int = 0
+    ) -> AsyncIterator[StreamItem]:
+        """Yield the items of a stream for as long as the caller wants them.
+
+        When the flow is lost, or its agent asks callers to go, the stream is
+        opened elsewhere and resumes after the last item that was yielded. The
+        next flow is open before the last one is let go.
+        """
+        last = after_item
+        pause = REOPEN_PAUSE
+        flow: CallerFlow | None = None
+        try:
+            while True:
+                try:
+                    flow = await self._open_other(flow)
+                    async for item in self._read_stream(flow, path, last):
+                        if item.number <= last:
+                            continue
+                        last = item.number
+                        pause = REOPEN_PAUSE
+                        yield item
+                except FlowLost:
+                    self.counts.flows_lost += 1
+                self.counts.reattached += 1
+                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                pause = min(MAX_REOPEN_PAUSE, 2 * pause)
+        finally:
+            if flow is not None:
+                flow.release()
+
+    async def close(self) -> None:
+        """Close all flows."""
+        flows, self._flows = self._flows, []
+        for flow in flows:
+            flow.release()
+
+    # Requests
+
+    def _may_retry(self, outcome: Outcome, idempotent: bool, until: Seconds) -> bool:
+        if time.monotonic() >= until or isinstance(outcome, Answered):
+            return False
+        if isinstance(outcome, RefusedNotRun):
+            return outcome.elsewhere
+        return idempotent and outcome.reason is not Reason.DEADLINE_PASSED
+
+    async def _try_once(
+        self,
+        head: RequestHead,
+        body: bytes,
+        until: Seconds,
+        tried: list[CallerFlow],
+    ) -> Outcome:
+        first_sent_at = time.monotonic()
+        try:
+            flow = await self._pick_flow(tried, until)
+        except FlowLost:
+            return RefusedNotRun(Reason.NO_AGENT, elsewhere=True, retry_after=1.0)
+        tried.append(flow)
+        left = max(0.0, until - time.monotonic())
+        try:
+            return await self._exchange(flow, evolve(head, deadline=left), body, left)
+        except FlowLost:
+            self.counts.flows_lost += 1
+        except TimeoutError:
+            pass
+        if head.idempotent:
+            return Unknown(Reason.FLOW_LOST)
+        return await self._resolve(flow, head.key, first_sent_at)
+
+    async def _exchange(
+        self, flow: CallerFlow, head: RequestHead, body: bytes, left: Seconds
+    ) -> Outcome:
+        stream_id, reply = flow.start(head, body)
+        try:
+            whole = await asyncio.wait_for(flow.read_whole(reply), left + ANSWER_GRACE)
+        finally:
+            flow.finish(stream_id)
+        return read_outcome(reply.headers, whole)
+
+    async def _resolve(
+        self, lost: CallerFlow, key: str, first_sent_at: Seconds
+    ) -> Outcome:
+        """Ask the agent of a lost flow what became of a request."""
+        if not lost.agent_incarnation:
+            return Unknown(Reason.FLOW_LOST)
+        until = time.monotonic() + ASK_LIMIT
+        while time.monotonic() < until:
+            try:
+                return await self._ask(lost, key, first_sent_at, until)
+            except (FlowLost, TimeoutError):
+                await asyncio.sleep(REOPEN_PAUSE)
+        return Unknown(Reason.FLOW_LOST)
+
+    async def _ask(
+        self, lost: CallerFlow, key: str, first_sent_at: Seconds, until: Seconds
+    ) -> Outcome:
+        self.counts.asked += 1
+        flow = await self._open(lost.token)
+        try:
+            left = max(0.1, until - time.monotonic())
+            head = RequestHead(
+                "GET",
+                OUTCOME_PATH,
+                key,
+                left,
+                incarnation=lost.agent_incarnation,
+                age=time.monotonic() - first_sent_at,
+            )
+            return await self._exchange(flow, head, b"", left)
+        finally:
+            flow.release()
+
+    # Flows
+
+    async def _pick_flow(self, tried: list[CallerFlow], until: Seconds) -> CallerFlow:
+        async with self._opening:
+            self._drop_lost()
+            for flow in self._flows:
+                if flow not in tried and not flow.is_leaving:
+                    return flow
+            flow = await self._open_by(until)
+            self._flows.insert(0, flow)
+            self._trim_flows()
+            return flow
+
+    def _drop_lost(self) -> None:
+        for flow in list(self._flows):
+            if flow.is_lost:
+                self._flows.remove(flow)
+            elif flow.is_leaving and not flow.open_streams:
+                self._flows.remove(flow)
+                flow.release()
+
+    def _trim_flows(self) -> None:
+        for flow in self._flows[MAX_FLOWS:]:
+            if not flow.open_streams:
+                self._flows.remove(flow)
+                flow.release()
+
+    async def _open_by(self, until: Seconds) -> CallerFlow:
+        for attempt in range(OPEN_TRIES):
+            try:
+                return await self._open()
+            except FlowLost:
+                if time.monotonic() >= until or attempt == OPEN_TRIES - 1:
+                    raise
+        raise FlowLost("no_answer")
+
+    async def _open(self, token: bytes | None = None) -> CallerFlow:
+        options = self.options
+        configuration = make_caller_configuration(
+            options.authorities, options.server_name
+        )
+        flow = await open_flow(
+            options.address,
+            configuration,
+            f"{options.server_name}:{options.address[1]}",
+            token,
+            options.local_host,
+        )
+        self.counts.flows_opened += 1
+        flow.agent_incarnation = await self._learn_incarnation(flow)
+        return flow
+
+    async def _learn_incarnation(self, flow: CallerFlow) -> int:
+        """Ask a new flow's agent for its incarnation, to name it if need be."""
+        head = RequestHead("GET", OUTCOME_PATH, "", OPEN_LIMIT)
+        try:
+            await self._exchange(flow, head, b"", OPEN_LIMIT)
+        except TimeoutError as error:
+            flow.release()
+            raise FlowLost("no_answer") from error
+        return flow.agent_incarnation
+
+    async def _open_other(self, before: CallerFlow | None) -> CallerFlow:
+        """Open a flow for a stream before the last one is let go."""
+        try:
+            return await self._open()
+        finally:
+            if before is not None:
+                before.release()
+
+    async def _read_stream(
+        self, flow: CallerFlow, path: str, after_item: int
+    ) -> AsyncIterator[StreamItem]:
+        head = RequestHead("GET", path, is_stream=True, after_item=after_item)
+        stream_id, reply = flow.start(head, b"")
+        parser = ItemParser()
+        try:
+            while not flow.is_leaving:
+                try:
+                    part = await asyncio.wait_for(flow.read_part(reply), LEAVE_POLL)
+                except TimeoutError:
+                    continue
+                if part is None:
+                    return
+                for item in parser.feed(part):
+                    yield item
+        finally:
+            flow.finish(stream_id)
+
+
+OPEN_LIMIT: Seconds = 3.0
+LEAVE_POLL: Seconds = 0.25
--- /dev/null
+++ b/bilberrypath/caller/events.py
@@ -0,0 +1,54 @@
+"""Items of a stream in the form of server-sent events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@frozen
+class StreamItem:
+    """One item of a stream; numbers rise."""
+
+    number: int
+    data: str
+
+
+@define
+class ItemParser:
+    """Cut a stream of bytes into its items.
+
+    Examples
+    --------
+    >>> parser = ItemParser()
+    >>> list(parser.feed(b"id: 7\\ndata: ride"))
+    []
+    >>> list(parser.feed(b" 12\\n\\n"))
+    [StreamItem(number=7, data='ride 12')]
+    """
+
+    _rest: bytes = b""
+
+    def feed(self, data: bytes) -> Iterator[StreamItem]:
+        """Yield the items that ``data`` completes."""
+        self._rest += data
+        while b"\n\n" in self._rest:
+            event, _, self._rest = self._rest.partition(b"\n\n")
+            item = _parse_event(event.decode("utf-8", "replace"))
+            if item is not None:
+                yield item
+
+
+def _parse_event(text: str) -> StreamItem | None:
+    value_by_name: dict[str, list[str]] = {}
+    for line in text.split("\n"):
+        name, _, value = line.partition(":")
+        value_by_name.setdefault(name, []).append(value.removeprefix(" "))
+    number = value_by_name.get("id", [""])[0]
+    if not number.isdigit():
+        return None
+    return StreamItem(int(number), "\n".join(value_by_name.get("data", [])))
--- /dev/null
+++ b/bilberrypath/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure state machines."""
--- /dev/null
+++ b/bilberrypath/coordination/agent.py
@@ -0,0 +1,265 @@
+"""The decisions of an agent about flows, as one pure state machine."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.placement import Accept, LetGo, PassOn, Placement
+from bilberrypath.coordination.presence import Presence
+from bilberrypath.protocol import control as ctl
+from bilberrypath.protocol.frame import Forward, NotMine
+from bilberrypath.protocol.packet import PacketFault, PacketKind, read_header
+from bilberrypath.protocol.token import INCARNATION_MASK, Route
+from bilberrypath.state.members import Member, Status
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bilberrypath.coordination.effects import Effect
+    from bilberrypath.coordination.events import Event
+    from bilberrypath.protocol.token import TokenCodec
+    from bilberrypath.types import Address, Seconds
+
+ASK_PERIOD: Seconds = 0.2
+
+
+@frozen
+class Deliver:
+    """Hand a packet to the flow that it belongs to."""
+
+    frame: Forward
+    connection_id: bytes
+
+
+@frozen
+class OpenFlow:
+    """Begin a flow with this packet."""
+
+    frame: Forward
+    connection_id: bytes
+
+
+@frozen
+class GiveUpFlows:
+    """End all flows at once, since the data centre was taken out."""
+
+
+@frozen
+class AgentSetup:
+    """What an agent is told at its start.
+
+    ``max_connections`` is what its upstream holds, ``slots`` the requests it
+    runs at once.
+    """
+
+    me: Member
+    seeds: tuple[Address, ...]
+    slots: int
+    max_connections: int
+
+
+class AgentCore:
+    """Place opens, know the agent's own flows, and keep in touch.
+
+    The shell tells the number of its connections, the limit that admission
+    has learnt and whether the upstream is healthy, before each event, by
+    :meth:`set_load`.
+    """
+
+    def __init__(self, setup: AgentSetup, codec: TokenCodec, rng: Random) -> None:
+        self.setup = setup
+        self.codec = codec
+        self.presence = Presence(setup.me, setup.seeds, rng)
+        self.placement = Placement(setup.me.address)
+        self.flow_ids: set[bytes] = set()
+        self._connections = 0
+        self._limit = setup.slots
+        self._running = 0
+        self._healthy = False
+        self._next_ask_at = float("-inf")
+
+    @property
+    def load(self) -> int:
+        """Connections for each unit of the limit, in units of all slots."""
+        return self._connections * self.setup.slots // max(1, self._limit)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new flows may come."""
+        return self._can_take()
+
+    def set_load(
+        self, connections: int, limit: int, running: int, healthy: bool
+    ) -> None:
+        """Take over what the shell knows of the present load."""
+        self._connections = connections
+        self._limit = limit
+        self._running = running
+        self._healthy = healthy
+
+    def make_token(self) -> bytes:
+        """Return a new routing token that names this agent."""
+        host, port = self.presence.me.address
+        view = self.presence.view
+        route = Route(
+            host,
+            port,
+            view.service_number if view else 0,
+            view.data_centre_number if view else 0,
+            self.presence.me.incarnation & INCARNATION_MASK,
+        )
+        return self.codec.issue(route)
+
+    def is_own_token(self, token: bytes) -> bool:
+        """Return whether this very process issued a token."""
+        route = self.codec.read(token)
+        if route is None or (route.host, route.port) != self.presence.me.address:
+            return False
+        mine = {self.presence.me.incarnation, *self.presence.former_incarnations}
+        if route.incarnation not in {i & INCARNATION_MASK for i in mine}:
+            return False
+        view = self.presence.view
+        return view is not None and route.service == view.service_number
+
+    @singledispatchmethod
+    def handle(
+        self, event: Event, now: Seconds
+    ) -> list[Effect | Deliver | OpenFlow | GiveUpFlows]:
+        """Take one event at a time and return what is to be done."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @handle.register(ev.FrameReceived)
+    def _(self, event: ev.FrameReceived, now: Seconds) -> list:
+        frame = event.frame
+        if not isinstance(frame, Forward):
+            return [fx.Count("frame_dropped", "unexpected")]
+        self.presence.note_balancer((frame.balancer_host, frame.balancer_port), now)
+        if self.presence.is_out:
+            return [fx.Count("packet_dropped", "data_centre_out")]
+        if not self.presence.freshness.is_fresh(now):
+            return [
+                fx.Count("packet_dropped", "stale"),
+                *self._ask_to_confirm(now),
+            ]
+        return self._place(frame, event.sender, now)
+
+    @handle.register(ev.ControlReceived)
+    def _(self, event: ev.ControlReceived, now: Seconds) -> list:
+        was_out = self.presence.is_out
+        message = event.message
+        if isinstance(message, ctl.HeartbeatAck):
+            effects = self.presence.take_ack(message, event.sender, now)
+        elif isinstance(message, ctl.ViewPush):
+            effects = self.presence.take_view(message.view)
+        elif isinstance(message, ctl.AgentProbe):
+            self.presence.note_balancer(event.sender, now)
+            answer = ctl.AgentProbeAck(message.sequence, self.presence.revision)
+            effects = [fx.SendControl(event.sender, answer)]
+        else:
+            effects = [fx.Count("control_dropped", "unexpected")]
+        if self.presence.is_out and not was_out:
+            effects = [*effects, GiveUpFlows()]
+        return effects
+
+    @handle.register(ev.Tick)
+    def _(self, event: ev.Tick, now: Seconds) -> list:
+        return self.presence.tick(self.load, self._running, now)
+
+    @handle.register(ev.Leave)
+    def _(self, event: ev.Leave, now: Seconds) -> list:
+        self.presence.announce(Status.LEFT)
+        return self.presence.send_heartbeats(self.load, self._running, now)
+
+    def drain(self, now: Seconds) -> list[Effect]:
+        """Announce that no new work should come."""
+        self.presence.announce(Status.DRAINING)
+        return self.presence.send_heartbeats(self.load, self._running, now)
+
+    def resume(self, now: Seconds) -> list[Effect]:
+        """Announce that new work may come again."""
+        self.presence.announce(Status.SERVING)
+        return self.presence.send_heartbeats(self.load, self._running, now)
+
+    def _place(self, frame: Forward, sender: Address, now: Seconds) -> list:
+        header = read_header(frame.payload)
+        if isinstance(header, PacketFault):
+            return [fx.Count("packet_dropped", header.value)]
+        connection_id = header.connection_id
+        if connection_id in self.flow_ids:
+            return [Deliver(frame, connection_id)]
+        if header.kind is PacketKind.INITIAL:
+            return self._place_open(frame, connection_id, now)
+        if header.kind is PacketKind.LONG:
+            return [fx.Count("packet_dropped", "unknown_flow")]
+        return self._disown(frame, connection_id)
+
+    def _place_open(self, frame: Forward, connection_id: bytes, now: Seconds) -> list:
+        if self._is_for_other_process(connection_id):
+            return [fx.Count("packet_dropped", "not_mine")]
+        if self.is_own_token(connection_id):
+            return [OpenFlow(frame, connection_id)]
+        placing = self.placement.decide(
+            connection_id, frame, self.load, self._can_take(), now
+        )
+        return self._carry_out(placing, frame, connection_id)
+
+    def _carry_out(
+        self, placing: Accept | PassOn | LetGo, frame: Forward, connection_id: bytes
+    ) -> list:
+        if isinstance(placing, Accept):
+            return [OpenFlow(frame, connection_id)]
+        if isinstance(placing, LetGo):
+            return [fx.Count("open_dropped", placing.reason)]
+        passed = Forward(
+            max(frame.revision, self.presence.revision),
+            frame.caller_host,
+            frame.caller_port,
+            frame.balancer_host,
+            frame.balancer_port,
+            frame.service_port,
+            frame.hops + 1,
+            placing.others,
+            frame.payload,
+        )
+        return [
+            fx.SendFrame(placing.to, passed),
+            fx.Count("open_passed_on", "load" if self._can_take() else "unable"),
+        ]
+
+    def _can_take(self) -> bool:
+        return (
+            self.presence.may_take_work
+            and self._healthy
+            and self.presence.me.status is Status.SERVING
+            and self._connections < self.setup.max_connections
+        )
+
+    def _is_for_other_process(self, connection_id: bytes) -> bool:
+        if self.codec.read(connection_id) is None:
+            return False
+        return not self.is_own_token(connection_id)
+
+    def _disown(self, frame: Forward, connection_id: bytes) -> list:
+        """Tell the caller, through its balancer, that the flow is over."""
+        if self.codec.read(connection_id) is None:
+            return [fx.Count("packet_dropped", "no_token")]
+        answer = NotMine(
+            self.presence.revision,
+            frame.caller_host,
+            frame.caller_port,
+            frame.service_port,
+            connection_id,
+        )
+        to = (frame.balancer_host, frame.balancer_port)
+        return [fx.SendFrame(to, answer), fx.Count("packet_dropped", "not_mine")]
+
+    def _ask_to_confirm(self, now: Seconds) -> list[Effect]:
+        if now < self._next_ask_at:
+            return []
+        self._next_ask_at = now + ASK_PERIOD
+        return self.presence.send_heartbeats(self.load, self._running, now)
--- /dev/null
+++ b/bilberrypath/coordination/balancer.py
@@ -0,0 +1,547 @@
+"""The decisions of a balancer as one pure state machine.
+
+Events and the time go in, effects come out; see :meth:`BalancerCore.handle`.
+There is no socket, clock or task inside, so that any driver can feed it.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.freshness import Freshness
+from bilberrypath.coordination.membership import Membership
+from bilberrypath.coordination.probing import Prober
+from bilberrypath.coordination.ranking import is_reader
+from bilberrypath.coordination.releases import PUSH_FANOUT, ReleaseKeeper
+from bilberrypath.coordination.routing import (
+    Candidates,
+    Established,
+    GivenUp,
+    Router,
+    Unroutable,
+)
+from bilberrypath.protocol import control as ctl
+from bilberrypath.protocol.frame import Forward, NotMine, Return
+from bilberrypath.protocol.packet import PacketFault, PacketKind, read_header
+from bilberrypath.protocol.reset import build_stateless_reset
+from bilberrypath.state.members import Member, Role, Status
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bilberrypath.coordination.effects import Effect
+    from bilberrypath.coordination.events import Event
+    from bilberrypath.protocol.token import TokenCodec
+    from bilberrypath.types import Address, NodeId, Seconds
+
+GOSSIP_FANOUT = 2
+SEED_PERIOD: Seconds = 1.0
+COMPARE_PERIOD: Seconds = 5.0
+MAX_PUSHED_STEP = 1000  # bytes of an encoded step that goes in one datagram
+MAX_HELD_PACKETS = 512
+HOLD_LIMIT: Seconds = 0.5
+JOIN_LIMIT: Seconds = 3.0
+AGENT_PROBES = 2
+ASK_PERIOD: Seconds = 0.2
+
+
+@frozen
+class BalancerSetup:
+    """What a balancer is told at its start.
+
+    ``me`` is its own record, ``seeds`` the peer sockets of processes that may
+    let it in, ``ticks_per_second`` is implied by ``TICK_PERIOD``.
+    """
+
+    me: Member
+    seeds: tuple[Address, ...]
+    has_store: bool = True
+
+
+class BalancerCore:
+    """Route packets, keep the release and the members, and spread both.
+
+    Examples
+    --------
+    >>> from random import Random
+    >>> from bilberrypath.protocol.token import TokenCodec
+    >>> me = Member("127.0.0.1:7000", Role.BALANCER, "a", "", 1, 1, Status.SERVING)
+    >>> setup = BalancerSetup(me, seeds=())
+    >>> core = BalancerCore(setup, TokenCodec({1: bytes(16)}, 1), Random(1), 0.0)
+    >>> core.handle(ev.PacketReceived(9443, ("127.0.0.1", 5), b""), 0.0)
+    [Count(event='packet_dropped', reason='empty')]
+    """
+
+    def __init__(
+        self, setup: BalancerSetup, codec: TokenCodec, rng: Random, now: Seconds
+    ) -> None:
+        self.setup = setup
+        self.codec = codec
+        self.rng = rng
+        self.members = Membership(setup.me)
+        self.releases = ReleaseKeeper()
+        self.router = Router(codec)
+        self.freshness = Freshness()
+        self.prober = Prober(rng, next_probe_at=now)
+        self.started_at = now
+        self._joined = False
+        self._next_seed_at = now
+        self._next_compare_at = now + COMPARE_PERIOD * rng.uniform(0.5, 1.5)
+        self._probe_target_by_sequence: dict[int, NodeId] = {}
+        self._relayed: dict[int, tuple[Address, int]] = {}
+        self._held: list[tuple[Seconds, ev.PacketReceived]] = []
+        self._last_differing: tuple[Address, Seconds] | None = None
+        self._confirm_at: tuple[int, Seconds] | None = None
+        self._next_ask_at = now
+        self._reader_epoch = -1
+        self._is_reader = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether opens can be routed: a release is held and peers are known."""
+        return self.releases.revision > 0 and self._joined
+
+    def handle(self, event: Event, now: Seconds) -> list[Effect]:
+        """Take one event at a time and return what is to be done.
+
+        ``now`` is a monotonic time in seconds that never falls. No exception
+        leaves this method for any content of a message.
+        """
+        effects = self._handle(event, now)
+        if any(isinstance(effect, fx.Adopted) for effect in effects):
+            effects += self._use_release(now)
+        if self.members.changed_services:
+            self._refresh_routes()
+        return effects
+
+    # Packets
+
+    def route_packet(
+        self, service_port: int, caller: Address, payload: bytes, now: Seconds
+    ) -> list[Effect]:
+        """Return what to do with a caller's datagram."""
+        header = read_header(payload)
+        if isinstance(header, PacketFault):
+            return [fx.Count("packet_dropped", header.value)]
+        if not self.freshness.is_fresh(now):
+            return self._hold(ev.PacketReceived(service_port, caller, payload), now)
+        routing = self.router.route_token(service_port, header.connection_id)
+        if routing is None:
+            if header.kind is PacketKind.SHORT:
+                return [fx.Count("packet_dropped", "no_token")]
+            routing = self.router.route_open(
+                service_port, header.connection_id, self.members.table, now
+            )
+        elif isinstance(routing, Established):
+            routing = self._check_over(routing, header.connection_id, header.kind)
+        return self._carry_out(
+            routing, service_port, caller, payload, header.connection_id
+        )
+
+    def _check_over(
+        self, routing: Established, token: bytes, kind: PacketKind
+    ) -> Established | GivenUp:
+        if kind is not PacketKind.SHORT:
+            return routing
+        host, port = routing.to
+        member = self.members.table.get(f"{host}:{port}")
+        return self.router.check_known_over(token, member) or routing
+
+    def _carry_out(
+        self,
+        routing: Candidates | Established | GivenUp | Unroutable,
+        service_port: int,
+        caller: Address,
+        payload: bytes,
+        connection_id: bytes,
+    ) -> list[Effect]:
+        if isinstance(routing, Established):
+            frame = self._frame(service_port, caller, payload, ())
+            return [fx.SendFrame(routing.to, frame)]
+        if isinstance(routing, Candidates):
+            first = routing.agents[0]
+            frame = self._frame(service_port, caller, payload, routing.agents[1:])
+            return [fx.SendFrame((first.host, first.port), frame)]
+        if isinstance(routing, GivenUp):
+            return self._reset(
+                service_port, caller, connection_id, len(payload), routing.reason
+            )
+        return [fx.Count("packet_dropped", routing.reason)]
+
+    def _frame(
+        self, service_port: int, caller: Address, payload: bytes, others: tuple
+    ) -> Forward:
+        host, port = self.members.me.address
+        return Forward(
+            self.releases.revision,
+            caller[0],
+            caller[1],
+            host,
+            port,
+            service_port,
+            0,
+            others,
+            payload,
+        )
+
+    def _reset(
+        self, port: int, caller: Address, token: bytes, length: int, reason: str
+    ) -> list[Effect]:
+        effects: list[Effect] = [fx.Count("flow_given_up", reason)]
+        reset_token = self.codec.derive_reset_token(token)
+        packet = build_stateless_reset(reset_token, length, self.rng)
+        if packet is not None:
+            effects.append(fx.SendToCaller(port, caller, packet))
+        return effects
+
+    def _hold(self, packet: ev.PacketReceived, now: Seconds) -> list[Effect]:
+        effects: list[Effect] = []
+        if not self._held:
+            effects += self._ask_to_confirm(now)
+        if len(self._held) >= MAX_HELD_PACKETS:
+            return [*effects, fx.Count("packet_dropped", "stale")]
+        self._held.append((now, packet))
+        return effects
+
+    def _release_held(self, now: Seconds) -> list[Effect]:
+        if not self._held:
+            return []
+        effects: list[Effect] = []
+        if self.freshness.is_fresh(now):
+            held, self._held = self._held, []
+            for _, packet in held:
+                effects += self._handle(packet, now)
+            return effects
+        kept = [(at, packet) for at, packet in self._held if now - at <= HOLD_LIMIT]
+        for _ in range(len(self._held) - len(kept)):
+            effects.append(fx.Count("packet_dropped", "stale"))
+        self._held = kept
+        return effects
+
+    # Events
+
+    @singledispatchmethod
+    def _handle(self, event: Event, now: Seconds) -> list[Effect]:
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @_handle.register(ev.PacketReceived)
+    def _(self, event: ev.PacketReceived, now: Seconds) -> list[Effect]:
+        return self.route_packet(event.service_port, event.caller, event.payload, now)
+
+    @_handle.register(ev.FrameReceived)
+    def _(self, event: ev.FrameReceived, now: Seconds) -> list[Effect]:
+        frame = event.frame
+        caller = (
+            (frame.caller_host, frame.caller_port)
+            if isinstance(frame, Return | NotMine)
+            else None
+        )
+        if caller is None:
+            return [fx.Count("frame_dropped", "unexpected")]
+        effects = self._note_agent_revision(frame.revision, now)
+        if isinstance(frame, Return):
+            self.router.note_load(event.sender, frame.load, now)
+            effects.append(fx.SendToCaller(frame.service_port, caller, frame.payload))
+            return effects
+        return effects + self._reset(
+            frame.service_port, caller, frame.connection_id, 64, "not_mine"
+        )
+
+    @_handle.register(ev.ControlReceived)
+    def _(self, event: ev.ControlReceived, now: Seconds) -> list[Effect]:
+        return self._take_message(event.message, event.sender, now)
+
+    @_handle.register(ev.ReleasePulled)
+    def _(self, event: ev.ReleasePulled, now: Seconds) -> list[Effect]:
+        return self.releases.take_pulled(event)
+
+    @_handle.register(ev.TablePulled)
+    def _(self, event: ev.TablePulled, now: Seconds) -> list[Effect]:
+        self._joined = True
+        return self.members.merge_all(event.members, now)
+
+    @_handle.register(ev.PullFailed)
+    def _(self, event: ev.PullFailed, now: Seconds) -> list[Effect]:
+        self.releases.note_pull_failed()
+        return [fx.Count("pull_failed", "peer")]
+
+    @_handle.register(ev.StoreRead)
+    def _(self, event: ev.StoreRead, now: Seconds) -> list[Effect]:
+        self.freshness.confirm_started(event.asked_at)
+        return [*self.releases.take_read(event, now), *self._release_held(now)]
+
+    @_handle.register(ev.StoreFailed)
+    def _(self, event: ev.StoreFailed, now: Seconds) -> list[Effect]:
+        self.releases.note_read_failed(now)
+        return [fx.Count("store_failed", "read")]
+
+    @_handle.register(ev.Leave)
+    def _(self, event: ev.Leave, now: Seconds) -> list[Effect]:
+        self.members.announce(Status.LEFT)
+        peers = self.members.list_peers()
+        drawn = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
+        return [self._send(peer, ctl.Gossip(self._news())) for peer in drawn]
+
+    @_handle.register(ev.Tick)
+    def _(self, event: ev.Tick, now: Seconds) -> list[Effect]:
+        effects = self.members.tick(now)
+        self.router.unreachable = self.members.beacons.list_unreachable(now)
+        peers = self.members.list_peers()
+        effects += self._probe(peers, now)
+        effects += self._seek_seeds(peers, now)
+        effects += self._spread(peers)
+        effects += self._compare(now)
+        if self.setup.has_store and self._reads_store():
+            effects += self.releases.plan_read(now)
+        if not self._joined and now - self.started_at > JOIN_LIMIT:
+            self._joined = True
+        return effects + self._release_held(now)
+
+    # Ticks
+
+    def _reads_store(self) -> bool:
+        if self._reader_epoch != self.members.epoch:
+            self._reader_epoch = self.members.epoch
+            balancers = self.members.table.list_balancers()
+            self._is_reader = is_reader(self.members.me, balancers)
+        return self._is_reader or self.releases.revision == 0
+
+    def _probe(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
+        plan = self.prober.plan(peers, now)
+        effects: list[Effect] = []
+        if plan.probe is not None:
+            effects.append(self._start_probe(plan.probe, now))
+        for helper, target in plan.probe_through:
+            sequence = self._open_sequence(target, now)
+            message = ctl.ProbeFor(sequence, target, self._news())
+            effects.append(self._send(helper, message))
+        for target in plan.suspect:
+            effects += self.members.suspect(target, now)
+        if not peers:
+            effects += self._probe_agents(now)
+        return effects
+
+    def _start_probe(self, target: NodeId, now: Seconds) -> fx.SendControl:
+        sequence = self._open_sequence(target, now)
+        return self._send(target, ctl.Probe(sequence, self._news()))
+
+    def _open_sequence(self, target: NodeId, now: Seconds) -> int:
+        sequence = self.freshness.start(now)
+        self._probe_target_by_sequence[sequence] = target
+        if len(self._probe_target_by_sequence) > 64:
+            oldest = next(iter(self._probe_target_by_sequence))
+            del self._probe_target_by_sequence[oldest]
+        return sequence
+
+    def _probe_agents(self, now: Seconds) -> list[Effect]:
+        heard = list(self.members.hearing.heard_by_id)
+        drawn = self.rng.sample(heard, min(AGENT_PROBES, len(heard)))
+        revision = self.releases.revision
+        return [
+            self._send(agent, ctl.AgentProbe(self.freshness.start(now), revision))
+            for agent in drawn
+        ]
+
+    def _ask_to_confirm(self, now: Seconds) -> list[Effect]:
+        peers = self.members.list_peers()
+        drawn = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
+        effects: list[Effect] = [self._start_probe(peer, now) for peer in drawn]
+        if not peers:
+            effects += self._probe_agents(now)
+        return effects
+
+    def _seek_seeds(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
+        """Probe the seeds while alone, and one of them now and then.
+
+        The latter joins two halves that lost each other for so long that
+        each took the other for gone.
+        """
+        if now < self._next_seed_at or not self.setup.seeds:
+            return []
+        period = SEED_PERIOD if len(peers) == 0 or not self._joined else 10.0
+        self._next_seed_at = now + period * self.rng.uniform(0.8, 1.2)
+        seeds = [s for s in self.setup.seeds if s != self.members.me.address]
+        if peers and self._joined:
+            seeds = self.rng.sample(seeds, min(1, len(seeds)))
+        return [self._start_probe(f"{host}:{port}", now) for host, port in seeds]
+
+    def _spread(self, peers: list[NodeId]) -> list[Effect]:
+        effects: list[Effect] = []
+        if self.releases.push_rounds_left > 0:
+            self.releases.push_rounds_left -= 1
+            effects += self._push_release(peers)
+        if not self.members.rumours or not peers:
+            return effects
+        drawn = self.rng.sample(peers, min(GOSSIP_FANOUT, len(peers)))
+        return effects + [self._send(peer, ctl.Gossip(self._news())) for peer in drawn]
+
+    def _push_release(self, peers: list[NodeId]) -> list[Effect]:
+        drawn = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
+        message = self._describe_release()
+        return [self._send(peer, message) for peer in drawn]
+
+    def _describe_release(self) -> ctl.ReleasePush | ctl.Gossip:
+        """Return the last step if it fits a datagram, else the revision alone."""
+        if self.releases.steps:
+            push = ctl.ReleasePush(self.releases.steps[-1], self._news())
+            if len(ctl.encode_control(push.step)) <= MAX_PUSHED_STEP:
+                return push
+        return ctl.Gossip(self._news())
+
+    def _compare(self, now: Seconds) -> list[Effect]:
+        if now < self._next_compare_at or self._last_differing is None:
+            return []
+        self._next_compare_at = now + COMPARE_PERIOD * self.rng.uniform(0.8, 1.2)
+        peer, _ = self._last_differing
+        self._last_differing = None
+        return [fx.PullTable(peer, self.members.table.list_digests())]
+
+    # Messages
+
+    @singledispatchmethod
+    def _take_message(
+        self, message: ctl.ControlMessage, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        return [fx.Count("control_dropped", "unexpected")]
+
+    @_take_message.register(ctl.Heartbeat)
+    def _(self, message: ctl.Heartbeat, sender: Address, now: Seconds) -> list[Effect]:
+        member = message.member
+        if member.role is not Role.AGENT or member.address != sender:
+            return [fx.Count("control_dropped", "wrong_sender")]
+        effects = self.members.merge(member, now)
+        known = self.members.table.get(member.node_id)
+        if not member.is_gone:
+            self.members.hearing.note(
+                member.node_id, message.revision, message.running, now
+            )
+        self.members.beacons.note_heard(member.data_centre, now)
+        self.router.note_load(sender, message.load, now)
+        homes = self.members.list_homes(member.node_id, member.data_centre)
+        view = self.releases.view_for(member)
+        answer = ctl.HeartbeatAck(message.sequence, view, known, homes)
+        effects += self._note_agent_revision(message.revision, now)
+        return [*effects, fx.SendControl(sender, answer)]
+
+    @_take_message.register(ctl.Probe)
+    def _(self, message: ctl.Probe, sender: Address, now: Seconds) -> list[Effect]:
+        effects = self._take_news(message.news, sender, now)
+        answer = ctl.ProbeAck(message.sequence, self._news())
+        return [*effects, fx.SendControl(sender, answer)]
+
+    @_take_message.register(ctl.ProbeFor)
+    def _(self, message: ctl.ProbeFor, sender: Address, now: Seconds) -> list[Effect]:
+        effects = self._take_news(message.news, sender, now)
+        sequence = self._open_sequence(message.target, now)
+        self._relayed[sequence] = (sender, message.sequence)
+        if len(self._relayed) > 64:
+            del self._relayed[next(iter(self._relayed))]
+        probe = ctl.Probe(sequence, self._news())
+        return [*effects, self._send(message.target, probe)]
+
+    @_take_message.register(ctl.ProbeAck)
+    def _(self, message: ctl.ProbeAck, sender: Address, now: Seconds) -> list[Effect]:
+        effects = self._take_news(message.news, sender, now)
+        target = self._probe_target_by_sequence.pop(message.sequence, None)
+        if target is not None:
+            self.prober.note_answer(target)
+        effects += self._confirm(message, sender, now)
+        relayed = self._relayed.pop(message.sequence, None)
+        if relayed is not None:
+            asker, sequence = relayed
+            answer = ctl.ProbeAck(sequence, message.news)
+            effects.append(fx.SendControl(asker, answer))
+        return effects + self._release_held(now)
+
+    @_take_message.register(ctl.Gossip)
+    def _(self, message: ctl.Gossip, sender: Address, now: Seconds) -> list[Effect]:
+        return self._take_news(message.news, sender, now)
+
+    @_take_message.register(ctl.ReleasePush)
+    def _(
+        self, message: ctl.ReleasePush, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        taken = self.releases.offer_step(message.step)
+        effects = list(taken or ())
+        return effects + self._take_news(message.news, sender, now)
+
+    @_take_message.register(ctl.AgentProbeAck)
+    def _(
+        self, message: ctl.AgentProbeAck, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        if message.revision > self.releases.revision:
+            return self._note_agent_revision(message.revision, now)
+        if self.freshness.confirm(message.sequence) is None:
+            return []
+        return self._release_held(now)
+
+    def _take_news(self, news: ctl.News, sender: Address, now: Seconds) -> list[Effect]:
+        effects = self.members.merge(news.sender, now)
+        effects += self.members.merge_all(news.members, now)
+        self.members.beacons.merge(news.beacons, now)
+        self.members.beacons.note_heard(news.sender.data_centre, now)
+        effects += self.releases.learn_of(sender, news.revision, now)
+        if news.table_digest != self.members.table.digest():
+            self._last_differing = (sender, now)
+        return effects
+
+    def _confirm(
+        self, message: ctl.ProbeAck, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        """Count an answer as proof of freshness once its revision is held."""
+        newer = message.news.revision > self.releases.revision
+        started_at = self.freshness.confirm(message.sequence, hold=newer)
+        if started_at is None:
+            return []
+        if newer:
+            self._confirm_at = (message.news.revision, started_at)
+        if self._joined:
+            return []
+        return [fx.PullTable(sender, self.members.table.list_digests())]
+
+    def _note_agent_revision(self, revision: int, now: Seconds) -> list[Effect]:
+        """Ask peers at once when an agent knows of a newer release."""
+        if revision <= self.releases.revision or now < self._next_ask_at:
+            return []
+        self._next_ask_at = now + ASK_PERIOD
+        return [fx.Count("behind_agent", "revision"), *self._ask_to_confirm(now)]
+
+    # Shared
+
+    def _use_release(self, now: Seconds) -> list[Effect]:
+        release = self.releases.release
+        self.router.use_release(release)
+        if self._confirm_at is not None and self._confirm_at[0] <= release.revision:
+            self.freshness.confirm_started(self._confirm_at[1])
+            self._confirm_at = None
+        effects = self._push_release(self.members.list_peers())
+        for node_id in self.members.hearing.heard_by_id:
+            member = self.members.table.get(node_id)
+            if member is not None:
+                view = self.releases.view_for(member)
+                effects.append(self._send(node_id, ctl.ViewPush(view)))
+        return effects + self._release_held(now)
+
+    def _refresh_routes(self) -> None:
+        for name in self.members.changed_services:
+            self.router.forget_service(name)
+        self.members.changed_services.clear()
+
+    def _news(self) -> ctl.News:
+        balancers = len(self.members.list_peers()) + 1
+        return ctl.News(
+            sender=self.members.me,
+            revision=self.releases.revision,
+            table_digest=self.members.table.digest(),
+            beacons=dict(self.members.beacons.counter_by_centre),
+            members=self.members.rumours.take(balancers),
+        )
+
+    def _send(self, node_id: NodeId, message: ctl.ControlMessage) -> fx.SendControl:
+        host, _, port = node_id.rpartition(":")
+        return fx.SendControl((host, int(port)), message)
--- /dev/null
+++ b/bilberrypath/coordination/routing.py
@@ -0,0 +1,198 @@
+"""Where a caller's packet goes: by its token, or by rank for an open.
+
+One typed interface serves flows with a routing token and flows without: the
+key of the flow and its token, if any, go in; candidates come out.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, frozen
+
+from bilberrypath.coordination.ranking import score, seed_node
+from bilberrypath.protocol.frame import Candidate
+from bilberrypath.protocol.token import INCARNATION_MASK
+from bilberrypath.state.members import Status
+
+if TYPE_CHECKING:
+    from bilberrypath.protocol.token import Route, TokenCodec
+    from bilberrypath.state.members import Member, MemberTable
+    from bilberrypath.state.release import Release, Service
+    from bilberrypath.types import Address, DataCentreName, NodeId, Seconds
+
+CANDIDATE_COUNT = 3
+LOAD_FADES_AFTER: Seconds = 3.0
+UNKNOWN_LOAD = -1
+MAX_CACHED_ROUTES = 16384
+
+
+@frozen
+class Candidates:
+    """Agents that may take an open, the first choice first."""
+
+    agents: tuple[Candidate, ...]
+
+
+@frozen
+class Established:
+    """The agent of an established flow."""
+
+    to: Address
+
+
+@frozen
+class GivenUp:
+    """The flow is over, and its caller should be told at once."""
+
+    reason: str
+
+
+@frozen
+class Unroutable:
+    """The packet can't be sent anywhere; ``reason`` is counted."""
+
+    reason: str
+
+
+Routing = Candidates | Established | GivenUp | Unroutable
+
+
+@frozen
+class Upstream:
+    """An agent that may take opens, as routing sees it."""
+
+    node_id: NodeId
+    address: Address
+    data_centre: DataCentreName
+    seed: int
+
+
+@define
+class HeardLoad:
+    """The load that an agent told of last, and when."""
+
+    load: int
+    heard_at: Seconds
+
+
+@define
+class Router:
+    """Answer where packets go from the release and the member table.
+
+    Nothing here is needed by an established flow: its token alone routes it.
+    """
+
+    codec: TokenCodec
+    service_by_port: dict[int, Service] = Factory(dict)
+    name_by_number: dict[int, str] = Factory(dict)
+    out_numbers: frozenset[int] = frozenset()
+    unreachable: frozenset[str] = frozenset()
+    load_by_address: dict[Address, HeardLoad] = Factory(dict)
+    _out_names: frozenset[str] = frozenset()
+    _upstreams_by_service: dict[str, list[Upstream]] = Factory(dict)
+    _route_by_token: dict[bytes, Route] = Factory(dict)
+
+    def use_release(self, release: Release) -> None:
+        """Take over the services and data centres of a release."""
+        services = release.list_services()
+        self.service_by_port = {service.port: service for service in services}
+        self.name_by_number = {service.number: service.name for service in services}
+        self._out_names = release.list_out()
+        self.out_numbers = frozenset(
+            release.data_centre_by_name[name].number for name in self._out_names
+        )
+        self._upstreams_by_service.clear()
+
+    def forget_service(self, name: str) -> None:
+        """Look up the upstreams of a service anew at the next open."""
+        self._upstreams_by_service.pop(name, None)
+
+    def route_open(
+        self, service_port: int, flow_key: bytes, table: MemberTable, now: Seconds
+    ) -> Routing:
+        """Return the candidates for a flow that opens.
+
+        The order depends on the release and the table alone, never on load,
+        so that all packets of an open reach the same agent first.
+        """
+        service = self.service_by_port.get(service_port)
+        if service is None:
+            return Unroutable("unknown_service")
+        upstreams = self._list_upstreams(service, table)
+        if not upstreams:
+            return Unroutable("no_upstream")
+        best = self._rank(flow_key, upstreams)
+        return Candidates(tuple(self._describe(upstream, now) for upstream in best))
+
+    def route_token(self, service_port: int, token: bytes) -> Routing | None:
+        """Return where a token leads, or None if it is not one of ours."""
+        route = self._route_by_token.get(token)
+        if route is None:
+            route = self.codec.read(token)
+            if route is None:
+                return None
+            self._cache(token, route)
+        if route.data_centre in self.out_numbers:
+            return GivenUp("data_centre_out")
+        service = self.service_by_port.get(service_port)
+        if service is not None and service.number != route.service:
+            return Unroutable("wrong_service")
+        return Established((route.host, route.port))
+
+    def check_known_over(
+        self, token: bytes, member_at: Member | None
+    ) -> GivenUp | None:
+        """Return that a flow is over if its agent is known to have ended."""
+        route = self._route_by_token.get(token)
+        if route is None or member_at is None:
+            return None
+        same = member_at.incarnation & INCARNATION_MASK == route.incarnation
+        if same and member_at.status is not Status.LEFT:
+            return None
+        return GivenUp("agent_ended")
+
+    def note_load(self, agent: Address, load: int, now: Seconds) -> None:
+        """Record the load that an agent told of."""
+        heard = self.load_by_address.get(agent)
+        if heard is None:
+            self.load_by_address[agent] = HeardLoad(load, now)
+            return
+        heard.load = load
+        heard.heard_at = now
+
+    def count_upstreams(self, service: Service, table: MemberTable) -> int:
+        """Return how many agents may take opens of a service."""
+        return len(self._list_upstreams(service, table))
+
+    def _cache(self, token: bytes, route: Route) -> None:
+        if len(self._route_by_token) >= MAX_CACHED_ROUTES:
+            self._route_by_token.clear()
+        self._route_by_token[token] = route
+
+    def _list_upstreams(self, service: Service, table: MemberTable) -> list[Upstream]:
+        upstreams = self._upstreams_by_service.get(service.name)
+        if upstreams is None:
+            upstreams = [
+                Upstream(m.node_id, m.address, m.data_centre, seed_node(m.node_id))
+                for m in table.list_agents(service.name)
+                if m.takes_work
+                and m.data_centre in service.data_centres
+                and m.data_centre not in self._out_names
+            ]
+            self._upstreams_by_service[service.name] = upstreams
+        return upstreams
+
+    def _rank(self, flow_key: bytes, upstreams: list[Upstream]) -> list[Upstream]:
+        def rate(upstream: Upstream) -> tuple[bool, int]:
+            reachable = upstream.data_centre not in self.unreachable
+            return reachable, score(flow_key, upstream.seed)
+
+        return sorted(upstreams, key=rate, reverse=True)[:CANDIDATE_COUNT]
+
+    def _describe(self, upstream: Upstream, now: Seconds) -> Candidate:
+        host, port = upstream.address
+        heard = self.load_by_address.get(upstream.address)
+        if heard is None or now - heard.heard_at > LOAD_FADES_AFTER:
+            return Candidate(host, port, UNKNOWN_LOAD)
+        return Candidate(host, port, heard.load)
--- /dev/null
+++ b/bilberrypath/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats: routing tokens, frames, control messages and outcomes."""
--- /dev/null
+++ b/bilberrypath/protocol/frame.py
@@ -0,0 +1,118 @@
+"""Frames between the system's own processes, and their authentication.
+
+A datagram between two processes holds one frame: a kind byte, a keyed hash of
+eight bytes and a MessagePack body (msgspec). For packets that pass through,
+the hash covers the start of the body, which holds the addressing; the payload
+is a QUIC packet that its two ends authenticate themselves.
+"""
+
+import hashlib
+from typing import Union
+
+import msgspec
+
+MAC_LENGTH = 8  # bytes
+PACKET_KIND = b"\x00"
+CONTROL_KIND = b"\x01"
+PACKET_COVER = 128  # bytes of the body that the hash of a packet frame covers
+MAX_FRAME = 9000  # bytes
+
+
+class Candidate(msgspec.Struct, array_like=True, frozen=True):
+    """An agent that may take an open, with its connections as last heard.
+
+    ``load`` is -1 when nothing recent is known.
+    """
+
+    host: str
+    port: int
+    load: int
+
+
+class Forward(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """A caller's packet on its way from a balancer to an agent.
+
+    ``balancer_port`` names the service socket that the answer must leave by.
+    ``others`` lists the next candidates of an open, and is empty otherwise.
+    ``hops`` counts the agents that passed the packet on.
+    """
+
+    revision: int
+    caller_host: str
+    caller_port: int
+    balancer_host: str
+    balancer_port: int
+    service_port: int
+    hops: int
+    others: tuple[Candidate, ...]
+    payload: bytes
+
+
+class Return(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """An agent's packet on its way back to the caller."""
+
+    revision: int
+    caller_host: str
+    caller_port: int
+    service_port: int
+    load: int
+    payload: bytes
+
+
+class NotMine(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """An agent's word that a token names another process or a lost flow."""
+
+    revision: int
+    caller_host: str
+    caller_port: int
+    service_port: int
+    connection_id: bytes
+
+
+PacketFrame = Union[Forward, Return, NotMine]  # noqa: UP007
+_encode = msgspec.msgpack.Encoder().encode
+_packet_decoder = msgspec.msgpack.Decoder(PacketFrame)
+
+
+class FrameSeal:
+    """Seal and open frames with the key that the processes share."""
+
+    def __init__(self, key: bytes) -> None:
+        self._packet_hash = hashlib.blake2s(digest_size=MAC_LENGTH, key=key)
+        self._control_hash = hashlib.blake2s(
+            digest_size=MAC_LENGTH, key=key, person=b"control"
+        )
+
+    def seal_packet(self, frame: PacketFrame) -> bytes:
+        """Return the datagram that carries a packet frame."""
+        body = _encode(frame)
+        digest = self._packet_hash.copy()
+        digest.update(body[:PACKET_COVER])
+        return PACKET_KIND + digest.digest() + body
+
+    def seal_control(self, body: bytes) -> bytes:
+        """Return the datagram that carries an encoded control message."""
+        digest = self._control_hash.copy()
+        digest.update(body)
+        return CONTROL_KIND + digest.digest() + body
+
+    def open_packet(self, datagram: bytes) -> PacketFrame | None:
+        """Return the packet frame in a datagram, or None if it is not ours."""
+        body = datagram[1 + MAC_LENGTH :]
+        digest = self._packet_hash.copy()
+        digest.update(body[:PACKET_COVER])
+        if digest.digest() != datagram[1 : 1 + MAC_LENGTH]:
+            return None
+        try:
+            return _packet_decoder.decode(body)
+        except msgspec.DecodeError:
+            return None
+
+    def open_control(self, datagram: bytes) -> bytes | None:
+        """Return the body of a control datagram, or None if it is not ours."""
+        body = datagram[1 + MAC_LENGTH :]
+        digest = self._control_hash.copy()
+        digest.update(body)
+        if digest.digest() != datagram[1 : 1 + MAC_LENGTH]:
+            return None
+        return body
--- /dev/null
+++ b/bilberrypath/protocol/http.py
@@ -0,0 +1,175 @@
+"""How requests and outcomes look in HTTP/3, for callers and agents alike."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from bilberrypath.protocol.outcome import (
+    Answered,
+    Outcome,
+    Reason,
+    RefusedNotRun,
+    Unknown,
+)
+
+if TYPE_CHECKING:
+    from bilberrypath.types import Seconds
+
+    Headers = list[tuple[bytes, bytes]]
+
+KEY = b"idempotency-key"
+DEADLINE = b"bilberrypath-deadline-ms"
+IDEMPOTENT = b"bilberrypath-idempotent"
+OUTCOME = b"bilberrypath-outcome"
+AGENT = b"bilberrypath-agent"
+INCARNATION = b"bilberrypath-incarnation"
+AGE = b"bilberrypath-age-ms"
+LAST_ITEM = b"last-event-id"
+STREAM_TYPE = b"text/event-stream"
+PROBLEM_TYPE = b"application/problem+json"
+OUTCOME_PATH = "/.well-known/bilberrypath/outcome"
+NOT_RUN_TYPE = "urn:bilberrypath:not-run"
+UNKNOWN_TYPE = "urn:bilberrypath:unknown"
+SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+DEFAULT_DEADLINE: Seconds = 10.0
+MAX_DEADLINE: Seconds = 120.0
+_STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.DEADLINE_PASSED: 504,
+}
+
+
+@frozen
+class RequestHead:
+    """What the headers of a request say.
+
+    ``deadline`` is in seconds from its arrival. ``after_item`` is the last
+    item that the caller of a stream has.
+    """
+
+    method: str
+    path: str
+    key: str = ""
+    deadline: Seconds = DEFAULT_DEADLINE
+    idempotent: bool = True
+    is_stream: bool = False
+    after_item: int = 0
+    incarnation: int = 0
+    age: Seconds = 0.0
+    traceparent: str = ""
+
+
+@frozen
+class BadRequest:
+    """The headers can't be a request of ours; ``what`` says why."""
+
+    what: str
+
+
+def read_request_head(headers: Headers) -> RequestHead | BadRequest:
+    """Return what the headers of a request say."""
+    value_by_name = dict(headers)
+    try:
+        method = value_by_name[b":method"].decode("ascii")
+        path = value_by_name[b":path"].decode("ascii")
+        deadline = int(value_by_name.get(DEADLINE, b"-1")) / 1000
+        after_item = int(value_by_name.get(LAST_ITEM, b"0"))
+        incarnation = int(value_by_name.get(INCARNATION, b"0"))
+        age = int(value_by_name.get(AGE, b"0")) / 1000
+        key = value_by_name.get(KEY, b"").decode("ascii")
+    except (KeyError, ValueError) as error:
+        return BadRequest(f"header {error}")
+    said = value_by_name.get(IDEMPOTENT)
+    return RequestHead(
+        method=method,
+        path=path,
+        key=key,
+        deadline=min(deadline, MAX_DEADLINE) if deadline >= 0 else DEFAULT_DEADLINE,
+        idempotent=method in SAFE_METHODS if said is None else said == b"?1",
+        is_stream=STREAM_TYPE in value_by_name.get(b"accept", b""),
+        after_item=max(0, after_item),
+        incarnation=incarnation,
+        age=age,
+        traceparent=value_by_name.get(b"traceparent", b"").decode("ascii", "replace"),
+    )
+
+
+def write_request_head(head: RequestHead, authority: str) -> Headers:
+    """Return the headers of a request."""
+    headers = [
+        (b":method", head.method.encode()),
+        (b":scheme", b"https"),
+        (b":authority", authority.encode()),
+        (b":path", head.path.encode()),
+        (DEADLINE, str(int(head.deadline * 1000)).encode()),
+        (IDEMPOTENT, b"?1" if head.idempotent else b"?0"),
+    ]
+    if head.key:
+        headers.append((KEY, head.key.encode()))
+    if head.is_stream:
+        headers.append((b"accept", STREAM_TYPE))
+    if head.after_item:
+        headers.append((LAST_ITEM, str(head.after_item).encode()))
+    if head.incarnation:
+        headers.append((INCARNATION, str(head.incarnation).encode()))
+        headers.append((AGE, str(int(head.age * 1000)).encode()))
+    if head.traceparent:
+        headers.append((b"traceparent", head.traceparent.encode()))
+    return headers
+
+
+def write_outcome(outcome: Outcome, agent: bytes) -> tuple[Headers, bytes]:
+    """Return the headers and the body that carry an outcome."""
+    if isinstance(outcome, Answered):
+        status, body = outcome.status, outcome.body
+        extra = []
+    else:
+        status, body = _write_problem(outcome)
+        extra = [(b"content-type", PROBLEM_TYPE)]
+    if isinstance(outcome, RefusedNotRun) and outcome.retry_after:
+        seconds = max(1, round(outcome.retry_after))
+        extra.append((b"retry-after", str(seconds).encode()))
+    headers = [
+        (b":status", str(status).encode()),
+        (OUTCOME, outcome.kind.encode()),
+        (AGENT, agent),
+        (b"content-length", str(len(body)).encode()),
+        *extra,
+    ]
+    return headers, body
+
+
+def _write_problem(outcome: RefusedNotRun | Unknown) -> tuple[int, bytes]:
+    """Return a problem document (RFC 9457) and its status."""
+    refused = isinstance(outcome, RefusedNotRun)
+    status = _STATUS_BY_REASON.get(outcome.reason, 503 if refused else 502)
+    problem = {
+        "type": NOT_RUN_TYPE if refused else UNKNOWN_TYPE,
+        "title": "The request did not run" if refused else "The request may have run",
+        "status": status,
+        "reason": outcome.reason.value,
+    }
+    if refused:
+        problem["elsewhere"] = outcome.elsewhere
+        problem["retry_after"] = outcome.retry_after
+    return status, json.dumps(problem).encode()
+
+
+def read_outcome(headers: Headers, body: bytes) -> Outcome:
+    """Return the outcome that an answer carries."""
+    value_by_name = dict(headers)
+    kind = value_by_name.get(OUTCOME, b"answered")
+    if kind == b"answered":
+        return Answered(int(value_by_name[b":status"]), body)
+    try:
+        problem = json.loads(body)
+        reason = Reason(problem["reason"])
+        if kind == b"not_run":
+            return RefusedNotRun(reason, problem["elsewhere"], problem["retry_after"])
+    except (ValueError, KeyError, TypeError):
+        return Unknown(Reason.UPSTREAM_LOST)
+    return Unknown(reason)
--- /dev/null
+++ b/bilberrypath/protocol/outcome.py
@@ -0,0 +1,63 @@
+"""The outcomes of a request, one tagged dataclass each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Literal
+
+
+class Reason(Enum):
+    """Why a request was refused, or why its outcome is not known."""
+
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline_cannot_be_met"
+    DRAINING = "draining"
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_AWAY = "upstream_away"
+    UPSTREAM_UNHEALTHY = "upstream_unhealthy"
+    SEALED = "sealed"
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    DATA_CENTRE_OUT = "data_centre_out"
+    FLOW_LOST = "flow_lost"
+    UPSTREAM_LOST = "upstream_lost"
+    DEADLINE_PASSED = "deadline_passed"
+    OTHER_INCARNATION = "other_incarnation"
+    NO_AGENT = "no_agent"
+    NOT_KEPT = "answer_not_kept"
+    BUDGET = "retry_budget_spent"
+
+
+@dataclass(frozen=True)
+class Answered:
+    """The upstream's whole answer to this request."""
+
+    status: int
+    body: bytes
+    kind: Literal["answered"] = "answered"
+
+
+@dataclass(frozen=True)
+class RefusedNotRun:
+    """The request did not run and will not.
+
+    ``elsewhere`` tells whether another upstream is worth a try,
+    ``retry_after`` how many seconds to wait first.
+    """
+
+    reason: Reason
+    elsewhere: bool
+    retry_after: float = 0.0
+    kind: Literal["not_run"] = "not_run"
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The request may have run."""
+
+    reason: Reason
+    kind: Literal["unknown"] = "unknown"
+
+
+Outcome = Answered | RefusedNotRun | Unknown
--- /dev/null
+++ b/bilberrypath/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that decisions read: releases, members, requests."""
--- /dev/null
+++ b/bilberrypath/state/members.py
@@ -0,0 +1,216 @@
+"""Members: the processes that announced themselves, and how news is ordered.
+
+A record belongs to one process (address and incarnation). Only the process
+itself raises the version; observers may add a suspicion at the version they
+know, which the process answers by raising it. Merging keeps the newest, so
+that any order of arrival gives the same table.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+from attrs import Factory, define
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from bilberrypath.types import Address, DataCentreName, NodeId, ServiceName
+
+TABLE_BUCKETS = 256
+
+
+class Role(IntEnum):
+    """What a process does."""
+
+    BALANCER = 0
+    AGENT = 1
+
+
+class Status(IntEnum):
+    """What a process says of itself."""
+
+    SERVING = 0
+    DRAINING = 1
+    LEFT = 2
+
+
+class Doubt(IntEnum):
+    """What observers say of a process; of one version the higher wins."""
+
+    NONE = 0
+    SUSPECTED = 1
+    REMOVED = 2
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """One announced process.
+
+    ``version`` counts the changes that the process announced of itself.
+    Observers may only raise ``doubt``.
+    """
+
+    node_id: str
+    role: Role
+    data_centre: str
+    service: str
+    incarnation: int
+    version: int
+    status: Status
+    doubt: Doubt = Doubt.NONE
+
+    @property
+    def address(self) -> Address:
+        """The peer socket of the process."""
+        host, _, port = self.node_id.rpartition(":")
+        return host, int(port)
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new work may be sent to the process."""
+        return self.status is Status.SERVING and self.doubt < Doubt.REMOVED
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the process ended, by its own word or by silence."""
+        return self.status is Status.LEFT or self.doubt is Doubt.REMOVED
+
+
+def is_newer(left: Member, right: Member) -> bool:
+    """Return whether ``left`` says more recent things than ``right``."""
+    return _order(left) > _order(right)
+
+
+def _order(member: Member) -> tuple[int, int, int]:
+    return member.incarnation, member.version, member.doubt
+
+
+def digest_member(member: Member) -> int:
+    """Return a 64-bit hash of a record."""
+    order = "/".join(str(part) for part in _order(member))
+    return xxhash.xxh64_intdigest(f"{member.node_id}/{order}".encode())
+
+
+def find_table_bucket(node_id: NodeId) -> int:
+    """Return the index of the part of the table that holds a record."""
+    return xxhash.xxh32_intdigest(node_id.encode()) % TABLE_BUCKETS
+
+
+@define
+class MemberTable:
+    """All known members, with digests that show where two tables differ.
+
+    The digest of a bucket is the exclusive or of its records' hashes, so that
+    a change costs the same whatever the size of the table.
+    """
+
+    _member_by_id: dict[NodeId, Member] = Factory(dict)
+    _digest_by_bucket: list[int] = Factory(lambda: [0] * TABLE_BUCKETS)
+    _ids_by_bucket: list[set[NodeId]] = Factory(
+        lambda: [set() for _ in range(TABLE_BUCKETS)]
+    )
+    _agents_by_service: dict[ServiceName, dict[NodeId, Member]] = Factory(dict)
+    _balancer_by_id: dict[NodeId, Member] = Factory(dict)
+
+    def __len__(self) -> int:
+        return len(self._member_by_id)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._member_by_id.values())
+
+    def get(self, node_id: NodeId) -> Member | None:
+        """Return the record of a process, or None."""
+        return self._member_by_id.get(node_id)
+
+    def merge(self, member: Member) -> Member | None:
+        """Take in a record; return what it replaced, itself, or None.
+
+        None means that the record is not newer than what is known. A record
+        that was not known before is returned itself.
+        """
+        known = self._member_by_id.get(member.node_id)
+        if known is not None and not is_newer(member, known):
+            return None
+        bucket = find_table_bucket(member.node_id)
+        if known is not None:
+            self._toggle_digest(bucket, known)
+            self._unindex(known)
+        self._toggle_digest(bucket, member)
+        self._ids_by_bucket[bucket].add(member.node_id)
+        self._member_by_id[member.node_id] = member
+        self._index(member)
+        return known or member
+
+    def drop(self, node_id: NodeId) -> None:
+        """Forget a record, as is done long after a member is gone."""
+        known = self._member_by_id.pop(node_id)
+        bucket = find_table_bucket(node_id)
+        self._toggle_digest(bucket, known)
+        self._ids_by_bucket[bucket].discard(node_id)
+        self._unindex(known)
+
+    def list_agents(self, service: ServiceName) -> Iterable[Member]:
+        """Return the agents of a service that are not gone."""
+        return self._agents_by_service.get(service, {}).values()
+
+    def list_balancers(self) -> Iterable[Member]:
+        """Return the balancers that are not gone."""
+        return self._balancer_by_id.values()
+
+    def digest(self) -> int:
+        """Return a 64-bit digest of the whole table."""
+        return xxhash.xxh64_intdigest(repr(self._digest_by_bucket).encode())
+
+    def list_digests(self) -> tuple[int, ...]:
+        """Return the digest of each bucket."""
+        return tuple(self._digest_by_bucket)
+
+    def list_differing(self, digests: tuple[int, ...]) -> list[Member]:
+        """Return the records of the buckets whose digest is not the same."""
+        members = []
+        for index, digest in enumerate(digests[:TABLE_BUCKETS]):
+            if self._digest_by_bucket[index] == digest:
+                continue
+            ids = self._ids_by_bucket[index]
+            members.extend(self._member_by_id[node_id] for node_id in ids)
+        return members
+
+    def count_by_data_centre(self, role: Role) -> dict[DataCentreName, int]:
+        """Return how many members of a role each data centre has."""
+        count: dict[DataCentreName, int] = {}
+        for member in self:
+            if member.role is role and not member.is_gone:
+                count[member.data_centre] = count.get(member.data_centre, 0) + 1
+        return count
+
+    def _toggle_digest(self, bucket: int, member: Member) -> None:
+        """Add or remove a record; those of gone members do not count.
+
+        A balancer forgets gone members in its own time, which must not make
+        two tables look different.
+        """
+        if not member.is_gone:
+            self._digest_by_bucket[bucket] ^= digest_member(member)
+
+    def _index(self, member: Member) -> None:
+        if member.is_gone:
+            return
+        if member.role is Role.BALANCER:
+            self._balancer_by_id[member.node_id] = member
+        else:
+            agents = self._agents_by_service.setdefault(member.service, {})
+            agents[member.node_id] = member
+
+    def _unindex(self, member: Member) -> None:
+        if member.role is Role.BALANCER:
+            self._balancer_by_id.pop(member.node_id, None)
+            return
+        agents = self._agents_by_service.get(member.service)
+        if agents is None:
+            return
+        agents.pop(member.node_id, None)
+        if not agents:
+            del self._agents_by_service[member.service]
--- /dev/null
+++ b/bilberrypath/state/notes.py
@@ -0,0 +1,153 @@
+"""Release notes as operators write them: INI files in three sections."""
+
+from __future__ import annotations
+
+import configparser
+import uuid
+
+from attrs import frozen
+
+from bilberrypath.state.release import DataCentre, Note, Service
+
+SECTIONS = ("added", "changed", "withdrawn")
+TEMPLATE = """\
+# A release note. Keys are 'service NAME' or 'data centre NAME'.
+[added]
+# data centre citybowl = in
+# service dispatch = port 9443, data centres citybowl atlantic
+
+[changed]
+# data centre citybowl = out
+
+[withdrawn]
+# service dispatch
+"""
+_SERVICE = "service "
+_DATA_CENTRE = "data centre "
+_FORM = "expected 'port NUMBER, data centres NAME NAME ...'"
+
+
+@frozen
+class NoteFaults:
+    """What is wrong with the text of a note, one sentence each."""
+
+    faults: tuple[str, ...]
+
+
+def parse_note(text: str, author: str = "") -> Note | NoteFaults:
+    """Return the note in ``text``, or every fault of its form at once.
+
+    Examples
+    --------
+    >>> note = parse_note("[changed]\\ndata centre citybowl = out\\n")
+    >>> note.changed_data_centres[0].out
+    True
+    """
+    parser = configparser.ConfigParser(allow_no_value=True, interpolation=None)
+    parser.optionxform = str
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return NoteFaults((" ".join(str(error).split()),))
+    faults: list[str] = [
+        f"section [{name}] is unknown; use [added], [changed] or [withdrawn]"
+        for name in parser.sections()
+        if name not in SECTIONS
+    ]
+    services = {name: _read_services(parser, name, faults) for name in SECTIONS}
+    centres = {name: _read_data_centres(parser, name, faults) for name in SECTIONS}
+    _check_keys(parser, faults)
+    if faults:
+        return NoteFaults(tuple(faults))
+    return Note(
+        note_id=uuid.uuid4().hex,
+        author=author,
+        added_services=services["added"],
+        changed_services=services["changed"],
+        withdrawn_services=tuple(s.name for s in services["withdrawn"]),
+        added_data_centres=centres["added"],
+        changed_data_centres=centres["changed"],
+        withdrawn_data_centres=tuple(c.name for c in centres["withdrawn"]),
+    )
+
+
+def _check_keys(parser: configparser.ConfigParser, faults: list[str]) -> None:
+    for section in parser.sections():
+        for key in parser[section]:
+            if not key.startswith((_SERVICE, _DATA_CENTRE)):
+                faults.append(
+                    f"[{section}] {key!r}: expected 'service NAME' or "
+                    "'data centre NAME'"
+                )
+
+
+def _read_services(
+    parser: configparser.ConfigParser, section: str, faults: list[str]
+) -> tuple[Service, ...]:
+    if section not in parser:
+        return ()
+    services = []
+    for key, value in parser[section].items():
+        if not key.startswith(_SERVICE):
+            continue
+        name = key.removeprefix(_SERVICE).strip()
+        if section == "withdrawn":
+            services.append(Service(name, 0, ()))
+            continue
+        service = _read_service(name, value or "")
+        if service is None:
+            faults.append(f"[{section}] service {name!r} = {value!r}: {_FORM}")
+        else:
+            services.append(service)
+    return tuple(services)
+
+
+def _read_service(name: str, value: str) -> Service | None:
+    port_part, _, centres_part = value.partition(",")
+    port_words = port_part.split()
+    centre_words = centres_part.split()
+    if len(port_words) != 2 or port_words[0] != "port":
+        return None
+    if not port_words[1].isdigit() or not 0 < int(port_words[1]) < 65536:
+        return None
+    if centre_words[:2] != ["data", "centres"] or len(centre_words) < 3:
+        return None
+    return Service(name, int(port_words[1]), tuple(sorted(set(centre_words[2:]))))
+
+
+def _read_data_centres(
+    parser: configparser.ConfigParser, section: str, faults: list[str]
+) -> tuple[DataCentre, ...]:
+    if section not in parser:
+        return ()
+    centres = []
+    for key, value in parser[section].items():
+        if not key.startswith(_DATA_CENTRE):
+            continue
+        name = key.removeprefix(_DATA_CENTRE).strip()
+        state = (value or "in").strip()
+        if section != "withdrawn" and state not in ("in", "out"):
+            faults.append(
+                f"[{section}] data centre {name!r} = {value!r}: expected 'in' or 'out'"
+            )
+        centres.append(DataCentre(name, out=state == "out"))
+    return tuple(centres)
+
+
+def describe_note(note: Note) -> list[str]:
+    """Return the lines that tell an operator what a note does."""
+    lines = []
+    for title, services, centres in (
+        ("added", note.added_services, note.added_data_centres),
+        ("changed", note.changed_services, note.changed_data_centres),
+    ):
+        lines += [
+            f"{title}: data centre {c.name} {'out' if c.out else 'in'}" for c in centres
+        ]
+        lines += [
+            f"{title}: service {s.name} port {s.port} in {' '.join(s.data_centres)}"
+            for s in services
+        ]
+    lines += [f"withdrawn: service {name}" for name in note.withdrawn_services]
+    lines += [f"withdrawn: data centre {name}" for name in note.withdrawn_data_centres]
+    return lines
--- /dev/null
+++ b/bilberrypath/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, clocks and clients around the decisions."""
--- /dev/null
+++ b/bilberrypath/transport/datagrams.py
@@ -0,0 +1,68 @@
+"""UDP sockets that are read in batches and never block."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bilberrypath.types import Address
+
+BATCH = 64  # datagrams read at each wake-up
+MAX_READ = 65536  # bytes
+BUFFER = 4 * 1024 * 1024  # bytes asked of the kernel for each direction
+
+
+class DatagramSocket:
+    """One UDP socket, owned by one task of a daemon.
+
+    ``on_datagram`` is called with each datagram and its sender. What the
+    kernel can't take at once is dropped and counted in ``dropped_count``, as
+    a network would.
+    """
+
+    def __init__(
+        self, address: Address, on_datagram: Callable[[bytes, Address], None]
+    ) -> None:
+        self._on_datagram = on_datagram
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
+        self._socket.bind(address)
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._socket.fileno(), self._read_batch)
+        self.dropped_count = 0
+
+    @property
+    def address(self) -> Address:
+        """The bound address."""
+        return self._socket.getsockname()
+
+    def send(self, data: bytes, to: Address) -> None:
+        """Send a datagram, or drop it if the kernel has no room."""
+        try:
+            self._socket.sendto(data, to)
+        except OSError:
+            self.dropped_count += 1
+
+    def close(self) -> None:
+        """Stop reading and close the socket."""
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def _read_batch(self) -> None:
+        receive = self._socket.recvfrom
+        for _ in range(BATCH):
+            try:
+                data, sender = receive(MAX_READ)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue
+            self._on_datagram(data, sender)
+            if self._socket.fileno() < 0:
+                return
--- /dev/null
+++ b/bilberrypath/transport/quic.py
@@ -0,0 +1,150 @@
+"""QUIC connections whose ids are routing tokens, and HTTP/3 with GOAWAY.
+
+aioquic has no setting for the choice of connection ids, nor for GOAWAY. The
+few private names that this takes are all in this module; tests pin them.
+"""
+
+from __future__ import annotations
+
+import ssl
+from typing import TYPE_CHECKING
+
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import H3_ALPN, FrameType, H3Connection, encode_frame
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection, QuicConnectionId
+
+from bilberrypath.protocol.token import TOKEN_LENGTH
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bilberrypath.types import Seconds
+
+IDLE_TIMEOUT: Seconds = 30.0
+MAX_DATAGRAM = 1200  # bytes
+STREAM_WINDOW = 4 * 1024 * 1024  # bytes
+FLOW_WINDOW = 8 * 1024 * 1024  # bytes
+NO_MORE_REQUESTS = 2**62 - 4  # the largest request stream id, RFC 9114
+
+
+def make_agent_configuration(certificate: str, private_key: str) -> QuicConfiguration:
+    """Return the QUIC configuration of an agent."""
+    configuration = QuicConfiguration(
+        is_client=False,
+        alpn_protocols=H3_ALPN,
+        connection_id_length=TOKEN_LENGTH,
+        idle_timeout=IDLE_TIMEOUT,
+        max_datagram_size=MAX_DATAGRAM,
+        max_data=FLOW_WINDOW,
+        max_stream_data=STREAM_WINDOW,
+    )
+    configuration.load_cert_chain(certificate, private_key)
+    return configuration
+
+
+def make_caller_configuration(
+    authorities: str | None, server_name: str
+) -> QuicConfiguration:
+    """Return the QUIC configuration of a caller.
+
+    ``authorities`` is a PEM file with the certificate authorities to trust;
+    without one the system's are used.
+    """
+    configuration = QuicConfiguration(
+        is_client=True,
+        alpn_protocols=H3_ALPN,
+        idle_timeout=IDLE_TIMEOUT,
+        max_datagram_size=MAX_DATAGRAM,
+        max_data=FLOW_WINDOW,
+        max_stream_data=STREAM_WINDOW,
+        server_name=server_name,
+        verify_mode=ssl.CERT_REQUIRED,
+    )
+    if authorities:
+        configuration.load_verify_locations(authorities)
+    return configuration
+
+
+class TokenConnection(QuicConnection):
+    """A server connection whose every id is a routing token."""
+
+    def __init__(
+        self,
+        *,
+        configuration: QuicConfiguration,
+        original_destination_connection_id: bytes,
+        issue: Callable[[], bytes],
+        derive_reset_token: Callable[[bytes], bytes],
+    ) -> None:
+        super().__init__(
+            configuration=configuration,
+            original_destination_connection_id=original_destination_connection_id,
+        )
+        self._issue = issue
+        self._derive_reset_token = derive_reset_token
+        first = self._host_cids[0]
+        first.cid = issue()
+        first.stateless_reset_token = derive_reset_token(first.cid)
+        self.host_cid = first.cid
+        self._local_initial_source_connection_id = first.cid
+
+    def list_ids(self) -> list[bytes]:
+        """Return the ids that callers may use for this connection."""
+        return [connection_id.cid for connection_id in self._host_cids]
+
+    def count_unsent(self, stream_id: int) -> int:
+        """Return the bytes of a stream that the caller has not confirmed."""
+        stream = self._streams.get(stream_id)
+        return len(stream.sender._buffer) if stream else 0
+
+    def _replenish_connection_ids(self) -> None:
+        while len(self._host_cids) < min(8, self._remote_active_connection_id_limit):
+            cid = self._issue()
+            self._host_cids.append(
+                QuicConnectionId(
+                    cid=cid,
+                    sequence_number=self._host_cid_seq,
+                    stateless_reset_token=self._derive_reset_token(cid),
+                )
+            )
+            self._host_cid_seq += 1
+
+
+class CallerConnection(QuicConnection):
+    """A client connection that can be aimed at the agent of a token."""
+
+    def __init__(
+        self, *, configuration: QuicConfiguration, token: bytes | None = None
+    ) -> None:
+        super().__init__(configuration=configuration)
+        if token is not None:
+            self._peer_cid.cid = token
+            self._original_destination_connection_id = token
+
+    @property
+    def peer_token(self) -> bytes:
+        """The id by which the agent is reached at present."""
+        return self._peer_cid.cid
+
+    def list_reset_tokens(self) -> set[bytes]:
+        """Return the tokens that mark a stateless reset of this connection."""
+        ids = [self._peer_cid, *self._peer_cid_available]
+        return {i.stateless_reset_token for i in ids if i.stateless_reset_token}
+
+
+class GoawayH3(H3Connection):
+    """HTTP/3 that can say and hear that no new requests should come."""
+
+    is_going_away = False
+
+    def send_goaway(self) -> None:
+        """Tell the other end to send new requests elsewhere."""
+        frame = encode_frame(FrameType.GOAWAY, encode_uint_var(NO_MORE_REQUESTS))
+        self._quic.send_stream_data(self._local_control_stream_id, frame)
+
+    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+        if frame_type == FrameType.GOAWAY:
+            self.is_going_away = True
+            return
+        super()._handle_control_frame(frame_type, frame_data)
--- /dev/null
+++ b/bilberrypath/transport/runner.py
@@ -0,0 +1,190 @@
+"""Requests of an agent, from whole arrival to outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from bilberrypath.coordination.admission import (
+    Admission,
+    Admitting,
+    Queued,
+    Refuse,
+    Run,
+    Sign,
+)
+from bilberrypath.protocol.outcome import (
+    Answered,
+    Outcome,
+    Reason,
+    RefusedNotRun,
+    Unknown,
+)
+from bilberrypath.state.request_book import (
+    Full,
+    RequestBook,
+    Settled,
+    StillOpen,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from bilberrypath.protocol.http import RequestHead
+    from bilberrypath.transport.upstream import UpstreamSession
+    from bilberrypath.types import Seconds
+
+LARGE_BODY = 262_144  # bytes; the time of larger requests is not weighed
+
+
+@frozen
+class Request:
+    """A request that has arrived whole; ``deadline`` is a monotonic time."""
+
+    head: RequestHead
+    body: bytes
+    deadline: Seconds
+    traceparent: str = ""
+
+
+class RequestRunner:
+    """Admit requests, run them once, and keep what became of them."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        upstream: UpstreamSession,
+        count: Callable[[str, str], None],
+    ) -> None:
+        self.admission = admission
+        self.book = RequestBook()
+        self._upstream = upstream
+        self._count = count
+        self._next_id = 1
+        self._waiting_by_id: dict[int, asyncio.Future] = {}
+        self._open_by_key: dict[str, asyncio.Future] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def open_count(self) -> int:
+        """How many requests wait or run."""
+        return self.admission.running_count + self.admission.queue_length
+
+    async def run(self, request: Request) -> Outcome:
+        """Return the outcome of a request.
+
+        A non-idempotent request goes on when the caller of this method is
+        cancelled, so that its outcome can be asked for.
+        """
+        if request.head.idempotent or not request.head.key:
+            outcome = await self._admit_and_run(request)
+        else:
+            outcome = await self._run_once(request)
+        self._count("outcome", outcome.kind)
+        if not isinstance(outcome, Answered):
+            self._count(outcome.kind, outcome.reason.value)
+        return outcome
+
+    async def ask(self, key: str, age: Seconds, deadline: Seconds) -> Outcome:
+        """Return what became of a key, or seal it."""
+        found = self.book.ask(key, age, time.monotonic())
+        if isinstance(found, Settled):
+            return found.outcome
+        return await self._wait_for_open(key, deadline)
+
+    def decide(self, decisions: Iterable[Admitting]) -> None:
+        """Hand decisions of the admission to the requests they name."""
+        for decision in decisions:
+            future = self._waiting_by_id.pop(decision.request_id, None)
+            if future is not None and not future.done():
+                future.set_result(decision)
+            elif isinstance(decision, Run):
+                now = time.monotonic()
+                self.decide(self.admission.note_cancelled(decision.request_id, now))
+
+    async def _run_once(self, request: Request) -> Outcome:
+        key = request.head.key
+        found = self.book.begin(key, time.monotonic())
+        if isinstance(found, Settled):
+            return found.outcome
+        if isinstance(found, Full):
+            return RefusedNotRun(Reason.OVERLOADED, elsewhere=True, retry_after=1.0)
+        if isinstance(found, StillOpen):
+            return await self._wait_for_open(key, request.deadline)
+        future = asyncio.get_running_loop().create_future()
+        self._open_by_key[key] = future
+        task = asyncio.create_task(self._run_and_settle(request, future))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return await asyncio.shield(future)
+
+    async def _run_and_settle(self, request: Request, future: asyncio.Future) -> None:
+        outcome: Outcome = Unknown(Reason.UPSTREAM_LOST)
+        try:
+            outcome = await self._admit_and_run(request)
+        finally:
+            self.book.settle(request.head.key, outcome, time.monotonic())
+            self._open_by_key.pop(request.head.key, None)
+            if not future.done():
+                future.set_result(outcome)
+
+    async def _wait_for_open(self, key: str, deadline: Seconds) -> Outcome:
+        future = self._open_by_key.get(key)
+        if future is None:
+            return Unknown(Reason.DEADLINE_PASSED)
+        timeout = max(0.0, deadline - time.monotonic())
+        done, _ = await asyncio.wait({future}, timeout=timeout)
+        return future.result() if done else Unknown(Reason.DEADLINE_PASSED)
+
+    async def _admit_and_run(self, request: Request) -> Outcome:
+        request_id = self._next_id
+        self._next_id += 1
+        decision = await self._admit(request_id, request.deadline)
+        if isinstance(decision, Refuse):
+            return decision.outcome
+        return await self._run_admitted(request_id, request)
+
+    async def _admit(self, request_id: int, deadline: Seconds) -> Admitting:
+        decision = self.admission.offer(request_id, deadline, time.monotonic())
+        if not isinstance(decision, Queued):
+            return decision
+        future = asyncio.get_running_loop().create_future()
+        self._waiting_by_id[request_id] = future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._waiting_by_id.pop(request_id, None)
+            if not self.admission.cancel(request_id):
+                now = time.monotonic()
+                self.decide(self.admission.note_cancelled(request_id, now))
+            raise
+
+    async def _run_admitted(self, request_id: int, request: Request) -> Outcome:
+        timeout = request.deadline - time.monotonic()
+        try:
+            outcome = await self._upstream.exchange(
+                request.head, request.body, max(0.001, timeout), request.traceparent
+            )
+        except asyncio.CancelledError:
+            now = time.monotonic()
+            self.decide(self.admission.note_cancelled(request_id, now))
+            raise
+        self._report(request_id, request, outcome)
+        return outcome
+
+    def _report(self, request_id: int, request: Request, outcome: Outcome) -> None:
+        now = time.monotonic()
+        if isinstance(outcome, Answered):
+            weigh = len(request.body) <= LARGE_BODY
+            self.decide(self.admission.note_success(request_id, now, weigh))
+            return
+        if isinstance(outcome, RefusedNotRun):
+            sign = Sign.SHED
+        elif outcome.reason is Reason.DEADLINE_PASSED:
+            sign = Sign.STALLED
+        else:
+            sign = Sign.FAILED
+        self.decide(self.admission.note_failure(request_id, sign, now))
--- /dev/null
+++ b/bilberrypath/transport/telemetry.py
@@ -0,0 +1,116 @@
+"""Counters, readiness, logs and spans of a daemon."""
+
+from __future__ import annotations
+
+import sys
+import threading
+from typing import TYPE_CHECKING
+from wsgiref.simple_server import WSGIRequestHandler, make_server
+
+import structlog
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from prometheus_client import CollectorRegistry, Counter, Gauge, make_wsgi_app
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Any
+    from wsgiref.types import StartResponse, WSGIEnvironment
+
+    from opentelemetry.trace import Tracer
+
+    from bilberrypath.settings import TraceSettings
+    from bilberrypath.types import Address
+
+
+class Metrics:
+    """The counters and gauges of one process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._events = Counter(
+            "bilberrypath_events",
+            "Drops, refusals, outcomes and other events, by reason.",
+            ["event", "reason"],
+            registry=self.registry,
+        )
+        self._gauges = Gauge(
+            "bilberrypath_state",
+            "Present state: revision, members, connections, limit and so on.",
+            ["name"],
+            registry=self.registry,
+        )
+
+    def count(self, event: str, reason: str) -> None:
+        """Add one to an event."""
+        self._events.labels(event, reason).inc()
+
+    def show(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value that is read when the metrics are asked for."""
+        self._gauges.labels(name).set_function(read)
+
+    def get_count(self, event: str, reason: str) -> float:
+        """Return the present value of a counter."""
+        return self._events.labels(event, reason)._value.get()
+
+
+class _QuietHandler(WSGIRequestHandler):
+    def log_message(self, *_args: Any) -> None:
+        """Say nothing of each request."""
+
+
+class MetricsServer:
+    """Serve ``/metrics`` and ``/healthz`` from a thread."""
+
+    def __init__(
+        self, address: Address, metrics: Metrics, is_ready: Callable[[], bool]
+    ) -> None:
+        self._is_ready = is_ready
+        self._show_metrics = make_wsgi_app(metrics.registry)
+        self._server = make_server(*address, self._answer, handler_class=_QuietHandler)
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _answer(
+        self, environ: WSGIEnvironment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != "/healthz":
+            return self._show_metrics(environ, start_response)
+        ready = self._is_ready()
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Type", "text/plain")])
+        return [b"ready\n" if ready else b"not ready\n"]
+
+
+def configure_logs() -> None:
+    """Write one JSON line for each change of state to standard error."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+    )
+
+
+def make_tracer(settings: TraceSettings, process: str) -> Tracer:
+    """Return a tracer that exports by OTLP, or one that records nothing."""
+    if not settings.collector:
+        return trace.NoOpTracer()
+    from opentelemetry.exporter.otlp.proto.grpc.trace_exporter import OTLPSpanExporter
+
+    sampler = ParentBased(TraceIdRatioBased(settings.sample_ratio))
+    resource = Resource.create({"service.name": process})
+    provider = TracerProvider(sampler=sampler, resource=resource)
+    exporter = OTLPSpanExporter(endpoint=settings.collector, insecure=True)
+    provider.add_span_processor(BatchSpanProcessor(exporter))
+    return provider.get_tracer("bilberrypath")
--- /dev/null
+++ b/bilberrypath/transport/upstream.py
@@ -0,0 +1,183 @@
+"""The upstream beside an agent, spoken to by gRPC."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import grpc
+from attrs import frozen
+
+from bilberrypath.generated import upstream_pb2 as pb
+from bilberrypath.generated.upstream_pb2_grpc import UpstreamStub
+from bilberrypath.protocol.outcome import (
+    Answered,
+    Outcome,
+    Reason,
+    RefusedNotRun,
+    Unknown,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from bilberrypath.protocol.http import RequestHead
+    from bilberrypath.types import Address, Seconds
+
+STATUS_PERIOD: Seconds = 0.5
+STATUS_TIMEOUT: Seconds = 1.0
+BODY_PART = 64 * 1024  # bytes
+_OPTIONS = (
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+@frozen
+class Reached:
+    """The upstream can be reached; its boot id is not known yet."""
+
+
+@frozen
+class Lost:
+    """The connection to the upstream is gone."""
+
+
+@frozen
+class Said:
+    """What the upstream's status said."""
+
+    boot_id: str
+    draining: bool
+
+
+UpstreamNews = Reached | Lost | Said
+
+
+class UpstreamSession:
+    """Keep a connection to the upstream and run requests over it.
+
+    ``tell`` is called with each piece of news, before any request is sent
+    over a new connection.
+    """
+
+    def __init__(self, address: Address, tell: Callable[[UpstreamNews], None]) -> None:
+        self._target = f"{address[0]}:{address[1]}"
+        self._tell = tell
+        self._channel = grpc.aio.insecure_channel(self._target, options=_OPTIONS)
+        self._stub = UpstreamStub(self._channel)
+        self._ready = False
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Begin to connect and to watch."""
+        self._tasks = [
+            asyncio.create_task(self._watch_connection()),
+            asyncio.create_task(self._poll_status()),
+        ]
+
+    async def close(self) -> None:
+        """Stop watching and close the connection."""
+        for task in self._tasks:
+            task.cancel()
+        await self._channel.close()
+
+    async def exchange(
+        self, head: RequestHead, body: bytes, timeout: Seconds, traceparent: str = ""
+    ) -> Outcome:
+        """Run one request and return what became of it."""
+        if not self._ready:
+            return RefusedNotRun(Reason.UPSTREAM_AWAY, elsewhere=True)
+        call = self._stub.Exchange(
+            _list_parts(head, body), timeout=timeout, metadata=_carry(traceparent)
+        )
+        status = 200
+        parts = []
+        try:
+            async for part in call:
+                if part.WhichOneof("part") == "head":
+                    status = part.head.status
+                    self._tell(Said(part.head.boot_id, draining=False))
+                else:
+                    parts.append(part.body)
+        except grpc.aio.AioRpcError as error:
+            return _read_failure(error.code())
+        except asyncio.CancelledError:
+            call.cancel()
+            raise
+        return Answered(status, b"".join(parts))
+
+    async def stream(
+        self, head: RequestHead, traceparent: str = ""
+    ) -> AsyncIterator[bytes | Outcome]:
+        """Yield the items of a stream; an outcome comes last if it failed."""
+        if not self._ready:
+            yield RefusedNotRun(Reason.UPSTREAM_AWAY, elsewhere=True)
+            return
+        call = self._stub.Exchange(_list_parts(head, b""), metadata=_carry(traceparent))
+        try:
+            async for part in call:
+                if part.WhichOneof("part") == "body":
+                    yield part.body
+        except grpc.aio.AioRpcError as error:
+            yield _read_failure(error.code())
+        finally:
+            call.cancel()
+
+    async def _watch_connection(self) -> None:
+        state = self._channel.get_state(try_to_connect=True)
+        while True:
+            is_ready = state is grpc.ChannelConnectivity.READY
+            if is_ready != self._ready:
+                self._tell(Reached() if is_ready else Lost())
+                self._ready = is_ready
+            await self._channel.wait_for_state_change(state)
+            state = self._channel.get_state(try_to_connect=True)
+            if self._ready and state is grpc.ChannelConnectivity.READY:
+                self._tell(Lost())
+                self._tell(Reached())
+
+    async def _poll_status(self) -> None:
+        while True:
+            if self._ready:
+                await self._read_status()
+            await asyncio.sleep(STATUS_PERIOD)
+
+    async def _read_status(self) -> None:
+        try:
+            reply = await self._stub.Status(pb.StatusRequest(), timeout=STATUS_TIMEOUT)
+        except grpc.aio.AioRpcError:
+            return
+        self._tell(Said(reply.boot_id, reply.draining))
+
+
+def _carry(traceparent: str) -> tuple[tuple[str, str], ...]:
+    return (("traceparent", traceparent),) if traceparent else ()
+
+
+async def _list_parts(head: RequestHead, body: bytes) -> AsyncIterator[pb.RequestPart]:
+    yield pb.RequestPart(
+        head=pb.RequestHead(
+            method=head.method,
+            path=head.path,
+            key=head.key,
+            idempotent=head.idempotent,
+            after_item=head.after_item,
+        )
+    )
+    for start in range(0, len(body), BODY_PART):
+        yield pb.RequestPart(body=body[start : start + BODY_PART])
+
+
+def _read_failure(code: grpc.StatusCode) -> Outcome:
+    if code is grpc.StatusCode.RESOURCE_EXHAUSTED:
+        return RefusedNotRun(Reason.UPSTREAM_SHED, elsewhere=True)
+    if code is grpc.StatusCode.FAILED_PRECONDITION:
+        return RefusedNotRun(Reason.DRAINING, elsewhere=True)
+    if code is grpc.StatusCode.DEADLINE_EXCEEDED:
+        return Unknown(Reason.DEADLINE_PASSED)
+    return Unknown(Reason.UPSTREAM_LOST)
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Short runs of real processes on loopback."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside: fabric, upstream, key-value service."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that tests share."""
