--- a/bilberrypath/caller/caller.py
+++ b/bilberrypath/caller/caller.py
@@ -57,12 +57,20 @@
     local_host: str = "0.0.0.0"
 
 
+@frozen
+class LostFlow:
+    """A flow that ended while it was in use, and the agent that it led to."""
+
+    reason: str
+    agent_incarnation: int
+
+
 @define
 class CallerCounts:
     """What a caller saw."""
 
     flows_opened: int = 0
-    flows_lost: int = 0
+    lost_flows: list[LostFlow] = field(factory=list)
     reattached: int = 0
     retries: int = 0
     asked: int = 0
@@ -154,7 +162,7 @@
                         pause = REOPEN_PAUSE
                         yield item
                 except FlowLost:
-                    self.counts.flows_lost += 1
+                    self._note_lost(flow)
                 self.counts.reattached += 1
                 await asyncio.sleep(pause * random.uniform(0.5, 1.0))
                 pause = min(MAX_REOPEN_PAUSE, 2 * pause)
@@ -168,6 +176,12 @@
         for flow in flows:
             flow.release()
 
+    def _note_lost(self, flow: CallerFlow | None) -> None:
+        if flow is None or flow.lost_reason is None:
+            return
+        lost = LostFlow(flow.lost_reason, flow.agent_incarnation)
+        self.counts.lost_flows.append(lost)
+
     # Requests
 
     def _may_retry(self, outcome: Outcome, idempotent: bool, until: Seconds) -> bool:
@@ -194,7 +208,7 @@
         try:
             return await self._exchange(flow, evolve(head, deadline=left), body, left)
         except FlowLost:
-            self.counts.flows_lost += 1
+            self._note_lost(flow)
         except TimeoutError:
             pass
         if head.idempotent:
--- a/bilberrypath/caller/flow.py
+++ b/bilberrypath/caller/flow.py
@@ -91,6 +91,7 @@
         try:
             await asyncio.wait_for(self.wait_connected(), OPEN_TIMEOUT)
         except (TimeoutError, ConnectionError) as error:
+            self._forget_waiter()
             self._lose("no_answer")
             self.release()
             raise FlowLost("no_answer") from error
@@ -140,6 +141,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _forget_waiter(self) -> None:
+        """Keep asyncio from reporting a failure that was told already."""
+        waiter = self._connected_waiter
+        if waiter is not None:
+            waiter.add_done_callback(lambda done: done.cancelled() or done.exception())
+
     # Events
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
--- a/bilberrypath/cli.py
+++ b/bilberrypath/cli.py
@@ -395,6 +395,7 @@
                 "role": row.member.role.name.lower(),
                 "data_centre": row.member.data_centre,
                 "service": row.member.service,
+                "incarnation": row.member.incarnation,
                 "status": row.member.status.name.lower(),
                 "doubt": row.member.doubt.name.lower(),
                 "revision": row.revision,
