Balancer: keep the sealed head of a caller's frames and the agent of a flow

Ruled out: the sockets (the bare relay uses the same class). The hash now covers the head only, which is the same for all packets of a caller; the packet behind it is QUIC and guards itself. The routes kept are soft: they are dropped at each change.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each program prints ``name=value`` lines."""
--- /dev/null
+++ b/benchmarks/bench.py
@@ -0,0 +1,234 @@
+"""Speed of one balancer, as ratios against a bare UDP relay in the same run."""
+
+import asyncio
+import os
+import resource
+import socket
+import time
+from random import Random
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
+from bilberrypath.protocol.frame import FrameSeal
+from bilberrypath.protocol.token import Route, TokenCodec
+from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.release import (
+    DataCentre,
+    Note,
+    Release,
+    Service,
+    apply_note,
+)
+from bilberrypath.transport.balancer_daemon import BalancerDaemon
+from bilberrypath.transport.datagrams import DatagramSocket
+
+PACKETS = 60_000
+WINDOW = 64  # packets under way
+PAYLOAD = 1200  # bytes
+ROUNDS = 5
+FLOWS = 200_000
+LIVE_FLOWS = 2_000
+AGENTS = 7
+HOST = "127.0.0.1"
+PORT = 9443
+
+
+def make_release():
+    """Return a release with one service in one data centre."""
+    note = Note(
+        "n1",
+        added_data_centres=(DataCentre("citybowl"),),
+        added_services=(Service("dispatch", PORT, ("citybowl",)),),
+    )
+    return apply_note(Release(), note)
+
+
+def make_core(agent_port):
+    """Return a balancer core that knows a service and its agents."""
+    member = Member(
+        "127.0.0.1:7000", Role.BALANCER, "citybowl", "", 1, 1, Status.SERVING
+    )
+    codec = TokenCodec({1: bytes(16)}, 1)
+    core = BalancerCore(BalancerSetup(member, ()), codec, Random(1), 0.0)
+    core.handle(ev.StoreRead(0.0, 1, "n1", whole=make_release()), 0.0)
+    for index in range(AGENTS):
+        agent = Member(
+            f"127.0.0.{index + 1}:{agent_port}",
+            Role.AGENT,
+            "citybowl",
+            "dispatch",
+            1,
+            1,
+            Status.SERVING,
+        )
+        core.members.merge(agent, 0.0)
+    core.handle(ev.Tick(), 0.0)
+    core.freshness.confirm_started(1e9)
+    return core
+
+
+def make_flow_packets(core, count, port):
+    """Return one short-header packet for each of ``count`` flows."""
+    route = Route(HOST, port, 1, 1, 1)
+    filler = bytes(PAYLOAD - 21)
+    return [b"\x40" + core.codec.issue(route) + filler for _ in range(count)]
+
+
+async def pump(packets, entry, sink):
+    """Send all packets through a relay, a window at a time; return the seconds."""
+    loop = asyncio.get_running_loop()
+    source = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    source.setblocking(False)
+    seen = 0
+    done = loop.create_future()
+    sent = 0
+
+    def send_some(count):
+        nonlocal sent
+        for packet in packets[sent : sent + count]:
+            source.sendto(packet, entry)
+        sent += count
+
+    def take():
+        nonlocal seen
+        got = 0
+        while got < WINDOW:
+            try:
+                sink.recv(65536)
+            except BlockingIOError:
+                break
+            got += 1
+        seen += got
+        if sent < len(packets):
+            send_some(min(got, len(packets) - sent))
+        if seen >= len(packets) and not done.done():
+            done.set_result(None)
+
+    loop.add_reader(sink.fileno(), take)
+    started = time.process_time()
+    send_some(WINDOW)
+    await asyncio.wait_for(done, 60)
+    seconds = time.process_time() - started
+    loop.remove_reader(sink.fileno())
+    source.close()
+    return seconds
+
+
+def open_sink():
+    sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sink.setblocking(False)
+    sink.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * 1024 * 1024)
+    sink.bind((HOST, 0))
+    return sink
+
+
+async def measure_relay(packets, sink):
+    """Return processor seconds for a relay that only copies."""
+    out = None
+
+    def forward(data, _sender):
+        out.send(data, sink.getsockname())
+
+    out = DatagramSocket((HOST, 0), lambda data, sender: None)
+    entry = DatagramSocket((HOST, 0), forward)
+    seconds = await pump(packets, entry.address, sink)
+    entry.close()
+    out.close()
+    return seconds
+
+
+async def measure_balancer(packets, sink, core):
+    """Return processor seconds for the balancer's way of a packet."""
+    daemon = BalancerDaemon.__new__(BalancerDaemon)
+    daemon.core = core
+    daemon._seal = FrameSeal(bytes(32))
+    daemon._last_packet_at = 0.0
+    daemon._head_by_caller = {}
+    daemon._peer_socket = DatagramSocket((HOST, 0), lambda data, sender: None)
+    entry = DatagramSocket(
+        (HOST, 0), lambda data, caller: daemon._take_packet(PORT, data, caller)
+    )
+    seconds = await pump(packets, entry.address, sink)
+    entry.close()
+    daemon._peer_socket.close()
+    return seconds
+
+
+async def measure_baseline(packets, sink):
+    """Return processor seconds of the sender and the sink alone."""
+    return await pump(packets, sink.getsockname(), sink)
+
+
+async def measure_forwarding(name, flows):
+    """Print the ratio for packets that belong to a number of flows."""
+    sink = open_sink()
+    core = make_core(sink.getsockname()[1])
+    packets = make_flow_packets(core, flows, sink.getsockname()[1])
+    packets = packets * (PACKETS // flows)
+    ratios = []
+    for _ in range(ROUNDS):
+        core._agent_by_flow.clear()
+        bare = await measure_baseline(packets, sink)
+        relay = await measure_relay(packets, sink) - bare
+        balancer = await measure_balancer(packets, sink, core) - bare
+        ratios.append(relay / balancer)
+        print(
+            f"trial relay_us={relay / PACKETS * 1e6:.2f} "
+            f"balancer_us={balancer / PACKETS * 1e6:.2f}"
+        )
+    ratios.sort()
+    print(f"{name}={ratios[len(ratios) // 2]:.3f}")
+
+
+def measure_opens():
+    """Time the balancer's decision and frame for opens of new flows."""
+    core = make_core(7000)
+    seal = FrameSeal(bytes(32))
+    rng = Random(2)
+    packets = [
+        b"\xc0\x00\x00\x00\x01\x08" + rng.randbytes(8) + bytes(1200)
+        for _ in range(20_000)
+    ]
+    caller = (HOST, 5000)
+    started = time.process_time()
+    for packet in packets:
+        for effect in core.route_packet(PORT, caller, packet, 1.0):
+            if isinstance(effect, fx.SendFrame):
+                seal.seal_packet(effect.frame)
+    seconds = time.process_time() - started
+    print(f"opens_per_second={len(packets) / seconds:.0f}")
+
+
+def measure_flow_memory():
+    """Tell how much a balancer grows when 200,000 flows pass through."""
+    core = make_core(7000)
+    caller = (HOST, 5000)
+    route = Route(HOST, 7000, 1, 1, 1)
+    filler = bytes(60)
+    before = read_resident()
+    for _ in range(FLOWS):
+        packet = b"\x40" + core.codec.issue(route) + filler
+        core.route_packet(PORT, caller, packet, 1.0)
+    grown = read_resident() - before
+    print(f"bytes_per_flow={grown / FLOWS:.1f}")
+    print(f"resident_mb={read_resident() / 1e6:.1f}")
+
+
+def read_resident():
+    """Return the resident memory of this process in bytes."""
+    with open("/proc/self/statm") as statm:
+        return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def main():
+    measure_opens()
+    measure_flow_memory()
+    asyncio.run(measure_forwarding("forward_ratio", LIVE_FLOWS))
+    asyncio.run(measure_forwarding("forward_ratio_first_packets", PACKETS))
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    print(f"peak_resident_mb={peak / 1024:.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -19,6 +19,7 @@
 from bilberrypath.coordination.ranking import is_reader
 from bilberrypath.coordination.releases import PUSH_FANOUT, ReleaseKeeper
 from bilberrypath.coordination.routing import (
+    MAX_CACHED_ROUTES,
     Candidates,
     Established,
     GivenUp,
@@ -27,8 +28,15 @@
 )
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol.frame import Forward, NotMine, Return
-from bilberrypath.protocol.packet import PacketFault, PacketKind, read_header
+from bilberrypath.protocol.packet import (
+    FIXED_BIT,
+    LONG_FORM,
+    PacketFault,
+    PacketKind,
+    read_header,
+)
 from bilberrypath.protocol.reset import build_stateless_reset
+from bilberrypath.protocol.token import TOKEN_LENGTH
 from bilberrypath.state.members import Member, Role, Status
 
 if TYPE_CHECKING:
@@ -48,6 +56,8 @@
 JOIN_LIMIT: Seconds = 3.0
 AGENT_PROBES = 2
 ASK_PERIOD: Seconds = 0.2
+SHORT_MASK = LONG_FORM | FIXED_BIT
+SHORT_END = 1 + TOKEN_LENGTH
 
 
 @frozen
@@ -89,6 +99,7 @@
         self.freshness = Freshness()
         self.prober = Prober(rng, next_probe_at=now)
         self.started_at = now
+        self._agent_by_flow: dict[tuple[int, bytes], Address] = {}
         self._joined = False
         self._next_seed_at = now
         self._next_compare_at = now + COMPARE_PERIOD * rng.uniform(0.5, 1.5)
@@ -121,6 +132,18 @@
 
     # Packets
 
+    def find_established(
+        self, service_port: int, payload: bytes, now: Seconds
+    ) -> Address | None:
+        """Return where a packet of a flow seen before goes, if nothing changed.
+
+        This is the short way for most packets; None means that
+        :meth:`route_packet` has to decide.
+        """
+        if now > self.freshness.fresh_until or payload[0] & SHORT_MASK != FIXED_BIT:
+            return None
+        return self._agent_by_flow.get((service_port, payload[1:SHORT_END]))
+
     def route_packet(
         self, service_port: int, caller: Address, payload: bytes, now: Seconds
     ) -> list[Effect]:
@@ -138,19 +161,26 @@
                 service_port, header.connection_id, self.members.table, now
             )
         elif isinstance(routing, Established):
-            routing = self._check_over(routing, header.connection_id, header.kind)
+            routing = self._check_over(routing, header.kind)
+            if isinstance(routing, Established) and header.kind is PacketKind.SHORT:
+                self._remember(service_port, header.connection_id, routing.to)
         return self._carry_out(
             routing, service_port, caller, payload, header.connection_id
         )
 
+    def _remember(self, service_port: int, token: bytes, agent: Address) -> None:
+        if len(self._agent_by_flow) >= MAX_CACHED_ROUTES:
+            self._agent_by_flow.clear()
+        self._agent_by_flow[(service_port, token)] = agent
+
     def _check_over(
-        self, routing: Established, token: bytes, kind: PacketKind
+        self, routing: Established, kind: PacketKind
     ) -> Established | GivenUp:
         if kind is not PacketKind.SHORT:
             return routing
         host, port = routing.to
         member = self.members.table.get(f"{host}:{port}")
-        return self.router.check_known_over(token, member) or routing
+        return self.router.check_known_over(routing, member) or routing
 
     def _carry_out(
         self,
@@ -161,11 +191,11 @@
         connection_id: bytes,
     ) -> list[Effect]:
         if isinstance(routing, Established):
-            frame = self._frame(service_port, caller, payload, ())
+            frame = self.make_frame(service_port, caller, payload, ())
             return [fx.SendFrame(routing.to, frame)]
         if isinstance(routing, Candidates):
             first = routing.agents[0]
-            frame = self._frame(service_port, caller, payload, routing.agents[1:])
+            frame = self.make_frame(service_port, caller, payload, routing.agents[1:])
             return [fx.SendFrame((first.host, first.port), frame)]
         if isinstance(routing, GivenUp):
             return self._reset(
@@ -173,9 +203,10 @@
             )
         return [fx.Count("packet_dropped", routing.reason)]
 
-    def _frame(
+    def make_frame(
         self, service_port: int, caller: Address, payload: bytes, others: tuple
     ) -> Forward:
+        """Return the frame that carries a caller's packet to an agent."""
         host, port = self.members.me.address
         return Forward(
             self.releases.revision,
@@ -515,6 +546,7 @@
 
     def _use_release(self, now: Seconds) -> list[Effect]:
         release = self.releases.release
+        self._agent_by_flow.clear()
         self.router.use_release(release)
         if self._confirm_at is not None and self._confirm_at[0] <= release.revision:
             self.freshness.confirm_started(self._confirm_at[1])
@@ -528,6 +560,7 @@
         return effects + self._release_held(now)
 
     def _refresh_routes(self) -> None:
+        self._agent_by_flow.clear()
         for name in self.members.changed_services:
             self.router.forget_service(name)
         self.members.changed_services.clear()
--- a/bilberrypath/coordination/freshness.py
+++ b/bilberrypath/coordination/freshness.py
@@ -52,6 +52,11 @@
         """Record that an exchange that started at a time was answered."""
         self.confirmed_at = max(self.confirmed_at, started_at)
 
+    @property
+    def fresh_until(self) -> Seconds:
+        """The time up to which what this process knows may be acted upon."""
+        return self.confirmed_at + self.limit
+
     def is_fresh(self, now: Seconds) -> bool:
         """Return whether what this process knows may be acted upon."""
-        return now - self.confirmed_at <= self.limit
+        return now <= self.fresh_until
--- a/bilberrypath/coordination/routing.py
+++ b/bilberrypath/coordination/routing.py
@@ -16,7 +16,7 @@
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
-    from bilberrypath.protocol.token import Route, TokenCodec
+    from bilberrypath.protocol.token import TokenCodec
     from bilberrypath.state.members import Member, MemberTable
     from bilberrypath.state.release import Release, Service
     from bilberrypath.types import Address, DataCentreName, NodeId, Seconds
@@ -24,7 +24,7 @@
 CANDIDATE_COUNT = 3
 LOAD_FADES_AFTER: Seconds = 3.0
 UNKNOWN_LOAD = -1
-MAX_CACHED_ROUTES = 16384
+MAX_CACHED_ROUTES = 65536
 
 
 @frozen
@@ -36,9 +36,10 @@
 
 @frozen
 class Established:
-    """The agent of an established flow."""
+    """The agent of an established flow, and the incarnation that it had."""
 
     to: Address
+    incarnation: int
 
 
 @frozen
@@ -91,7 +92,6 @@
     load_by_address: dict[Address, HeardLoad] = Factory(dict)
     _out_names: frozenset[str] = frozenset()
     _upstreams_by_service: dict[str, list[Upstream]] = Factory(dict)
-    _route_by_token: dict[bytes, Route] = Factory(dict)
 
     def use_release(self, release: Release) -> None:
         """Take over the services and data centres of a release."""
@@ -127,27 +127,23 @@
 
     def route_token(self, service_port: int, token: bytes) -> Routing | None:
         """Return where a token leads, or None if it is not one of ours."""
-        route = self._route_by_token.get(token)
+        route = self.codec.read(token)
         if route is None:
-            route = self.codec.read(token)
-            if route is None:
-                return None
-            self._cache(token, route)
+            return None
         if route.data_centre in self.out_numbers:
             return GivenUp("data_centre_out")
         service = self.service_by_port.get(service_port)
         if service is not None and service.number != route.service:
             return Unroutable("wrong_service")
-        return Established((route.host, route.port))
+        return Established((route.host, route.port), route.incarnation)
 
     def check_known_over(
-        self, token: bytes, member_at: Member | None
+        self, routing: Established, member_at: Member | None
     ) -> GivenUp | None:
         """Return that a flow is over if its agent is known to have ended."""
-        route = self._route_by_token.get(token)
-        if route is None or member_at is None:
+        if member_at is None:
             return None
-        same = member_at.incarnation & INCARNATION_MASK == route.incarnation
+        same = member_at.incarnation & INCARNATION_MASK == routing.incarnation
         if same and member_at.status is not Status.LEFT:
             return None
         return GivenUp("agent_ended")
@@ -165,11 +161,6 @@
         """Return how many agents may take opens of a service."""
         return len(self._list_upstreams(service, table))
 
-    def _cache(self, token: bytes, route: Route) -> None:
-        if len(self._route_by_token) >= MAX_CACHED_ROUTES:
-            self._route_by_token.clear()
-        self._route_by_token[token] = route
-
     def _list_upstreams(self, service: Service, table: MemberTable) -> list[Upstream]:
         upstreams = self._upstreams_by_service.get(service.name)
         if upstreams is None:
--- a/bilberrypath/protocol/frame.py
+++ b/bilberrypath/protocol/frame.py
@@ -1,9 +1,10 @@
 """Frames between the system's own processes, and their authentication.
 
 A datagram between two processes holds one frame: a kind byte, a keyed hash of
-eight bytes and a MessagePack body (msgspec). For packets that pass through,
-the hash covers the start of the body, which holds the addressing; the payload
-is a QUIC packet that its two ends authenticate themselves.
+eight bytes and a MessagePack body (msgspec). A frame that carries a packet has
+its head coded and covered by the hash, and the packet as it is behind it; the
+packet is QUIC, which its two ends authenticate themselves. The head is the
+same for all packets of a caller, so that a balancer can keep it sealed.
 """
 
 import hashlib
@@ -14,7 +15,7 @@
 MAC_LENGTH = 8  # bytes
 PACKET_KIND = b"\x00"
 CONTROL_KIND = b"\x01"
-PACKET_COVER = 128  # bytes of the body that the hash of a packet frame covers
+LENGTH_BYTES = 2  # of the length of a packet frame's head
 MAX_FRAME = 9000  # bytes
 
 
@@ -45,7 +46,7 @@
     service_port: int
     hops: int
     others: tuple[Candidate, ...]
-    payload: bytes
+    payload: bytes = b""
 
 
 class Return(msgspec.Struct, array_like=True, frozen=True, tag=2):
@@ -56,7 +57,7 @@
     caller_port: int
     service_port: int
     load: int
-    payload: bytes
+    payload: bytes = b""
 
 
 class NotMine(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -67,6 +68,7 @@
     caller_port: int
     service_port: int
     connection_id: bytes
+    payload: bytes = b""
 
 
 PacketFrame = Union[Forward, Return, NotMine]  # noqa: UP007
@@ -85,10 +87,17 @@
 
     def seal_packet(self, frame: PacketFrame) -> bytes:
         """Return the datagram that carries a packet frame."""
-        body = _encode(frame)
+        payload = frame.payload
+        bare = msgspec.structs.replace(frame, payload=b"")
+        return self.seal_head(bare) + payload
+
+    def seal_head(self, bare: PacketFrame) -> bytes:
+        """Return the sealed head of a frame; its payload goes right behind."""
+        head = _encode(bare)
         digest = self._packet_hash.copy()
-        digest.update(body[:PACKET_COVER])
-        return PACKET_KIND + digest.digest() + body
+        digest.update(head)
+        length = len(head).to_bytes(LENGTH_BYTES, "big")
+        return PACKET_KIND + digest.digest() + length + head
 
     def seal_control(self, body: bytes) -> bytes:
         """Return the datagram that carries an encoded control message."""
@@ -98,15 +107,19 @@
 
     def open_packet(self, datagram: bytes) -> PacketFrame | None:
         """Return the packet frame in a datagram, or None if it is not ours."""
-        body = datagram[1 + MAC_LENGTH :]
+        start = 1 + MAC_LENGTH + LENGTH_BYTES
+        length = int.from_bytes(datagram[1 + MAC_LENGTH : start], "big")
+        head = datagram[start : start + length]
         digest = self._packet_hash.copy()
-        digest.update(body[:PACKET_COVER])
+        digest.update(head)
         if digest.digest() != datagram[1 : 1 + MAC_LENGTH]:
             return None
         try:
-            return _packet_decoder.decode(body)
+            frame = _packet_decoder.decode(head)
         except msgspec.DecodeError:
             return None
+        msgspec.structs.force_setattr(frame, "payload", datagram[start + length :])
+        return frame
 
     def open_control(self, datagram: bytes) -> bytes | None:
         """Return the body of a control datagram, or None if it is not ours."""
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -42,6 +42,7 @@
 
 LEAVE_QUIET: Seconds = 1.0
 LEAVE_LIMIT: Seconds = 10.0
+MAX_KEPT_HEADS = 65536
 _log = structlog.get_logger("balancer")
 
 
@@ -75,6 +76,7 @@
             else None
         )
         self._service_socket_by_port: dict[int, DatagramSocket] = {}
+        self._head_by_caller: dict[tuple[int, Address], bytes] = {}
         self._tasks: set[asyncio.Task] = set()
         self._stopping = asyncio.Event()
         self._killed = asyncio.Event()
@@ -162,9 +164,25 @@
     def _take_packet(self, service_port: int, data: bytes, caller: Address) -> None:
         now = time.monotonic()
         self._last_packet_at = now
+        agent = self.core.find_established(service_port, data, now) if data else None
+        if agent is not None:
+            head = self._get_head(service_port, caller)
+            self._peer_socket.send(head + data, agent)
+            return
         for effect in self.core.route_packet(service_port, caller, data, now):
             self._perform(effect)
 
+    def _get_head(self, service_port: int, caller: Address) -> bytes:
+        """Return the sealed head of frames with a caller's packets."""
+        key = (service_port, caller)
+        head = self._head_by_caller.get(key)
+        if head is None:
+            if len(self._head_by_caller) >= MAX_KEPT_HEADS:
+                self._head_by_caller.clear()
+            frame = self.core.make_frame(service_port, caller, b"", ())
+            head = self._head_by_caller[key] = self._seal.seal_head(frame)
+        return head
+
     # Effects
 
     def _handle(self, event: Event) -> None:
@@ -202,6 +220,7 @@
 
     @_perform.register(fx.Adopted)
     def _(self, effect: fx.Adopted) -> None:
+        self._head_by_caller.clear()
         self._open_service_sockets(effect.release)
 
     @_perform.register(fx.PullRelease)
