Caller: a cancelled stream ends even if an item comes at the same moment

Ruled out: stuck flows and stuck boards (a watchdog showed only readers that went on). asyncio.timeout has no such gap. The new test failed before, passes now.

--- a/bilberrypath/caller/caller.py
+++ b/bilberrypath/caller/caller.py
@@ -220,7 +220,8 @@
     ) -> Outcome:
         stream_id, reply = flow.start(head, body)
         try:
-            whole = await asyncio.wait_for(flow.read_whole(reply), left + ANSWER_GRACE)
+            async with asyncio.timeout(left + ANSWER_GRACE):
+                whole = await flow.read_whole(reply)
         finally:
             flow.finish(stream_id)
         return read_outcome(reply.headers, whole)
@@ -337,7 +338,8 @@
         try:
             while not flow.is_leaving:
                 try:
-                    part = await asyncio.wait_for(flow.read_part(reply), LEAVE_POLL)
+                    async with asyncio.timeout(LEAVE_POLL):
+                        part = await flow.read_part(reply)
                 except TimeoutError:
                     continue
                 if part is None:
--- a/bilberrypath/caller/flow.py
+++ b/bilberrypath/caller/flow.py
@@ -89,7 +89,8 @@
         self._remote = address
         self.connect(address)
         try:
-            await asyncio.wait_for(self.wait_connected(), OPEN_TIMEOUT)
+            async with asyncio.timeout(OPEN_TIMEOUT):
+                await self.wait_connected()
         except (TimeoutError, ConnectionError) as error:
             self._forget_waiter()
             self._lose("no_answer")
--- a/bilberrypath/transport/etcd.py
+++ b/bilberrypath/transport/etcd.py
@@ -71,6 +71,7 @@
 
     async def _call(self, call: Awaitable[T]) -> T:
         try:
-            return await asyncio.wait_for(call, self._timeout)
+            async with asyncio.timeout(self._timeout):
+                return await call
         except (TimeoutError, aetcd.ClientError, grpc.RpcError, OSError) as error:
             raise StoreUnavailable(str(error) or "timed out") from error
--- /dev/null
+++ b/tests/caller/test_caller.py
@@ -0,0 +1,48 @@
+"""The caller library over flows that tests control."""
+
+import asyncio
+
+import pytest
+
+from bilberrypath.caller.caller import Caller, CallerOptions
+from bilberrypath.caller.flow import Reply
+
+
+class QuietFlow:
+    """A flow whose parts the test hands over."""
+
+    is_leaving = False
+
+    def __init__(self):
+        self.reply = Reply()
+        self.finished = []
+
+    def start(self, head, body):
+        return 0, self.reply
+
+    async def read_part(self, reply):
+        return await reply.parts.get()
+
+    def finish(self, stream_id):
+        self.finished.append(stream_id)
+
+
+class TestStream:
+    async def test_cancel_is_not_lost_when_an_item_comes_at_the_same_time(self):
+        caller = Caller(CallerOptions(("127.0.0.1", 1)))
+        flow = QuietFlow()
+
+        async def read():
+            async for _ in caller._read_stream(flow, "/board", 0):
+                pass
+
+        task = asyncio.create_task(read())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        flow.reply.parts.put_nowait(b"id: 1\ndata: a\n\n")
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            async with asyncio.timeout(5):
+                await task
+        assert task.cancelled()
+        assert flow.finished == [0]
--- a/tests/support/workload.py
+++ b/tests/support/workload.py
@@ -115,12 +115,14 @@
     async def wait_for_boards(self):
         """Wait until every board shows something."""
         while not all(board.numbers for board in self.boards):
+            self._raise_failed()
             await asyncio.sleep(0.05)
 
     async def wait_for_next_items(self):
         """Wait until every board shows something newer than now."""
         now = time.time() / ITEM_PERIOD
         while not all(board.numbers[-1] > now for board in self.boards):
+            self._raise_failed()
             await asyncio.sleep(0.05)
 
     async def stop(self):
@@ -135,6 +137,11 @@
         for caller in self.callers:
             await caller.close()
 
+    def _raise_failed(self):
+        for task in self._tasks:
+            if task.done():
+                task.result()
+
     def _spawn(self, work):
         name = "requests" if "send" in work.__name__ else "board"
         self._tasks.append(asyncio.create_task(work, name=name))
