Admission: grow only after the stated warm-up, judge slowness by mean and deviation

The usual latency now hardly follows slow answers, growth waits for the warm-up after each sign of a cold start, and failures of one moment count once.

--- a/bilberrypath/coordination/admission.py
+++ b/bilberrypath/coordination/admission.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define, frozen
 from transitions import Machine
 
+from bilberrypath.coordination.latency import Latency
 from bilberrypath.protocol.outcome import Reason, RefusedNotRun
 
 if TYPE_CHECKING:
@@ -22,13 +23,8 @@
 RequestId = int
 
 GROW_AFTER = 4  # good answers for each unit of the limit
-BASELINE_WEIGHT = 0.1
-SLOW_FACTOR = 4.0
-SLOW_FLOOR: Seconds = 0.2
-STALL_FACTOR = 8.0
-STALL_FLOOR: Seconds = 1.0
 FIRST_GUESS: Seconds = 0.05
-FAILURES_TO_TRIP = 3
+FAILURES_TO_TRIP = 3  # one after the other; those of one moment count once
 TRIAL_PERIOD: Seconds = 1.0
 MAX_TRIAL_PERIOD: Seconds = 8.0
 MAX_QUEUE_PER_SLOT = 16
@@ -76,13 +72,12 @@
     SLOW = "slow"
     STALLED = "stalled"
     FAILED = "failed"
-    OWN_PAUSE = "own_pause"
 
 
 def _build_machine(model: Admission) -> Machine:
     transitions = [
         ["_grow_warm", "cold", "warm"],
-        ["_fall_cold", ["cold", "warm"], "cold"],
+        ["_fall_cold", "warm", "cold"],
         ["_trip", ["cold", "warm"], "unhealthy"],
         ["_heal", "unhealthy", "cold"],
     ]
@@ -92,7 +87,6 @@
         transitions=transitions,
         initial="cold",
         auto_transitions=False,
-        ignore_invalid_triggers=True,
     )
 
 
@@ -106,10 +100,14 @@
         Requests that the upstream runs at once when warm.
     cold_limit : int
         Requests that it bears in cold start.
+    warm_up : float
+        Seconds for which it may stay cold after its start. The limit does not
+        grow before they have passed without a sign of a cold start.
     """
 
     slots: int
     cold_limit: int
+    warm_up: Seconds = 0.0
     limit: int = 0
     is_draining: bool = False
     is_away: bool = True
@@ -117,7 +115,9 @@
     _queue: deque[Waiting] = Factory(deque)
     _good: int = 0
     _failures: int = 0
-    _baseline: Seconds | None = None
+    _grows_from: Seconds = float("-inf")
+    _failed_at: Seconds = float("-inf")
+    _latency: Latency = Factory(Latency)
     _trial_at: Seconds = 0.0
     _trial_period: Seconds = TRIAL_PERIOD
 
@@ -176,19 +176,20 @@
             self._heal()
             self._trial_period = TRIAL_PERIOD
         if weigh:
-            self._weigh(now - started_at)
+            self._weigh(now - started_at, now)
         return self.admit_waiting(now)
 
     def note_failure(
         self, request_id: RequestId, sign: str, now: Seconds
     ) -> list[Admitting]:
         """Record a request that the upstream shed, lost or left unanswered."""
-        self._running.pop(request_id, None)
-        if sign != Sign.SHED:
+        started_at = self._running.pop(request_id, now)
+        self.fall(sign, now)
+        if sign != Sign.SHED and started_at > self._failed_at:
+            self._failed_at = now
             self._failures += 1
-        self.fall(sign)
-        if self._failures >= FAILURES_TO_TRIP:
-            self._note_trip(now)
+            if self._failures >= FAILURES_TO_TRIP or self.state == "unhealthy":
+                self._note_trip(now)
         return self.admit_waiting(now)
 
     def note_cancelled(self, request_id: RequestId, now: Seconds) -> list[Admitting]:
@@ -196,26 +197,27 @@
         self._running.pop(request_id, None)
         return self.admit_waiting(now)
 
-    def fall(self, sign: str) -> None:
+    def fall(self, sign: str, now: Seconds) -> None:
         """Go back to what an upstream in cold start bears."""
         self.limit = self.cold_limit
         self._good = 0
-        if sign == Sign.REPLACED:
-            self._baseline = None
-        self._fall_cold()
+        if sign in (Sign.REPLACED, Sign.SLOW):
+            self._grows_from = now + self.warm_up
+        if self.state == "warm":
+            self._fall_cold()
 
     def set_away(self, is_away: bool, now: Seconds) -> list[Admitting]:
         """Record whether the upstream can be reached at all."""
-        if is_away and not self.is_away:
-            self.fall(Sign.REPLACED)
+        if is_away != self.is_away:
+            self.fall(Sign.REPLACED, now)
         self.is_away = is_away
         return self.admit_waiting(now)
 
     def tick(self, now: Seconds) -> list[Admitting]:
         """Refuse what can't meet its deadline any more, and see stalls."""
         oldest = min(self._running.values(), default=now)
-        if now - oldest > self._stall_limit() and self.limit > self.cold_limit:
-            self.fall(Sign.STALLED)
+        if self._latency.is_slow(now - oldest) and self.limit > self.cold_limit:
+            self.fall(Sign.SLOW, now)
         return self.admit_waiting(now)
 
     def admit_waiting(self, now: Seconds) -> list[Admitting]:
@@ -268,7 +270,7 @@
         return RefusedNotRun(Reason.OVERLOADED, True, RETRY_AFTER)
 
     def _expect_service(self) -> Seconds:
-        return FIRST_GUESS if self._baseline is None else self._baseline
+        return self._latency.expect(FIRST_GUESS)
 
     def _expect_wait(self, ahead: int) -> Seconds:
         rounds = (ahead + self.running_count) / max(1, self.limit) + 1
@@ -286,31 +288,24 @@
         self._running[request_id] = now
         return Run(request_id)
 
-    def _weigh(self, latency: Seconds) -> None:
-        if self._baseline is None:
-            self._baseline = latency
-        elif latency > max(SLOW_FLOOR, SLOW_FACTOR * self._baseline):
-            self.fall(Sign.SLOW)
-            self._move_baseline(latency)
+    def _weigh(self, latency: Seconds, now: Seconds) -> None:
+        is_slow = self._latency.is_slow(latency)
+        self._latency.add(latency)
+        if is_slow:
+            self.fall(Sign.SLOW, now)
+            return
+        if now < self._grows_from:
             return
-        else:
-            self._move_baseline(latency)
         self._good += 1
         if self._good >= GROW_AFTER * self.limit and self.limit < self.slots:
             self.limit += 1
             self._good = 0
-        if self.limit == self.slots:
+        if self.limit == self.slots and self.state == "cold":
             self._grow_warm()
 
-    def _move_baseline(self, latency: Seconds) -> None:
-        step = BASELINE_WEIGHT * (latency - self._baseline)
-        self._baseline += step
-
-    def _stall_limit(self) -> Seconds:
-        return max(STALL_FLOOR, STALL_FACTOR * self._expect_service())
-
     def _note_trip(self, now: Seconds) -> None:
         if self.state == "unhealthy":
             self._trial_period = min(MAX_TRIAL_PERIOD, 2 * self._trial_period)
-        self._trip()
+        else:
+            self._trip()
         self._trial_at = now + self._trial_period
--- a/bilberrypath/settings.py
+++ b/bilberrypath/settings.py
@@ -8,6 +8,7 @@
 
 import configparser
 import ipaddress
+import math
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -102,6 +103,7 @@
     upstream: Address
     slots: int
     cold_limit: int
+    warm_up: float
     max_connections: int
     max_body: int
     max_buffered: int
@@ -182,6 +184,7 @@
     upstream = reader.read("agent", "upstream", _to_address, "IP:PORT of the upstream")
     slots = reader.read("agent", "slots", _to_positive, whole, 3)
     cold_limit = reader.read("agent", "cold_limit", _to_positive, whole, 1)
+    warm_up = reader.read("agent", "warm_up", _to_seconds, "seconds", 5.0)
     connections = reader.read("agent", "max_connections", _to_positive, whole, 2000)
     max_body = reader.read("agent", "max_body", _to_positive, whole, 16_777_216)
     buffered = reader.read("agent", "max_buffered", _to_positive, whole, 67_108_864)
@@ -194,6 +197,7 @@
         upstream,
         slots,
         cold_limit,
+        warm_up,
         connections,
         max_body,
         buffered,
@@ -317,6 +321,13 @@
     return number
 
 
+def _to_seconds(text: str) -> float:
+    seconds = float(text)
+    if not 0 <= seconds < math.inf:
+        raise ValueError(text)
+    return seconds
+
+
 def _to_ratio(text: str) -> float:
     ratio = float(text)
     if not 0 <= ratio <= 1:
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -90,7 +90,9 @@
         )
         setup = AgentSetup(me, node.seeds, settings.slots, settings.max_connections)
         self.core = AgentCore(setup, self._codec, Random())
-        self.admission = Admission(settings.slots, settings.cold_limit)
+        self.admission = Admission(
+            settings.slots, settings.cold_limit, settings.warm_up
+        )
         self._upstream = UpstreamSession(settings.upstream, self._take_news)
         self.runner = RequestRunner(self.admission, self._upstream, self.metrics.count)
         self._configuration = make_agent_configuration(
@@ -217,7 +219,7 @@
         """Trust nothing learnt of the upstream before this process was frozen."""
         now = time.monotonic()
         if now - self._last_admission_tick > PAUSE_LIMIT:
-            self.admission.fall(Sign.OWN_PAUSE)
+            self.admission.fall(Sign.REPLACED, now)
         self._last_admission_tick = now
 
     # Upstream
@@ -234,7 +236,7 @@
     def _take_said(self, said: Said) -> None:
         if said.boot_id != self._boot_id:
             if self._boot_id:
-                self.admission.fall(Sign.REPLACED)
+                self.admission.fall(Sign.REPLACED, time.monotonic())
                 _log.info("upstream_replaced", boot_id=said.boot_id)
             self._boot_id = said.boot_id
         if said.draining and not self._upstream_draining:
