Failure cases with real processes; GOAWAY is heard; unhealthy upstreams are tried

Cause 1: drained agents did not end (planned_changes, graceful_shutdown failed): aioquic discards GOAWAY before the hook that was overridden, so callers never left. The hook now sits where the frame's type is checked. Ruled out: the agent's counting of open requests (its metrics showed the streams still open). Cause 2: an upstream that answered nothing was never used again (bad_upstreams failed): only a request can heal it, and it got no flows. It now takes opens when a trial is due. Cause 3: a flow released after its socket had closed raised. All three have tests that failed before.

--- a/bilberrypath/caller/flow.py
+++ b/bilberrypath/caller/flow.py
@@ -148,6 +148,11 @@
         if waiter is not None:
             waiter.add_done_callback(lambda done: done.cancelled() or done.exception())
 
+    def transmit(self) -> None:
+        """Send what is due, unless the flow's socket is closed."""
+        if self._transport is not None and not self._transport.is_closing():
+            super().transmit()
+
     # Events
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
--- a/bilberrypath/coordination/admission.py
+++ b/bilberrypath/coordination/admission.py
@@ -135,10 +135,15 @@
         """How many requests wait."""
         return len(self._queue)
 
-    @property
-    def is_healthy(self) -> bool:
-        """Whether new flows should come here."""
-        return not self.is_away and self.state != "unhealthy"
+    def takes_flows(self, now: Seconds) -> bool:
+        """Return whether new flows should come here.
+
+        An unhealthy upstream gets some when a trial is due, since without
+        flows nothing would ever show that it is well again.
+        """
+        if self.is_away:
+            return False
+        return self.state != "unhealthy" or self._may_try(now)
 
     def offer(
         self, request_id: RequestId, deadline: Seconds, now: Seconds
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -274,13 +274,14 @@
         self._handle(ev.ControlReceived(sender, message))
 
     def _handle(self, event: Event) -> None:
+        now = time.monotonic()
         self.core.set_load(
             len(self._flows),
             self.admission.limit,
             self.admission.running_count,
-            self.admission.is_healthy,
+            self.admission.takes_flows(now),
         )
-        self._carry_out(self.core.handle(event, time.monotonic()))
+        self._carry_out(self.core.handle(event, now))
 
     def _carry_out(self, effects: list) -> None:
         for effect in effects:
--- a/bilberrypath/transport/quic.py
+++ b/bilberrypath/transport/quic.py
@@ -143,8 +143,8 @@
         frame = encode_frame(FrameType.GOAWAY, encode_uint_var(NO_MORE_REQUESTS))
         self._quic.send_stream_data(self._local_control_stream_id, frame)
 
-    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        """Notice GOAWAY, whose content aioquic discards."""
+        super()._check_control_frame_type(frame_type)
         if frame_type == FrameType.GOAWAY:
             self.is_going_away = True
-            return
-        super()._handle_control_frame(frame_type, frame_data)
--- a/tests/caller/test_caller.py
+++ b/tests/caller/test_caller.py
@@ -5,7 +5,8 @@
 import pytest
 
 from bilberrypath.caller.caller import Caller, CallerOptions
-from bilberrypath.caller.flow import Reply
+from bilberrypath.caller.flow import CallerFlow, Reply
+from bilberrypath.transport.quic import CallerConnection, make_caller_configuration
 
 
 class QuietFlow:
@@ -46,3 +47,20 @@
                 await task
         assert task.cancelled()
         assert flow.finished == [0]
+
+
+class TestCallerFlow:
+    async def test_release_after_the_socket_closed(self):
+        configuration = make_caller_configuration(None, "localhost")
+        connection = CallerConnection(configuration=configuration)
+        loop = asyncio.get_running_loop()
+        transport, flow = await loop.create_datagram_endpoint(
+            lambda: CallerFlow(connection, "localhost"), local_addr=("127.0.0.1", 0)
+        )
+        flow.connect(("127.0.0.1", 1))
+        flow._lose("reset")
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        flow.release()
+        flow.release()
+        assert flow.lost_reason == "reset"
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -111,6 +111,14 @@
         assert upstream.admission.limit == 3
         assert upstream.transcript() == snapshot
 
+    def test_unhealthy_upstream_gets_flows_again_when_a_trial_is_due(self, admission):
+        for request_id in range(3):
+            admission.offer(request_id, 10.0, float(request_id))
+            admission.note_failure(request_id, Sign.STALLED, request_id + 0.5)
+        assert admission.state == "unhealthy"
+        assert not admission.takes_flows(2.6)
+        assert admission.takes_flows(4.0)
+
     def test_draining_refuses_what_waits(self, admission):
         admission.offer(1, 10.0, 0.0)
         admission.offer(2, 10.0, 0.0)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -17,7 +17,7 @@
 from bilberrypath.generated import upstream_pb2_grpc as pb_grpc
 from tests.standins.remote import serve_control
 
-ITEM_PERIOD = 0.1  # seconds
+ITEM_PERIOD = 0.1  # seconds, unless an option says otherwise
 PIECE = 64 * 1024
 
 
@@ -110,14 +110,15 @@
         self.streams += 1
         try:
             yield pb.ReplyPart(head=pb.ReplyHead(status=200, boot_id=self.boot_id))
-            last = head.after_item or int(time.time() / ITEM_PERIOD)
+            period = self.options.item_period
+            last = head.after_item or int(time.time() / period)
             while not self.blackhole:
-                newest = int(time.time() / ITEM_PERIOD)
+                newest = int(time.time() / period)
                 for number in range(last + 1, newest + 1):
                     text = f"id: {number}\ndata: {head.path}\n\n"
                     yield pb.ReplyPart(body=text.encode())
                 last = max(last, newest)
-                await asyncio.sleep(ITEM_PERIOD)
+                await asyncio.sleep(period)
         finally:
             self.streams -= 1
 
@@ -158,6 +159,7 @@
     parser.add_argument("--cold-slots", type=int, default=1)
     parser.add_argument("--cold-seconds", type=float, default=1.0)
     parser.add_argument("--service-time", type=float, default=0.02)
+    parser.add_argument("--item-period", type=float, default=ITEM_PERIOD)
     options = parser.parse_args()
     upstream = Upstream(options)
     server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -109,6 +109,7 @@
     nodes: list = Factory(list)
     processes: list = Factory(list)
     has_store: bool = True
+    warm_up: float = 1.5
     fabric_host: str = field(init=False)
     store_host: str = field(init=False)
     _hosts: object = field(default=None)
@@ -202,6 +203,7 @@
             "upstream": f"{node.host}:{UPSTREAM_PORT}",
             "certificate": self.folder / "certificate.pem",
             "private_key": self.folder / "key.pem",
+            "warm_up": self.warm_up,
         }
         path = self.write_settings(node, seeds, False, None, agent)
         node.agent = self.start_process(
--- a/tests/support/workload.py
+++ b/tests/support/workload.py
@@ -89,6 +89,7 @@
     boards: list = Factory(list)
     sent: list = Factory(list)
     callers: list = Factory(list)
+    item_period: float = ITEM_PERIOD
     lost_items_allowed: int = 0
     _tasks: list = Factory(list)
     _stopped: object = Factory(asyncio.Event)
@@ -120,7 +121,7 @@
 
     async def wait_for_next_items(self):
         """Wait until every board shows something newer than now."""
-        now = time.time() / ITEM_PERIOD
+        now = time.time() / self.item_period
         while not all(board.numbers[-1] > now for board in self.boards):
             self._raise_failed()
             await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/transport/test_quic.py
@@ -0,0 +1,108 @@
+"""What the project takes from the private side of aioquic, pinned."""
+
+import pytest
+from aioquic.quic import events
+
+from bilberrypath.protocol.token import Route, TokenCodec
+from bilberrypath.transport.quic import (
+    CallerConnection,
+    GoawayH3,
+    TokenConnection,
+    make_agent_configuration,
+    make_caller_configuration,
+)
+from tests.support.deployment import make_certificate
+
+CLIENT, SERVER = ("127.0.0.1", 1), ("127.0.0.1", 2)
+CODEC = TokenCodec({1: bytes(16)}, 1)
+ROUTE = Route("127.0.0.1", 7000, 1, 1, 1)
+
+
+class Pair:
+    """A client and a server connection, joined in memory."""
+
+    def __init__(self, folder, token=None):
+        make_certificate(folder)
+        pem, key = str(folder / "certificate.pem"), str(folder / "key.pem")
+        self.client = CallerConnection(
+            configuration=make_caller_configuration(pem, "localhost"), token=token
+        )
+        self.first_id = self.client.peer_token
+        self.server = TokenConnection(
+            configuration=make_agent_configuration(pem, key),
+            original_destination_connection_id=self.first_id,
+            issue=lambda: CODEC.issue(ROUTE),
+            derive_reset_token=CODEC.derive_reset_token,
+        )
+        self.now = 0.0
+        self.client.connect(SERVER, now=self.now)
+        self.exchange()
+        self.client_h3 = GoawayH3(self.client)
+        self.server_h3 = GoawayH3(self.server)
+        self.exchange()
+
+    def exchange(self):
+        """Carry packets both ways until nothing is due."""
+        for _ in range(6):
+            self.now += 0.01
+            for data, _ in self.client.datagrams_to_send(self.now):
+                self.server.receive_datagram(data, CLIENT, self.now)
+            for data, _ in self.server.datagrams_to_send(self.now):
+                self.client.receive_datagram(data, SERVER, self.now)
+
+    def feed(self, connection, h3):
+        """Pass a connection's events to HTTP/3."""
+        seen = []
+        while (event := connection.next_event()) is not None:
+            seen.append(event)
+            h3.handle_event(event)
+        return seen
+
+
+@pytest.fixture
+def pair(tmp_path):
+    """A pair that has shaken hands."""
+    return Pair(tmp_path)
+
+
+class TestTokenConnection:
+    def test_every_id_is_a_token(self, pair):
+        assert len(pair.server.list_ids()) == 8
+        assert {CODEC.read(cid) for cid in pair.server.list_ids()} == {ROUTE}
+
+    def test_caller_uses_a_token_after_the_handshake(self, pair):
+        assert pair.client.peer_token in pair.server.list_ids()
+
+    def test_reset_tokens_are_derived_from_the_ids(self, pair):
+        derived = {CODEC.derive_reset_token(cid) for cid in pair.server.list_ids()}
+        assert pair.client.list_reset_tokens() <= derived
+        assert CODEC.derive_reset_token(pair.client.peer_token) in (
+            pair.client.list_reset_tokens()
+        )
+
+    def test_id_that_is_retired_is_replaced_by_a_token(self, pair):
+        before = set(pair.server.list_ids())
+        pair.client.change_connection_id()
+        pair.client.send_ping(1)
+        pair.exchange()
+        after = set(pair.server.list_ids())
+        assert len(after) == 8
+        assert after != before
+        assert {CODEC.read(cid) for cid in after} == {ROUTE}
+
+    def test_caller_can_aim_at_the_agent_of_a_token(self, tmp_path):
+        token = CODEC.issue(ROUTE)
+        pair = Pair(tmp_path, token)
+        assert pair.first_id == token
+        seen = pair.feed(pair.client, pair.client_h3)
+        assert any(isinstance(event, events.HandshakeCompleted) for event in seen)
+
+
+class TestGoaway:
+    def test_goaway_is_heard(self, pair):
+        pair.feed(pair.client, pair.client_h3)
+        assert not pair.client_h3.is_going_away
+        pair.server_h3.send_goaway()
+        pair.exchange()
+        pair.feed(pair.client, pair.client_h3)
+        assert pair.client_h3.is_going_away
