--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,277 @@
+"""Slopes against servers, services, nodes and changes; see docs/CAPACITY.md."""
+
+import gc
+import time
+from functools import partial
+from random import Random
+
+from benchmarks.bench import read_resident
+from benchmarks.fleet import (
+    CENTRES,
+    CODEC,
+    HEADERS,
+    Fleet,
+    first_release,
+    make_agent,
+    make_balancer,
+    next_step,
+)
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.agent import AgentCore, AgentSetup
+from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
+from bilberrypath.coordination.ranking import rank_homes
+from bilberrypath.protocol import control as ctl
+from bilberrypath.protocol.frame import FrameSeal
+from bilberrypath.state.members import Member, Status
+from bilberrypath.state.release import follow_step
+
+SERVERS, SERVICES, NODES = 79_000, 22_000, 12_000
+SHARES = (0.25, 0.5, 1.0)
+FLEETS = (150, 300, 600, 1200)
+CHANGES_PER_SECOND = 14_000 / 86_400
+
+
+def show(name, value, digits=2):
+    print(f"{name}={value:.{digits}f}", flush=True)
+
+
+def time_each(work, items):
+    """Return the processor time of ``work`` for each item, in microseconds."""
+    started = time.process_time()
+    for item in items:
+        work(item)
+    return (time.process_time() - started) / len(items) * 1e6
+
+
+def load_core(servers, services, nodes):
+    """Return a balancer core that holds a whole system."""
+    me = make_balancer(0)
+    core = BalancerCore(BalancerSetup(me, ()), CODEC, Random(1), 0.0)
+    release = first_release(services)
+    core.handle(ev.StoreRead(0.0, 1, "first", whole=release), 0.0)
+    for index in range(1, nodes):
+        core.members.table.merge(make_balancer(index))
+    for index in range(servers):
+        core.members.table.merge(make_agent(index, services))
+    core.members.epoch += 1
+    core._joined = True
+    core.freshness.confirm_started(1e9)
+    return core
+
+
+def measure_memory():
+    gc.collect()
+    empty = read_resident()
+    for share in SHARES:
+        before = read_resident()
+        core = load_core(
+            int(SERVERS * share), int(SERVICES * share), int(NODES * share)
+        )
+        gc.collect()
+        grown = read_resident() - before
+        members = (SERVERS + NODES) * share
+        show(f"memory_mb_at_{share}", grown / 1e6, 1)
+        show(f"bytes_per_member_and_service_share_at_{share}", grown / members, 0)
+        if share < 1.0:
+            del core
+            gc.collect()
+    show("resident_mb_full_core", (read_resident() - empty) / 1e6, 1)
+    return core
+
+
+def measure_balancer(core):
+    now = 1.0
+    release = core.releases.release
+    started = time.process_time()
+    step, _ = next_step(release)
+    show("make_step_ms", (time.process_time() - started) * 1e3)
+    started = time.process_time()
+    follow_step(release, step)
+    show("follow_step_ms", (time.process_time() - started) * 1e3)
+    started = time.process_time()
+    core.router.use_release(release)
+    show("use_release_ms", (time.process_time() - started) * 1e3)
+    agents = [make_agent(index, SERVICES) for index in range(2000)]
+    changed = [
+        Member(a.node_id, a.role, a.data_centre, a.service, 1000, 2, Status.DRAINING)
+        for a in agents
+    ]
+    show("merge_change_us", time_each(lambda m: core.members.merge(m, now), changed))
+    mine = [a for a in agents if a.data_centre == CENTRES[0]][:60]
+    table = core.members.table
+    show(
+        "rank_homes_us",
+        time_each(lambda a: rank_homes(a.node_id, a.data_centre, table), mine),
+    )
+    beats = [
+        ev.ControlReceived(
+            a.address, ctl.Heartbeat(core.members.table.get(a.node_id), i, 1, 5, 1)
+        )
+        for i, a in enumerate(mine * 20)
+    ]
+    for beat in beats:
+        core.handle(beat, now)
+    show("heartbeat_us", time_each(lambda b: core.handle(b, now), beats))
+    core.members.rumours.__init__()
+    probes = [
+        ev.ControlReceived(
+            make_balancer(i).address, ctl.Probe(i, make_news(core, make_balancer(i)))
+        )
+        for i in range(1, 2000)
+    ]
+    show("probe_us", time_each(lambda p: core.handle(p, now), probes))
+    ticks = [1.0 + 0.2 * index for index in range(300)]
+    core.members.hearing.heard_by_id.clear()
+    show("tick_us", time_each(lambda t: core.handle(ev.Tick(), t), ticks))
+
+
+def make_news(core, sender):
+    digest = core.members.table.digest()
+    beacons = {name: 1000 for name in CENTRES}
+    return ctl.News(sender, 1, digest, beacons, ())
+
+
+def measure_codec():
+    seal = FrameSeal(bytes(32))
+    agent = make_agent(7, SERVICES)
+    view = ctl.View(100, 7, 9000, 3, True, False)
+    homes = tuple(make_balancer(i).node_id for i in range(3))
+    beat = ctl.Heartbeat(agent, 1000, 100, 50, 3)
+    ack = ctl.HeartbeatAck(1000, view, agent, homes)
+    step, _ = next_step(first_release(10))
+    news = ctl.News(
+        make_balancer(3), 100, 1 << 63, {c: 10_000 for c in CENTRES}, (agent,)
+    )
+    for name, message in (
+        ("heartbeat", beat),
+        ("heartbeat_ack", ack),
+        ("probe", ctl.Probe(1000, news)),
+        ("release_push", ctl.ReleasePush(step, news)),
+    ):
+        body = ctl.encode_control(message)
+        show(f"{name}_bytes", HEADERS + len(body), 0)
+        sealed = seal.seal_control(body)
+        both = time_each(
+            lambda _, m=message: seal.seal_control(ctl.encode_control(m)), range(5000)
+        ) + time_each(
+            lambda _, s=sealed: ctl.decode_control(seal.open_control(s)), range(5000)
+        )
+        show(f"{name}_code_and_decode_us", both)
+
+
+def measure_ranking():
+    for count in (1, 4, 40, 400):
+        core = load_core(0, 1, 2)
+        for index in range(count):
+            core.members.merge(make_agent(index, 1), 0.0)
+        core.handle(ev.Tick(), 0.0)
+        keys = [Random(i).randbytes(8) for i in range(2000)]
+        rank = partial(rank_open, core)
+        show(f"rank_us_at_{count}", time_each(rank, keys))
+
+
+def rank_open(core, key):
+    core.router.route_open(1024, key, core.members.table, 0.0)
+
+
+def measure_agent():
+    member = make_agent(0, 10)
+    seeds = (make_balancer(0).address,)
+    core = AgentCore(AgentSetup(member, seeds, 3, 2000), CODEC, Random(1))
+    homes = tuple(make_balancer(i).node_id for i in range(3))
+    view = ctl.View(1, 1, 9000, 1, True, False)
+    now, spent, messages = 0.0, 0.0, 0
+    for _ in range(5000):
+        now += ev.TICK_PERIOD
+        started = time.process_time()
+        effects = core.handle(ev.Tick(), now)
+        for effect in effects:
+            beat = effect.message
+            ack = ctl.HeartbeatAck(beat.sequence, view, beat.member, homes)
+            core.handle(ev.ControlReceived(effect.to, ack), now)
+        spent += time.process_time() - started
+        messages += len(effects)
+    show("agent_core_percent_of_a_core", spent / now * 100, 3)
+    show("agent_heartbeats_per_second", messages / now)
+
+
+def measure_spread():
+    for count in FLEETS:
+        fleet = Fleet(count)
+        fleet.run(5.0)
+        fleet.messages = fleet.bytes_sent = fleet.store_reads = 0
+        fleet.pulled_bytes = 0
+        fleet.run(10.0)
+        per = count * 10.0
+        show(f"idle_messages_per_node_per_second_at_{count}", fleet.messages / per)
+        sent = fleet.bytes_sent + fleet.pulled_bytes
+        show(f"idle_bytes_per_node_per_second_at_{count}", sent / per, 0)
+        show(f"store_reads_per_second_at_{count}", fleet.store_reads / 10.0, 1)
+        bytes_before = fleet.bytes_sent
+        show(f"release_everywhere_s_at_{count}", fleet.spread(20.0))
+        fleet.run(2.0)
+        spent = fleet.bytes_sent - bytes_before
+        show(f"release_bytes_per_node_at_{count}", spent / count, 0)
+        fleet.loss = 0.1
+        show(f"release_everywhere_s_10_percent_loss_at_{count}", fleet.spread(20.0))
+    measure_cut(FLEETS[1])
+    measure_mass_join(FLEETS[1])
+
+
+def measure_cut(count):
+    fleet = Fleet(count, loss=0.1)
+    fleet.run(3.0)
+    fleet.cut_centres = frozenset(CENTRES[:2])
+    fleet.run(60.0)
+    inside = fleet.spread(10.0)
+    show("release_outside_cut_s", max(fleet.adopted_at.values()) - fleet.now + inside)
+    behind = fleet.count_behind()
+    fleet.cut_centres = frozenset()
+    started = fleet.now
+    while fleet.count_behind() and fleet.now - started < 30:
+        fleet.run(0.05)
+    show("behind_in_cut_region", behind, 0)
+    show("catch_up_after_cut_s", fleet.now - started)
+    fleet.run(20.0)
+    least = min(
+        sum(m.takes_work for m in core.members.table) for core in fleet.cores.values()
+    )
+    show("least_members_in_use_after_cut_share", least / count, 3)
+
+
+def measure_mass_join(count):
+    """Let all agents of one data centre, 2,000 here, join at once."""
+    fleet = Fleet(count)
+    fleet.run(3.0)
+    agents = [make_agent(i * len(CENTRES), 100) for i in range(2000)]
+    for agent in agents:
+        fleet.hear(agent)
+    fleet.bytes_sent = fleet.pulled_bytes = 0
+    started = fleet.now
+    known = 0.0
+    while fleet.now - started < 40.0:
+        fleet.run(1.0)
+        tables = [len(c.members.table) for c in fleet.cores.values()]
+        known = min(tables) - count
+        if known >= len(agents):
+            break
+    seconds = fleet.now - started
+    show("mass_join_agents_known_everywhere", known, 0)
+    show("mass_join_s", seconds, 1)
+    sent = fleet.bytes_sent + fleet.pulled_bytes
+    show("mass_join_bytes_per_node_per_second", sent / count / seconds, 0)
+
+
+def main():
+    core = measure_memory()
+    measure_balancer(core)
+    del core
+    gc.collect()
+    measure_codec()
+    measure_ranking()
+    measure_agent()
+    measure_spread()
+
+
+if __name__ == "__main__":
+    main()
--- a/bilberrypath/coordination/agent.py
+++ b/bilberrypath/coordination/agent.py
@@ -26,6 +26,7 @@
     from bilberrypath.types import Address, Seconds
 
 ASK_PERIOD: Seconds = 0.2
+UNABLE_LOAD = 1 << 20  # connections
 
 
 @frozen
@@ -85,7 +86,12 @@
 
     @property
     def load(self) -> int:
-        """Connections for each unit of the limit, in units of all slots."""
+        """Connections for each unit of the limit, in units of all slots.
+
+        An agent that can take no flows tells a load that nobody tops.
+        """
+        if not self._can_take():
+            return UNABLE_LOAD
         return self._connections * self.setup.slots // max(1, self._limit)
 
     @property
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -98,7 +98,7 @@
         self.releases = ReleaseKeeper()
         self.router = Router(codec)
         self.freshness = Freshness()
-        self.prober = Prober(rng, next_probe_at=now)
+        self.prober = Prober(rng, now, self.members.is_peer)
         self.started_at = now
         self._agent_by_flow: dict[tuple[int, bytes], Address] = {}
         self._joined = False
@@ -339,8 +339,7 @@
     def _reads_store(self) -> bool:
         if self._reader_epoch != self.members.epoch:
             self._reader_epoch = self.members.epoch
-            balancers = self.members.table.list_balancers()
-            self._is_reader = is_reader(self.members.me, balancers)
+            self._is_reader = is_reader(self.members.me, self.members.table)
         return self._is_reader or self.releases.revision == 0
 
     def _probe(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
--- a/bilberrypath/coordination/membership.py
+++ b/bilberrypath/coordination/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,7 +11,7 @@
 from bilberrypath.coordination.beacons import Beacons
 from bilberrypath.coordination.effects import Changed, Count
 from bilberrypath.coordination.hearing import Hearing
-from bilberrypath.coordination.ranking import rank_homes
+from bilberrypath.coordination.ranking import HOME_COUNT, rank_homes
 from bilberrypath.coordination.rumours import RumourQueue
 from bilberrypath.state.members import (
     Doubt,
@@ -54,6 +55,8 @@
     _gone_at_by_id: dict[NodeId, float] = Factory(dict)
     _homes_by_id: dict[NodeId, tuple[NodeId, ...]] = Factory(dict)
     _homes_epoch: int = -1
+    _peers: list[NodeId] = Factory(list)
+    _peers_epoch: int = -1
     _sweep: list[NodeId] = Factory(list)
     _last_tick: Seconds | None = field(default=None)
 
@@ -61,9 +64,18 @@
         self.table.merge(self.me)
 
     def list_peers(self) -> list[NodeId]:
-        """Return the other balancers that are not gone."""
-        mine = self.me.node_id
-        return [m.node_id for m in self.table.list_balancers() if m.node_id != mine]
+        """Return the other balancers that are not gone; not to be changed."""
+        if self._peers_epoch != self.epoch:
+            self._peers_epoch = self.epoch
+            mine = self.me.node_id
+            balancers = self.table.list_balancers()
+            self._peers = [m.node_id for m in balancers if m.node_id != mine]
+        return self._peers
+
+    def is_peer(self, node_id: NodeId) -> bool:
+        """Return whether a process is another balancer that is not gone."""
+        member = self.table.get(node_id)
+        return member is not None and not member.is_gone
 
     def list_homes(self, node_id: NodeId, centre: DataCentreName) -> tuple[NodeId, ...]:
         """Return the balancers that an agent should send heartbeats to."""
@@ -72,7 +84,7 @@
             self._homes_epoch = self.epoch
         homes = self._homes_by_id.get(node_id)
         if homes is None:
-            homes = rank_homes(node_id, centre, self.table.list_balancers())
+            homes = rank_homes(node_id, centre, self.table)
             self._homes_by_id[node_id] = homes
         return homes
 
@@ -178,9 +190,19 @@
             member = self.table.get(self._sweep.pop())
             if member is None or member.is_gone:
                 continue
-            homes = self.list_homes(member.node_id, member.data_centre)
-            if self.me.node_id in homes:
-                self.hearing.expect(member.node_id, now)
+            if self._may_be_home(member.data_centre):
+                self._expect_if_home(member, now)
+
+    def _may_be_home(self, data_centre: DataCentreName) -> bool:
+        if data_centre == self.me.data_centre:
+            return True
+        near = self.table.list_balancers_of(data_centre)
+        return len(list(islice(near, HOME_COUNT))) < HOME_COUNT
+
+    def _expect_if_home(self, member: Member, now: Seconds) -> None:
+        homes = rank_homes(member.node_id, member.data_centre, self.table)
+        if self.me.node_id in homes:
+            self.hearing.expect(member.node_id, now)
 
     def _answer_about_self(self, member: Member) -> list[Effect]:
         if not is_newer(member, self.me):
--- a/bilberrypath/coordination/placement.py
+++ b/bilberrypath/coordination/placement.py
@@ -19,7 +19,7 @@
 
 MAX_HOPS = 3
 MARGIN = 1  # connections
-REMEMBER_FOR: Seconds = 10.0
+REMEMBER_FOR: Seconds = 2.0
 MAX_REMEMBERED = 65536
 
 
--- a/bilberrypath/coordination/probing.py
+++ b/bilberrypath/coordination/probing.py
@@ -12,6 +12,7 @@
 from attrs import Factory, define, field, frozen
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from bilberrypath.types import NodeId, Seconds
@@ -45,6 +46,7 @@
 
     rng: Random
     next_probe_at: Seconds
+    is_peer: Callable[[NodeId], bool]
     _round: list[NodeId] = Factory(list)
     _open_by_target: dict[NodeId, OpenProbe] = Factory(dict)
     _asked_others: set[NodeId] = Factory(set)
@@ -52,7 +54,7 @@
 
     def plan(self, peers: list[NodeId], now: Seconds) -> ProbePlan:
         """Return what is due at ``now`` among the peers that are not gone."""
-        self._forget_missing(peers)
+        self._forget_missing()
         suspects = self._judge(now)
         through = self._ask_others(peers, now)
         return ProbePlan(self._choose_target(peers, now), through, suspects)
@@ -67,11 +69,8 @@
         for target, probe in self._open_by_target.items():
             self._open_by_target[target] = OpenProbe(target, probe.started_at + gap)
 
-    def _forget_missing(self, peers: list[NodeId]) -> None:
-        if not self._open_by_target:
-            return
-        known = set(peers)
-        for target in [t for t in self._open_by_target if t not in known]:
+    def _forget_missing(self) -> None:
+        for target in [t for t in self._open_by_target if not self.is_peer(t)]:
             self.note_answer(target)
 
     def _judge(self, now: Seconds) -> tuple[NodeId, ...]:
@@ -106,14 +105,17 @@
         if now < self.next_probe_at or not peers:
             return None
         self.next_probe_at = now + PROBE_PERIOD * self.rng.uniform(0.9, 1.1)
-        known = set(peers)
+        target = self._draw_target(peers)
+        if target not in self._open_by_target:
+            self._open_by_target[target] = OpenProbe(target, now)
+        return target
+
+    def _draw_target(self, peers: list[NodeId]) -> NodeId:
+        """Return the next peer of a round in which each has its turn."""
         while True:
             if not self._round:
                 self._round = list(peers)
                 self.rng.shuffle(self._round)
             target = self._round.pop()
-            if target in known:
-                break
-        if target not in self._open_by_target:
-            self._open_by_target[target] = OpenProbe(target, now)
-        return target
+            if self.is_peer(target):
+                return target
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import struct
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
     from bilberrypath.types import Address, DataCentreName, NodeId, ServiceName
 
 TABLE_BUCKETS = 256
+_PACK_DIGESTS = struct.Struct(f"!{TABLE_BUCKETS}Q").pack
 
 
 class Role(IntEnum):
@@ -114,6 +116,8 @@
     )
     _agents_by_service: dict[ServiceName, dict[NodeId, Member]] = Factory(dict)
     _balancer_by_id: dict[NodeId, Member] = Factory(dict)
+    _balancers_by_centre: dict[DataCentreName, dict[NodeId, Member]] = Factory(dict)
+    _digest: int | None = None
 
     def __len__(self) -> int:
         return len(self._member_by_id)
@@ -160,9 +164,16 @@
         """Return the balancers that are not gone."""
         return self._balancer_by_id.values()
 
+    def list_balancers_of(self, data_centre: DataCentreName) -> Iterable[Member]:
+        """Return the balancers of a data centre that are not gone."""
+        return self._balancers_by_centre.get(data_centre, {}).values()
+
     def digest(self) -> int:
         """Return a 64-bit digest of the whole table."""
-        return xxhash.xxh64_intdigest(repr(self._digest_by_bucket).encode())
+        if self._digest is None:
+            packed = _PACK_DIGESTS(*self._digest_by_bucket)
+            self._digest = xxhash.xxh64_intdigest(packed)
+        return self._digest
 
     def list_digests(self) -> tuple[int, ...]:
         """Return the digest of each bucket."""
@@ -192,6 +203,7 @@
         A balancer forgets gone members in its own time, which must not make
         two tables look different.
         """
+        self._digest = None
         if not member.is_gone:
             self._digest_by_bucket[bucket] ^= digest_member(member)
 
@@ -200,6 +212,8 @@
             return
         if member.role is Role.BALANCER:
             self._balancer_by_id[member.node_id] = member
+            near = self._balancers_by_centre.setdefault(member.data_centre, {})
+            near[member.node_id] = member
         else:
             agents = self._agents_by_service.setdefault(member.service, {})
             agents[member.node_id] = member
@@ -207,6 +221,8 @@
     def _unindex(self, member: Member) -> None:
         if member.role is Role.BALANCER:
             self._balancer_by_id.pop(member.node_id, None)
+            near = self._balancers_by_centre.get(member.data_centre, {})
+            near.pop(member.node_id, None)
             return
         agents = self._agents_by_service.get(member.service)
         if agents is None:
--- a/tests/coordination/test_sessions.py
+++ b/tests/coordination/test_sessions.py
@@ -96,6 +96,18 @@
         assert takers == ["a3"] * 4
         assert session.transcript() == snapshot
 
+    def test_open_is_not_passed_on_to_agent_that_is_unable(self, session):
+        for name in ("a1", "a2"):
+            session.note_load(name, 40)
+        session.note_load("a3", 0, healthy=False)
+        session.run(1.0)
+        for index in range(6):
+            open_flow(session, "b1", b"open%04d" % index)
+        takers = {agent for agent, _ in session.opened.values()}
+        assert len(session.opened) == 6
+        assert takers <= {"a1", "a2"}
+        assert "-> a3 Forward hops=1" not in session.transcript()
+
 
 class TestDataCentreOut:
     def test_frozen_balancer_sends_nothing_to_it(self, session, snapshot):
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -14,7 +14,7 @@
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
+from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
 
 from tests.standins.remote import command
 
@@ -28,25 +28,44 @@
 
 
 def make_certificate(folder):
-    """Write a self-signed certificate for ``localhost``."""
+    """Write an authority, and a certificate of it for ``localhost``."""
+    ca_key = ec.generate_private_key(ec.SECP256R1())
+    ca_name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "test authority")])
+    constraints = x509.BasicConstraints(ca=True, path_length=None)
+    usage = x509.KeyUsage(
+        digital_signature=True,
+        content_commitment=False,
+        key_encipherment=False,
+        data_encipherment=False,
+        key_agreement=False,
+        key_cert_sign=True,
+        crl_sign=True,
+        encipher_only=False,
+        decipher_only=False,
+    )
+    authority = (
+        _begin_certificate(ca_name, ca_name, ca_key.public_key())
+        .add_extension(constraints, critical=True)
+        .add_extension(usage, critical=True)
+        .sign(ca_key, hashes.SHA256())
+    )
     key = ec.generate_private_key(ec.SECP256R1())
     name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
-    now = datetime.datetime.now(datetime.UTC)
+    issuer = x509.AuthorityKeyIdentifier.from_issuer_public_key(ca_key.public_key())
     certificate = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - datetime.timedelta(days=1))
-        .not_valid_after(now + datetime.timedelta(days=30))
+        _begin_certificate(name, ca_name, key.public_key())
         .add_extension(
             x509.SubjectAlternativeName([x509.DNSName("localhost")]), critical=False
         )
-        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
-        .sign(key, hashes.SHA256())
+        .add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
+        .add_extension(
+            x509.ExtendedKeyUsage([ExtendedKeyUsageOID.SERVER_AUTH]), critical=False
+        )
+        .add_extension(issuer, critical=False)
+        .sign(ca_key, hashes.SHA256())
     )
     pem = serialization.Encoding.PEM
+    (folder / "authorities.pem").write_bytes(authority.public_bytes(pem))
     (folder / "certificate.pem").write_bytes(certificate.public_bytes(pem))
     private = key.private_bytes(
         pem,
@@ -56,6 +75,22 @@
     (folder / "key.pem").write_bytes(private)
 
 
+def _begin_certificate(subject, issuer, public_key):
+    now = datetime.datetime.now(datetime.UTC)
+    return (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(issuer)
+        .public_key(public_key)
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=30))
+        .add_extension(
+            x509.SubjectKeyIdentifier.from_public_key(public_key), critical=False
+        )
+    )
+
+
 @define
 class Process:
     """A process that this deployment started."""
@@ -128,7 +163,7 @@
 
     @property
     def authorities(self):
-        return str(self.folder / "certificate.pem")
+        return str(self.folder / "authorities.pem")
 
     @property
     def store(self):
--- a/tests/transport/test_quic.py
+++ b/tests/transport/test_quic.py
@@ -25,7 +25,10 @@
         make_certificate(folder)
         pem, key = str(folder / "certificate.pem"), str(folder / "key.pem")
         self.client = CallerConnection(
-            configuration=make_caller_configuration(pem, "localhost"), token=token
+            configuration=make_caller_configuration(
+                str(folder / "authorities.pem"), "localhost"
+            ),
+            token=token,
         )
         self.first_id = self.client.peer_token
         self.server = TokenConnection(
