--- a/bilberrypath/state/notes.py
+++ b/bilberrypath/state/notes.py
@@ -72,7 +72,7 @@
 
 
 def _check_keys(parser: configparser.ConfigParser, faults: list[str]) -> None:
-    for section in parser.sections():
+    for section in set(SECTIONS) & set(parser.sections()):
         for key in parser[section]:
             if not key.startswith((_SERVICE, _DATA_CENTRE)):
                 faults.append(
--- /dev/null
+++ b/tests/protocol/test_wire.py
@@ -0,0 +1,191 @@
+"""Any bytes may come: nothing raises, and nothing forged is taken."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberrypath.coordination import events as ev
+from bilberrypath.protocol.control import decode_control
+from bilberrypath.protocol.frame import Candidate, Forward, FrameSeal, Return
+from bilberrypath.protocol.http import (
+    BadRequest,
+    RequestHead,
+    read_outcome,
+    read_request_head,
+    write_outcome,
+    write_request_head,
+)
+from bilberrypath.protocol.outcome import (
+    Answered,
+    Reason,
+    RefusedNotRun,
+    Unknown,
+)
+from bilberrypath.protocol.packet import PacketFault, read_header
+from bilberrypath.protocol.reset import build_stateless_reset, ends_with_reset_token
+from bilberrypath.protocol.token import Route, TokenCodec
+from tests.support.session import Session
+
+quick = settings(derandomize=True, deadline=None)
+SEAL = FrameSeal(b"k" * 32)
+CODEC = TokenCodec({1: bytes(16), 2: bytes(range(16))}, 2)
+FORWARD = Forward(
+    7, "10.0.0.1", 5, "10.0.0.2", 7000, 9443, 0, (Candidate("10.0.0.3", 1, -1),), b"p"
+)
+routes = st.builds(
+    Route,
+    host=st.ip_addresses(v=4).map(str),
+    port=st.integers(0, 65535),
+    service=st.integers(0, 65535),
+    data_centre=st.integers(0, 255),
+    incarnation=st.integers(0, (1 << 24) - 1),
+)
+
+
+class TestToken:
+    @quick
+    @given(routes)
+    def test_round_trip(self, route):
+        assert CODEC.read(CODEC.issue(route)) == route
+
+    def test_tokens_of_one_route_look_unlike(self):
+        route = Route("10.0.0.1", 1, 1, 1, 1)
+        tokens = {CODEC.issue(route)[1:6] for _ in range(50)}
+        assert len(tokens) == 50
+
+    @quick
+    @given(st.binary(max_size=24))
+    def test_any_bytes(self, data):
+        CODEC.read(data)
+
+    @quick
+    @given(st.integers(0, 19), st.integers(1, 255))
+    def test_changed_token_is_not_taken(self, at, flip):
+        token = bytearray(CODEC.issue(Route("10.0.0.1", 1, 1, 1, 1), nonce=b"nnnn"))
+        token[at] ^= flip
+        assert CODEC.read(bytes(token)) is None
+
+    def test_former_key_stays_good_while_keys_rotate(self):
+        old = TokenCodec({1: bytes(16)}, 1)
+        route = Route("10.0.0.1", 1, 1, 1, 1)
+        assert CODEC.read(old.issue(route)) == route
+
+    def test_unknown_active_key_is_a_clear_error(self):
+        with pytest.raises(ValueError, match=r"active key id 3 .* \[1\]"):
+            TokenCodec({1: bytes(16)}, 3)
+
+
+class TestPacket:
+    @quick
+    @given(st.binary(max_size=1600))
+    def test_any_bytes(self, data):
+        read_header(data)
+
+    @pytest.mark.parametrize(
+        ("data", "fault"),
+        [
+            (b"", PacketFault.EMPTY),
+            (b"\x40abc", PacketFault.TRUNCATED),
+            (b"\x00" + bytes(60), PacketFault.NOT_QUIC),
+            (bytes([0xC0, 0, 0, 0, 1, 21]) + bytes(1300), PacketFault.NOT_QUIC),
+            (b"\xc0\x00\x00\x00\x01\x08" + bytes(60), PacketFault.SMALL_INITIAL),
+            (bytes(1501), PacketFault.OVERSIZED),
+        ],
+    )
+    def test_fault_has_a_reason(self, data, fault):
+        assert read_header(data) is fault
+
+
+class TestFrame:
+    def test_round_trip(self):
+        assert SEAL.open_packet(SEAL.seal_packet(FORWARD)) == FORWARD
+
+    @quick
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, data):
+        assert SEAL.open_packet(data) is None
+        assert SEAL.open_control(data) is None
+        decode_control(data)
+
+    @quick
+    @given(st.integers(0, 60), st.integers(1, 255))
+    def test_changed_head_is_not_taken(self, at, flip):
+        sealed = bytearray(SEAL.seal_packet(FORWARD))
+        if at in (0, len(sealed) - 1) or at >= len(sealed) - 1:
+            return
+        sealed[at] ^= flip
+        assert SEAL.open_packet(bytes(sealed)) is None
+
+    def test_frame_of_another_key_is_not_taken(self):
+        other = FrameSeal(b"o" * 32)
+        assert SEAL.open_packet(other.seal_packet(FORWARD)) is None
+
+
+class TestReset:
+    def test_reset_is_shorter_than_its_cause_and_known_by_its_token(self):
+        token = CODEC.derive_reset_token(CODEC.issue(Route("10.0.0.1", 1, 1, 1, 1)))
+        packet = build_stateless_reset(token, 30, Random(1))
+        assert len(packet) < 30
+        assert ends_with_reset_token(packet, {token})
+        assert build_stateless_reset(token, 21, Random(1)) is None
+
+
+class TestHttp:
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            Answered(200, b"body"),
+            Answered(503, b"the upstream's own"),
+            RefusedNotRun(Reason.OVERLOADED, True, 0.5),
+            RefusedNotRun(Reason.TOO_LARGE, False),
+            Unknown(Reason.DEADLINE_PASSED),
+        ],
+    )
+    def test_outcome_round_trip(self, outcome):
+        headers, body = write_outcome(outcome, b"1")
+        assert read_outcome(headers, body) == outcome
+
+    def test_request_head_round_trip(self):
+        head = RequestHead("POST", "/rides", "k", 2.5, False, incarnation=7, age=1.0)
+        assert read_request_head(write_request_head(head, "localhost")) == head
+
+    @quick
+    @given(st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=8))))
+    def test_any_headers(self, headers):
+        assert isinstance(read_request_head(headers), RequestHead | BadRequest)
+
+
+class TestCoreUnderAnyMessages:
+    @quick
+    @given(
+        st.lists(
+            st.one_of(
+                st.builds(
+                    ev.PacketReceived,
+                    st.sampled_from([9443, 1]),
+                    st.just(("10.0.0.1", 1)),
+                    st.binary(max_size=80),
+                ),
+                st.builds(
+                    ev.FrameReceived,
+                    st.just(("10.0.0.9", 7000)),
+                    st.sampled_from(
+                        [FORWARD, Return(99, "10.0.0.1", 1, 9443, 3, b"x")]
+                    ),
+                ),
+                st.just(ev.Tick()),
+                st.just(ev.StoreFailed()),
+                st.just(ev.PullFailed(("10.0.0.9", 7000))),
+                st.just(ev.ReleasePulled(("10.0.0.9", 7000))),
+                st.just(ev.Leave()),
+            ),
+            max_size=20,
+        )
+    )
+    def test_no_exception_leaves_the_balancer(self, events):
+        session = Session()
+        core = session.add_balancer("b1", "10.0.0.2", "a").core
+        for index, event in enumerate(events):
+            core.handle(event, index * 0.3)
--- /dev/null
+++ b/tests/state/test_release.py
@@ -0,0 +1,122 @@
+"""Releases, and the notes that change them."""
+
+import pytest
+from attrs import evolve
+
+from bilberrypath.state.notes import TEMPLATE, NoteFaults, describe_note, parse_note
+from bilberrypath.state.release import (
+    DataCentre,
+    Note,
+    Release,
+    ReleaseStep,
+    Service,
+    apply_note,
+    check_note,
+    follow_step,
+)
+from tests.support.notes import CENTRES, first_note, out_note
+
+
+@pytest.fixture
+def release():
+    """Revision 1, with three data centres and two services."""
+    return apply_note(Release(), first_note())
+
+
+class TestApplyNote:
+    def test_numbers_are_never_reused(self, release):
+        after = apply_note(release, Note("n2", withdrawn_services=("photos",)))
+        again = Note("n3", added_services=(Service("photos", 9444, CENTRES),))
+        assert release.get_service("photos").number == 2
+        assert apply_note(after, again).get_service("photos").number == 3
+
+    def test_change_keeps_the_number(self, release):
+        note = Note("n2", changed_services=(Service("dispatch", 9999, CENTRES),))
+        service = apply_note(release, note).get_service("dispatch")
+        assert (service.port, service.number) == (9999, 1)
+
+    def test_release_before_is_untouched(self, release):
+        apply_note(release, out_note("n2"))
+        assert release.list_out() == frozenset()
+
+    def test_same_notes_give_the_same_digest(self, release):
+        other = apply_note(Release(), first_note())
+        assert other.digest() == release.digest()
+        assert apply_note(other, out_note("n2")).digest() != release.digest()
+
+
+class TestFollowStep:
+    def test_step_of_another_revision_is_not_followed(self, release):
+        after = apply_note(release, out_note("n2"))
+        step = ReleaseStep(3, after.digest(), out_note("n2"))
+        assert follow_step(release, step) is None
+
+    def test_step_whose_digest_does_not_fit_is_not_followed(self, release):
+        step = ReleaseStep(2, b"x" * 16, out_note("n2"))
+        assert follow_step(release, step) is None
+
+    def test_step_that_fits_is_followed(self, release):
+        after = apply_note(release, out_note("n2"))
+        step = ReleaseStep(2, after.digest(), out_note("n2"))
+        assert follow_step(release, step) == after
+
+
+class TestCheckNote:
+    @pytest.mark.parametrize(
+        ("note", "said"),
+        [
+            (Note("x"), "changes nothing"),
+            (Note("x", added_data_centres=(DataCentre("atlantic"),)), "exists already"),
+            (out_note("x", "karoo"), "data centre 'karoo' is not in revision 1"),
+            (Note("x", withdrawn_services=("board",)), "service 'board' is not in"),
+            (
+                Note("x", added_services=(Service("board", 9443, CENTRES),)),
+                "port 9443 is held by service 'dispatch'",
+            ),
+            (
+                Note("x", added_services=(Service("board", 9, ("karoo",)),)),
+                "data centre 'karoo' is not known",
+            ),
+            (
+                Note("x", withdrawn_data_centres=("atlantic",)),
+                "can't be withdrawn while service 'dispatch'",
+            ),
+        ],
+    )
+    def test_fault_names_the_value_and_the_remedy(self, release, note, said):
+        assert any(said in fault for fault in check_note(release, note))
+
+    def test_good_note_has_no_faults(self, release):
+        assert check_note(release, out_note("n2")) == []
+
+    def test_ports_may_change_hands_in_one_note(self, release):
+        swapped = (
+            evolve(release.get_service("dispatch"), port=9444),
+            evolve(release.get_service("photos"), port=9443),
+        )
+        assert check_note(release, Note("n2", changed_services=swapped)) == []
+
+
+class TestParseNote:
+    def test_all_faults_at_once(self):
+        found = parse_note(
+            "[added]\nservice a = port x\nboat b = in\n[gone]\nz = 1\n"
+            "[changed]\ndata centre c = maybe\n"
+        )
+        assert isinstance(found, NoteFaults)
+        assert len(found.faults) == 4
+
+    def test_template_is_a_note_that_changes_nothing(self):
+        assert describe_note(parse_note(TEMPLATE)) == []
+
+    def test_description_tells_what_a_note_does(self):
+        note = parse_note(
+            "[added]\ndata centre a = in\nservice s = port 80, data centres a\n"
+            "[changed]\ndata centre b = out\n[withdrawn]\nservice t\n"
+        )
+        assert describe_note(note) == [
+            "added: data centre a in",
+            "added: service s port 80 in a",
+            "changed: data centre b out",
+            "withdrawn: service t",
+        ]
