--- a/Makefile
+++ b/Makefile
@@ -42,9 +42,9 @@
 	  bilberrypath/generated/upstream_pb2_grpc.py
 
 binary: $(VENV)/stamp
-	$(RUN) -m pip install --quiet --no-deps --target build/own .
-	$(VENV)/bin/shiv --quiet --output-file dist/bilberrypath \
-	  --entry-point bilberrypath.cli:main .
+	mkdir -p dist
+	$(VENV)/bin/shiv --output-file dist/bilberrypath --reproducible \
+	  --entry-point bilberrypath.cli:main --quiet .
 
 clean:
 	rm -rf $(VENV) build dist out
