Heartbeats each second, compares each ten; a stalled upstream is left at once

Cause: worked out from slopes, control at the design size took about 23 KB/s in and out, above 17 KB/s. Heartbeats and compares are what it goes to. Agents now send a heartbeat at once when their view changes, so status lags no more than before.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 capacity: $(VENV)/stamp
 	$(RUN) -m benchmarks.capacity
+	$(RUN) -m benchmarks.memory
 
 generate: $(VENV)/stamp
 	$(RUN) -m grpc_tools.protoc -Iproto --python_out=bilberrypath/generated \
--- a/bilberrypath/coordination/admission.py
+++ b/bilberrypath/coordination/admission.py
@@ -22,6 +22,8 @@
 
 RequestId = int
 
+STALL_FACTOR = 20.0  # mean answer times without any answer
+STALL_FLOOR: Seconds = 2.0
 GROW_AFTER = 4  # good answers for each unit of the limit
 FIRST_GUESS: Seconds = 0.05
 FAILURES_TO_TRIP = 3  # one after the other; those of one moment count once
@@ -115,6 +117,7 @@
     _good: int = 0
     _failures: int = 0
     _grows_from: Seconds = float("-inf")
+    _answered_at: Seconds = float("-inf")
     _failed_at: Seconds = float("-inf")
     _latency: Latency = Factory(Latency)
     _trial_at: Seconds = 0.0
@@ -176,6 +179,7 @@
         """
         started_at = self._running.pop(request_id, now)
         self._failures = 0
+        self._answered_at = now
         if self.state == "unhealthy":
             self._heal()
             self._trial_period = TRIAL_PERIOD
@@ -222,6 +226,8 @@
         oldest = min(self._running.values(), default=now)
         if self._latency.is_slow(now - oldest) and self.limit > self.cold_limit:
             self.fall(Sign.SLOW, now)
+        if self.state != "unhealthy" and self._is_stalled(oldest, now):
+            self._note_trip(now)
         return self.admit_waiting(now)
 
     def admit_waiting(self, now: Seconds) -> list[Admitting]:
@@ -311,6 +317,12 @@
         if self.limit == self.slots and self.state == "cold":
             self._grow_warm()
 
+    def _is_stalled(self, oldest: Seconds, now: Seconds) -> bool:
+        """Return whether nothing at all has been answered for too long."""
+        quiet_since = max(oldest, self._answered_at)
+        usual = STALL_FACTOR * self._expect_service()
+        return bool(self._running) and now - quiet_since > max(STALL_FLOOR, usual)
+
     def _note_trip(self, now: Seconds) -> None:
         if self.state == "unhealthy":
             self._trial_period = min(MAX_TRIAL_PERIOD, 2 * self._trial_period)
--- a/bilberrypath/coordination/agent.py
+++ b/bilberrypath/coordination/agent.py
@@ -157,6 +157,7 @@
     @handle.register(ev.ControlReceived)
     def _(self, event: ev.ControlReceived, now: Seconds) -> list:
         was_out = self.presence.is_out
+        revision = self.presence.revision
         message = event.message
         if isinstance(message, ctl.HeartbeatAck):
             effects = self.presence.take_ack(message, event.sender, now)
@@ -170,6 +171,9 @@
             effects = [fx.Count("control_dropped", "unexpected")]
         if self.presence.is_out and not was_out:
             effects = [*effects, GiveUpFlows()]
+        if self.presence.revision > revision:
+            beats = self.presence.send_heartbeats(self.load, self._running, now)
+            effects = [*effects, *beats]
         return effects
 
     @handle.register(ev.Tick)
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -49,7 +49,7 @@
 
 GOSSIP_FANOUT = 2
 SEED_PERIOD: Seconds = 1.0
-COMPARE_PERIOD: Seconds = 5.0
+COMPARE_PERIOD: Seconds = 10.0
 DIFFERING_LIMIT: Seconds = 1.0
 RECORD_BYTES = 80  # bytes of a record on the wire, about
 COMPARE_RATE = 6000  # bytes a second that compares may take for a while
--- a/bilberrypath/coordination/hearing.py
+++ b/bilberrypath/coordination/hearing.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from bilberrypath.types import NodeId, Revision, Seconds
 
-HEARTBEAT_PERIOD: Seconds = 0.5
-SILENCE_LIMIT: Seconds = 2.0
+HEARTBEAT_PERIOD: Seconds = 1.0
+SILENCE_LIMIT: Seconds = 3.0
 FORGET_AFTER: Seconds = 30.0
 
 
--- a/bilberrypath/coordination/presence.py
+++ b/bilberrypath/coordination/presence.py
@@ -19,7 +19,7 @@
     from bilberrypath.coordination.effects import Effect
     from bilberrypath.types import Address, Incarnation, NodeId, Revision, Seconds
 
-HOME_SILENCE: Seconds = 2.0
+HOME_SILENCE: Seconds = 2.5
 MAX_KNOWN_BALANCERS = 16
 SEEDS_AT_ONCE = 3
 
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -119,6 +119,19 @@
         assert not admission.takes_flows(2.6)
         assert admission.takes_flows(4.0)
 
+    def test_upstream_that_answers_nothing_is_left_before_deadlines_pass(
+        self, admission
+    ):
+        admission.offer(1, 100.0, 0.0)
+        admission.note_success(1, 0.02)
+        admission.offer(2, 100.0, 1.0)
+        admission.offer(3, 100.0, 1.0)
+        admission.tick(2.9)
+        assert admission.state == "cold"
+        (refusal,) = admission.tick(3.1)
+        assert refusal.request_id == 3
+        assert refusal.outcome.reason is Reason.UPSTREAM_UNHEALTHY
+
     def test_what_waits_is_refused_when_the_data_centre_is_taken_out(self, admission):
         admission.offer(1, 10.0, 0.0)
         admission.offer(2, 10.0, 0.0)
