Placement: an upstream that was bad is used again though flows idle there

The limit weighs only while it holds work back, and an upstream that is due for a trial takes the next open. Ruled out: hung requests (cancelled at their deadlines) and the trial period.

--- a/bilberrypath/coordination/admission.py
+++ b/bilberrypath/coordination/admission.py
@@ -147,6 +147,10 @@
             return False
         return self.state != "unhealthy" or self._may_try(now)
 
+    def wants_trial(self, now: Seconds) -> bool:
+        """Return whether one flow is wanted to see if the upstream is well."""
+        return self.state == "unhealthy" and not self.is_away and self._may_try(now)
+
     def offer(
         self, request_id: RequestId, deadline: Seconds, now: Seconds
     ) -> Admitting:
--- a/bilberrypath/coordination/agent.py
+++ b/bilberrypath/coordination/agent.py
@@ -82,16 +82,21 @@
         self._limit = setup.slots
         self._running = 0
         self._healthy = False
+        self._wants_trial = False
         self._next_ask_at = float("-inf")
 
     @property
     def load(self) -> int:
-        """Connections for each unit of the limit, in units of all slots.
+        """Connections, weighed by the share of the slots that the limit allows.
 
-        An agent that can take no flows tells a load that nobody tops.
+        The weight counts only while the limit holds work back: flows that
+        idle must not keep an upstream at its cold limit from new ones. An
+        agent that can take no flows tells a load that nobody tops.
         """
         if not self._can_take():
             return UNABLE_LOAD
+        if self._running < self._limit:
+            return self._connections
         return self._connections * self.setup.slots // max(1, self._limit)
 
     @property
@@ -100,9 +105,19 @@
         return self._can_take()
 
     def set_load(
-        self, connections: int, limit: int, running: int, healthy: bool
+        self,
+        connections: int,
+        limit: int,
+        running: int,
+        healthy: bool,
+        wants_trial: bool = False,
     ) -> None:
-        """Take over what the shell knows of the present load."""
+        """Take over what the shell knows of the present load.
+
+        With ``wants_trial`` the next open is taken whatever the load, since
+        flows that idle here would keep an upstream from being tried again.
+        """
+        self._wants_trial = wants_trial
         self._connections = connections
         self._limit = limit
         self._running = running
@@ -213,8 +228,9 @@
             return [fx.Count("packet_dropped", "not_mine")]
         if self.is_own_token(connection_id):
             return [OpenFlow(frame, connection_id)]
+        load = 0 if self._wants_trial else self.load
         placing = self.placement.decide(
-            connection_id, frame, self.load, self._can_take(), now
+            connection_id, frame, load, self._can_take(), now
         )
         return self._carry_out(placing, frame, connection_id)
 
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -289,6 +289,7 @@
             self.admission.limit,
             self.admission.running_count,
             self.admission.takes_flows(now),
+            self.admission.wants_trial(now),
         )
         self._carry_out(self.core.handle(event, now))
 
--- a/tests/coordination/test_sessions.py
+++ b/tests/coordination/test_sessions.py
@@ -108,6 +108,25 @@
         assert takers <= {"a1", "a2"}
         assert "-> a3 Forward hops=1" not in session.transcript()
 
+    @pytest.mark.parametrize(("running", "load"), [(0, 6), (1, 18)])
+    def test_cold_limit_weighs_only_while_it_holds_work_back(
+        self, session, running, load
+    ):
+        session.core("a3").set_load(6, 1, running, True)
+        assert session.core("a3").load == load
+
+    @pytest.mark.parametrize(("wants_trial", "takes"), [(True, True), (False, False)])
+    def test_agent_with_idle_flows_takes_an_open_for_a_trial(
+        self, session, wants_trial, takes
+    ):
+        for name in ("a1", "a2"):
+            session.note_load(name, 5)
+        session.run(2.0)
+        session.core("a3").set_load(6, 1, 0, True, wants_trial)
+        for index in range(8):
+            open_flow(session, "b1", b"open%04d" % index)
+        assert ("a3" in {agent for agent, _ in session.opened.values()}) is takes
+
 
 class TestDataCentreOut:
     def test_frozen_balancer_sends_nothing_to_it(self, session, snapshot):
