--- a/tests/coordination/test_sessions.py
+++ b/tests/coordination/test_sessions.py
@@ -122,7 +122,7 @@
         for name in ("a1", "a2"):
             session.note_load(name, 5)
         session.run(2.0)
-        session.core("a3").set_load(6, 1, 0, True, wants_trial)
+        session.core("a3").set_load(6, 1, 1, True, wants_trial)
         for index in range(8):
             open_flow(session, "b1", b"open%04d" % index)
         assert ("a3" in {agent for agent, _ in session.opened.values()}) is takes
