--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -22,6 +22,7 @@
 )
 from bilberrypath.transport.balancer_daemon import BalancerDaemon
 from bilberrypath.transport.datagrams import DatagramSocket
+from bilberrypath.transport.peer_socket import PeerSocket
 
 PACKETS = 60_000
 WINDOW = 64  # packets under way
@@ -145,7 +146,9 @@
     daemon._seal = FrameSeal(bytes(32))
     daemon._last_packet_at = 0.0
     daemon._head_by_caller = {}
-    daemon._peer_socket = DatagramSocket((HOST, 0), lambda data, sender: None)
+    daemon._peer_socket = PeerSocket(
+        (HOST, 0), daemon._seal, daemon._handle, lambda event, reason: None
+    )
     entry = DatagramSocket(
         (HOST, 0), lambda data, caller: daemon._take_packet(PORT, data, caller)
     )
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -23,11 +23,7 @@
     OpenFlow,
 )
 from bilberrypath.protocol import bulk
-from bilberrypath.protocol.control import decode_control, encode_control
 from bilberrypath.protocol.frame import (
-    CONTROL_KIND,
-    MAX_FRAME,
-    PACKET_KIND,
     FrameSeal,
     Return,
 )
@@ -43,8 +39,8 @@
 from bilberrypath.protocol.token import TokenCodec
 from bilberrypath.state.members import Member, Role, Status
 from bilberrypath.transport.control_calls import ControlServer
-from bilberrypath.transport.datagrams import DatagramSocket
 from bilberrypath.transport.flow import Flow, RequestStream
+from bilberrypath.transport.peer_socket import PeerSocket
 from bilberrypath.transport.quic import TokenConnection, make_agent_configuration
 from bilberrypath.transport.runner import Request, RequestRunner
 from bilberrypath.transport.telemetry import Metrics, MetricsServer
@@ -134,7 +130,9 @@
     async def run(self) -> None:
         """Serve until a signal asks to stop, then leave without cutting requests."""
         node = self.settings.node
-        self._peer_socket = DatagramSocket(node.peer_address, self._take_datagram)
+        self._peer_socket = PeerSocket(
+            node.peer_address, self._seal, self._handle, self.metrics.count
+        )
         self._control = ControlServer(node.peer_address, self._seal)
         self._control.answer(bulk.SHOW_STATUS, bulk.StatusRequest, self._give_status)
         await self._control.start()
@@ -257,31 +255,6 @@
 
     # Datagrams
 
-    def _take_datagram(self, data: bytes, sender: Address) -> None:
-        if len(data) > MAX_FRAME:
-            self.metrics.count("frame_dropped", "oversized")
-        elif data[:1] == PACKET_KIND:
-            self._take_frame(data, sender)
-        elif data[:1] == CONTROL_KIND:
-            self._take_control(data, sender)
-        else:
-            self.metrics.count("frame_dropped", "unknown_kind")
-
-    def _take_frame(self, data: bytes, sender: Address) -> None:
-        frame = self._seal.open_packet(data)
-        if frame is None:
-            self.metrics.count("frame_dropped", "forged")
-            return
-        self._handle(ev.FrameReceived(sender, frame))
-
-    def _take_control(self, data: bytes, sender: Address) -> None:
-        body = self._seal.open_control(data)
-        message = None if body is None else decode_control(body)
-        if message is None:
-            self.metrics.count("control_dropped", "forged")
-            return
-        self._handle(ev.ControlReceived(sender, message))
-
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
         self.core.set_load(
@@ -333,12 +306,11 @@
 
     @_perform.register(fx.SendFrame)
     def _(self, effect: fx.SendFrame) -> None:
-        self._peer_socket.send(self._seal.seal_packet(effect.frame), effect.to)
+        self._peer_socket.send_frame(effect)
 
     @_perform.register(fx.SendControl)
     def _(self, effect: fx.SendControl) -> None:
-        body = encode_control(effect.message)
-        self._peer_socket.send(self._seal.seal_control(body), effect.to)
+        self._peer_socket.send_control(effect)
 
     @_perform.register(fx.Count)
     def _(self, effect: fx.Count) -> None:
@@ -380,7 +352,7 @@
             self.core.load,
             payload,
         )
-        self._peer_socket.send(self._seal.seal_packet(frame), balancer)
+        self._peer_socket.send_frame(fx.SendFrame(balancer, frame))
 
     def add_flow_id(self, flow: Flow, connection_id: bytes) -> None:
         """Have packets with an id delivered to a flow."""
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -16,8 +16,7 @@
 from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
 from bilberrypath.coordination.release_store import ReleaseStore, StoreUnavailable
 from bilberrypath.protocol import bulk
-from bilberrypath.protocol.control import decode_control, encode_control
-from bilberrypath.protocol.frame import CONTROL_KIND, MAX_FRAME, PACKET_KIND, FrameSeal
+from bilberrypath.protocol.frame import FrameSeal
 from bilberrypath.protocol.packet import PacketHeader, PacketKind, read_header
 from bilberrypath.protocol.token import TokenCodec
 from bilberrypath.state.members import Member, Role, Status
@@ -30,6 +29,7 @@
 )
 from bilberrypath.transport.datagrams import DatagramSocket
 from bilberrypath.transport.etcd import EtcdKeyValue
+from bilberrypath.transport.peer_socket import PeerSocket
 from bilberrypath.transport.telemetry import Metrics, MetricsServer
 from bilberrypath.transport.tracing import make_open_context, make_tracer
 
@@ -89,7 +89,9 @@
     async def run(self) -> None:
         """Serve until a signal asks to stop, then leave without cutting flows."""
         node = self.settings.node
-        self._peer_socket = DatagramSocket(node.peer_address, self._take_peer_datagram)
+        self._peer_socket = PeerSocket(
+            node.peer_address, self._seal, self._handle, self.metrics.count
+        )
         self._control = ControlServer(node.peer_address, self._seal)
         self._register_calls()
         await self._control.start()
@@ -140,38 +142,13 @@
 
     # Datagrams
 
-    def _take_peer_datagram(self, data: bytes, sender: Address) -> None:
-        if len(data) > MAX_FRAME:
-            self.metrics.count("frame_dropped", "oversized")
-        elif data[:1] == PACKET_KIND:
-            self._take_frame(data, sender)
-        elif data[:1] == CONTROL_KIND:
-            self._take_control(data, sender)
-        else:
-            self.metrics.count("frame_dropped", "unknown_kind")
-
-    def _take_frame(self, data: bytes, sender: Address) -> None:
-        frame = self._seal.open_packet(data)
-        if frame is None:
-            self.metrics.count("frame_dropped", "forged")
-            return
-        self._handle(ev.FrameReceived(sender, frame))
-
-    def _take_control(self, data: bytes, sender: Address) -> None:
-        body = self._seal.open_control(data)
-        message = None if body is None else decode_control(body)
-        if message is None:
-            self.metrics.count("control_dropped", "forged")
-            return
-        self._handle(ev.ControlReceived(sender, message))
-
     def _take_packet(self, service_port: int, data: bytes, caller: Address) -> None:
         now = time.monotonic()
         self._last_packet_at = now
         agent = self.core.find_established(service_port, data, now) if data else None
         if agent is not None:
             head = self._get_head(service_port, caller)
-            self._peer_socket.send(head + data, agent)
+            self._peer_socket.send_sealed(head + data, agent)
             return
         for effect in self.core.route_packet(service_port, caller, data, now):
             if isinstance(effect, fx.SendFrame) and self._traces_opens:
@@ -211,12 +188,11 @@
 
     @_perform.register(fx.SendFrame)
     def _(self, effect: fx.SendFrame) -> None:
-        self._peer_socket.send(self._seal.seal_packet(effect.frame), effect.to)
+        self._peer_socket.send_frame(effect)
 
     @_perform.register(fx.SendControl)
     def _(self, effect: fx.SendControl) -> None:
-        body = encode_control(effect.message)
-        self._peer_socket.send(self._seal.seal_control(body), effect.to)
+        self._peer_socket.send_control(effect)
 
     @_perform.register(fx.SendToCaller)
     def _(self, effect: fx.SendToCaller) -> None:
