--- a/tests/coordination/test_release_store.py
+++ b/tests/coordination/test_release_store.py
@@ -59,6 +59,13 @@
         assert isinstance(two, Conflict)
         assert two.step.note.note_id == "one"
 
+    def test_other_note_between_read_and_swap_wins(self, store, key_value):
+        _, _, release = accept(store, Release(), first_note())
+        key_value.before_next_swap = lambda: accept(store, release, out_note("first"))
+        result, _, _ = accept(store, release, out_note("second", "atlantic"))
+        assert isinstance(result, Conflict)
+        assert run_now(store.read_whole()).note_id == "first"
+
     def test_service_away_is_unknown_yet(self, store, key_value):
         key_value.is_away = True
         result, _, _ = accept(store, Release(), first_note())
--- a/tests/coordination/test_sessions.py
+++ b/tests/coordination/test_sessions.py
@@ -166,6 +166,20 @@
         assert len(session.to_callers) == 4
         assert session.transcript() == snapshot
 
+    def test_routes_kept_do_not_outlive_the_release(self, session):
+        agent, token = open_flow(session)
+        for _ in range(3):
+            session.packet("b1", make_short(token), "packet of the flow")
+            session.run(0.05)
+        assert len(session.delivered) == 3
+        accept_next(session, out_note("n2", _centre(agent)))
+        session.run(2.0)
+        session.delivered.clear()
+        session.packet("b1", make_short(token), "packet of the flow")
+        session.run(0.05)
+        assert session.delivered == []
+        assert len(session.to_callers) == 1
+
     def test_flows_elsewhere_are_untouched(self, session):
         agent, token = open_flow(session)
         other = next(c for c in CENTRES if c != _centre(agent))
--- a/tests/support/fake_store.py
+++ b/tests/support/fake_store.py
@@ -14,6 +14,7 @@
     loses_next_answer: bool = False
     loses_next_write: bool = False
     calls: int = 0
+    before_next_swap: object = None
 
     async def get(self, key):
         self._begin()
@@ -26,6 +27,9 @@
 
     async def swap(self, key, expected, writes):
         self._begin()
+        if self.before_next_swap is not None:
+            intrude, self.before_next_swap = self.before_next_swap, None
+            intrude()
         if self.loses_next_write:
             self.loses_next_write = False
             raise StoreUnavailable("write lost")
--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -182,9 +182,19 @@
         if process.frozen:
             process.backlog.append(event)
             return
-        for effect in process.core.handle(event, self.now):
+        for effect in self._ask(process.core, event):
             self._perform(process, effect)
 
+    def _ask(self, core, event):
+        """Return what a core does with an event, by the short way if it can."""
+        if isinstance(event, ev.PacketReceived) and event.payload:
+            port, payload = event.service_port, event.payload
+            agent = core.find_established(port, payload, self.now)
+            if agent is not None:
+                frame = core.make_frame(port, event.caller, payload, ())
+                return [fx.SendFrame(agent, frame)]
+        return core.handle(event, self.now)
+
     def _perform(self, process, effect):
         self._write(process, effect)
         match effect:
