A frozen balancer lets nothing through on waking: two leaks mended

Seen on reading the golden file of the frozen balancer: on waking it forwarded what had waited to the data centre that was out; the check looked only at what the agent delivered. Cause 1: packets held were let go between the adoption of a release that was just read and the use of its routes. Cause 2: the service's word counted as proof of freshness though peers might know better, and a service that was set back says an old one. Held packets now wait for the routes; the service's word counts only when no peer has answered six exchanges. The forwarding of packets is a module of its own.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -171,7 +171,7 @@
     packets = packets * (PACKETS // flows)
     ratios = []
     for _ in range(ROUNDS):
-        core._agent_by_flow.clear()
+        core.forwarder.forget_routes()
         bare = await measure_baseline(packets, sink)
         relay = await measure_relay(packets, sink) - bare
         balancer = await measure_balancer(packets, sink, core) - bare
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -13,30 +13,15 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.forwarding import Forwarder
 from bilberrypath.coordination.freshness import Freshness
 from bilberrypath.coordination.membership import Membership
 from bilberrypath.coordination.probing import Prober
 from bilberrypath.coordination.ranking import is_reader
 from bilberrypath.coordination.releases import PUSH_FANOUT, ReleaseKeeper
-from bilberrypath.coordination.routing import (
-    MAX_CACHED_ROUTES,
-    Candidates,
-    Established,
-    GivenUp,
-    Router,
-    Unroutable,
-)
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol.frame import Forward, NotMine, Return
-from bilberrypath.protocol.packet import (
-    FIXED_BIT,
-    LONG_FORM,
-    PacketFault,
-    PacketKind,
-    read_header,
-)
-from bilberrypath.protocol.reset import build_stateless_reset
-from bilberrypath.protocol.token import TOKEN_LENGTH
+from bilberrypath.protocol.reset import MAX_RESET
 from bilberrypath.state.members import Member, Role, Status
 
 if TYPE_CHECKING:
@@ -55,13 +40,10 @@
 COMPARE_RATE = 6000  # bytes a second that compares may take for a while
 MAX_COMPARE_PAUSE: Seconds = 60.0
 MAX_PUSHED_STEP = 1000  # bytes of an encoded step that goes in one datagram
-MAX_HELD_PACKETS = 512
-HOLD_LIMIT: Seconds = 0.5
 JOIN_LIMIT: Seconds = 3.0
 AGENT_PROBES = 2
 ASK_PERIOD: Seconds = 0.2
-SHORT_MASK = LONG_FORM | FIXED_BIT
-SHORT_END = 1 + TOKEN_LENGTH
+ALONE_AFTER = 6  # exchanges in a row that nobody answered
 
 
 @frozen
@@ -69,7 +51,7 @@
     """What a balancer is told at its start.
 
     ``me`` is its own record, ``seeds`` the peer sockets of processes that may
-    let it in, ``ticks_per_second`` is implied by ``TICK_PERIOD``.
+    let it in.
     """
 
     me: Member
@@ -99,17 +81,18 @@
         self.rng = rng
         self.members = Membership(setup.me)
         self.releases = ReleaseKeeper()
-        self.router = Router(codec)
         self.freshness = Freshness()
+        self.forwarder = Forwarder(
+            codec, rng, self.members, self.releases, self.freshness
+        )
+        self.router = self.forwarder.router
         self.prober = Prober(rng, now, self.members.is_peer)
         self.started_at = now
-        self._agent_by_flow: dict[tuple[int, bytes], Address] = {}
         self._joined = False
         self._next_seed_at = now
         self._next_compare_at = now + COMPARE_PERIOD * rng.uniform(0.5, 1.5)
         self._probe_target_by_sequence: dict[int, NodeId] = {}
         self._relayed: dict[int, tuple[Address, int]] = {}
-        self._held: list[tuple[Seconds, ev.PacketReceived]] = []
         self._last_differing: tuple[Address, Seconds] | None = None
         self._confirm_at: tuple[int, Seconds] | None = None
         self._next_ask_at = now
@@ -128,7 +111,7 @@
         leaves this method for any content of a message.
         """
         effects = self._handle(event, now)
-        if any(isinstance(effect, fx.Adopted) for effect in effects):
+        if _adopts(effects):
             effects += self._use_release(now)
         if self.members.changed_services:
             self._refresh_routes()
@@ -139,124 +122,26 @@
     def find_established(
         self, service_port: int, payload: bytes, now: Seconds
     ) -> Address | None:
-        """Return where a packet of a flow seen before goes, if nothing changed.
-
-        This is the short way for most packets; None means that
-        :meth:`route_packet` has to decide.
-        """
-        if now > self.freshness.fresh_until or payload[0] & SHORT_MASK != FIXED_BIT:
-            return None
-        return self._agent_by_flow.get((service_port, payload[1:SHORT_END]))
+        """Return where a packet of a flow seen before goes, if nothing changed."""
+        return self.forwarder.find_established(service_port, payload, now)
 
     def route_packet(
         self, service_port: int, caller: Address, payload: bytes, now: Seconds
     ) -> list[Effect]:
         """Return what to do with a caller's datagram."""
-        header = read_header(payload)
-        if isinstance(header, PacketFault):
-            return [fx.Count("packet_dropped", header.value)]
-        if not self.freshness.is_fresh(now):
-            return self._hold(ev.PacketReceived(service_port, caller, payload), now)
-        routing = self.router.route_token(service_port, header.connection_id)
-        if routing is None:
-            if header.kind is PacketKind.SHORT:
-                return [fx.Count("packet_dropped", "no_token")]
-            routing = self.router.route_open(
-                service_port, header.connection_id, self.members.table, now
-            )
-        elif isinstance(routing, Established):
-            routing = self._check_over(routing, header.kind)
-            if isinstance(routing, Established) and header.kind is PacketKind.SHORT:
-                self._remember(service_port, header.connection_id, routing.to)
-        return self._carry_out(
-            routing, service_port, caller, payload, header.connection_id
-        )
-
-    def _remember(self, service_port: int, token: bytes, agent: Address) -> None:
-        if len(self._agent_by_flow) >= MAX_CACHED_ROUTES:
-            self._agent_by_flow.clear()
-        self._agent_by_flow[(service_port, token)] = agent
-
-    def _check_over(
-        self, routing: Established, kind: PacketKind
-    ) -> Established | GivenUp:
-        if kind is not PacketKind.SHORT:
-            return routing
-        host, port = routing.to
-        member = self.members.table.get(f"{host}:{port}")
-        return self.router.check_known_over(routing, member) or routing
-
-    def _carry_out(
-        self,
-        routing: Candidates | Established | GivenUp | Unroutable,
-        service_port: int,
-        caller: Address,
-        payload: bytes,
-        connection_id: bytes,
-    ) -> list[Effect]:
-        if isinstance(routing, Established):
-            frame = self.make_frame(service_port, caller, payload, ())
-            return [fx.SendFrame(routing.to, frame)]
-        if isinstance(routing, Candidates):
-            first = routing.agents[0]
-            frame = self.make_frame(service_port, caller, payload, routing.agents[1:])
-            return [fx.SendFrame((first.host, first.port), frame)]
-        if isinstance(routing, GivenUp):
-            return self._reset(
-                service_port, caller, connection_id, len(payload), routing.reason
-            )
-        return [fx.Count("packet_dropped", routing.reason)]
+        packet = ev.PacketReceived(service_port, caller, payload)
+        held_before = self.forwarder.held_count
+        effects = self.forwarder.route(packet, now)
+        if not held_before and self.forwarder.held_count:
+            effects += self._ask_to_confirm(now)
+        return effects
 
     def make_frame(
         self, service_port: int, caller: Address, payload: bytes, others: tuple
     ) -> Forward:
         """Return the frame that carries a caller's packet to an agent."""
-        host, port = self.members.me.address
-        return Forward(
-            self.releases.revision,
-            caller[0],
-            caller[1],
-            host,
-            port,
-            service_port,
-            0,
-            others,
-            payload,
-        )
-
-    def _reset(
-        self, port: int, caller: Address, token: bytes, length: int, reason: str
-    ) -> list[Effect]:
-        effects: list[Effect] = [fx.Count("flow_given_up", reason)]
-        reset_token = self.codec.derive_reset_token(token)
-        packet = build_stateless_reset(reset_token, length, self.rng)
-        if packet is not None:
-            effects.append(fx.SendToCaller(port, caller, packet))
-        return effects
-
-    def _hold(self, packet: ev.PacketReceived, now: Seconds) -> list[Effect]:
-        effects: list[Effect] = []
-        if not self._held:
-            effects += self._ask_to_confirm(now)
-        if len(self._held) >= MAX_HELD_PACKETS:
-            return [*effects, fx.Count("packet_dropped", "stale")]
-        self._held.append((now, packet))
-        return effects
-
-    def _release_held(self, now: Seconds) -> list[Effect]:
-        if not self._held:
-            return []
-        effects: list[Effect] = []
-        if self.freshness.is_fresh(now):
-            held, self._held = self._held, []
-            for _, packet in held:
-                effects += self._handle(packet, now)
-            return effects
-        kept = [(at, packet) for at, packet in self._held if now - at <= HOLD_LIMIT]
-        for _ in range(len(self._held) - len(kept)):
-            effects.append(fx.Count("packet_dropped", "stale"))
-        self._held = kept
-        return effects
+        packet = ev.PacketReceived(service_port, caller, payload)
+        return self.forwarder.make_frame(packet, others)
 
     # Events
 
@@ -283,8 +168,8 @@
             self.router.note_load(event.sender, frame.load, now)
             effects.append(fx.SendToCaller(frame.service_port, caller, frame.payload))
             return effects
-        return effects + self._reset(
-            frame.service_port, caller, frame.connection_id, 64, "not_mine"
+        return effects + self.forwarder.reset(
+            frame.service_port, caller, frame.connection_id, MAX_RESET + 1, "not_mine"
         )
 
     @_handle.register(ev.ControlReceived)
@@ -310,8 +195,12 @@
 
     @_handle.register(ev.StoreRead)
     def _(self, event: ev.StoreRead, now: Seconds) -> list[Effect]:
-        self.freshness.confirm_started(event.asked_at)
-        return [*self.releases.take_read(event, now), *self._release_held(now)]
+        if self._is_alone(now):
+            self.freshness.confirm_started(event.asked_at)
+        effects = self.releases.take_read(event, now)
+        if _adopts(effects):
+            return effects
+        return effects + self.forwarder.release_held(now)
 
     @_handle.register(ev.StoreFailed)
     def _(self, event: ev.StoreFailed, now: Seconds) -> list[Effect]:
@@ -338,7 +227,16 @@
             effects += self.releases.plan_read(now)
         if not self._joined and now - self.started_at > JOIN_LIMIT:
             self._joined = True
-        return effects + self._release_held(now)
+        return effects + self.forwarder.release_held(now)
+
+    def _is_alone(self, now: Seconds) -> bool:
+        """Return whether no other balancer can tell which release is in force.
+
+        The service may have been set back, so that its word counts only then.
+        """
+        if not self.members.list_peers():
+            return True
+        return self.freshness.count_unanswered(now) >= ALONE_AFTER
 
     # Ticks
 
@@ -496,7 +394,7 @@
             asker, sequence = relayed
             answer = ctl.ProbeAck(sequence, message.news)
             effects.append(fx.SendControl(asker, answer))
-        return effects + self._release_held(now)
+        return effects + self.forwarder.release_held(now)
 
     @_take_message.register(ctl.Gossip)
     def _(self, message: ctl.Gossip, sender: Address, now: Seconds) -> list[Effect]:
@@ -518,7 +416,7 @@
             return self._note_agent_revision(message.revision, now)
         if self.freshness.confirm(message.sequence) is None:
             return []
-        return self._release_held(now)
+        return self.forwarder.release_held(now)
 
     def _take_news(self, news: ctl.News, sender: Address, now: Seconds) -> list[Effect]:
         effects = self.members.merge(news.sender, now)
@@ -555,7 +453,7 @@
 
     def _use_release(self, now: Seconds) -> list[Effect]:
         release = self.releases.release
-        self._agent_by_flow.clear()
+        self.forwarder.forget_routes()
         self.router.use_release(release)
         if self._confirm_at is not None and self._confirm_at[0] <= release.revision:
             self.freshness.confirm_started(self._confirm_at[1])
@@ -566,10 +464,10 @@
             if member is not None:
                 view = self.releases.view_for(member)
                 effects.append(self._send(node_id, ctl.ViewPush(view)))
-        return effects + self._release_held(now)
+        return effects + self.forwarder.release_held(now)
 
     def _refresh_routes(self) -> None:
-        self._agent_by_flow.clear()
+        self.forwarder.forget_routes()
         for name in self.members.changed_services:
             self.router.forget_service(name)
         self.members.changed_services.clear()
@@ -587,3 +485,8 @@
     def _send(self, node_id: NodeId, message: ctl.ControlMessage) -> fx.SendControl:
         host, _, port = node_id.rpartition(":")
         return fx.SendControl((host, int(port)), message)
+
+
+def _adopts(effects: list[Effect]) -> bool:
+    """Return whether a new release came; what is held must wait for its routes."""
+    return any(isinstance(effect, fx.Adopted) for effect in effects)
--- /dev/null
+++ b/bilberrypath/coordination/forwarding.py
@@ -0,0 +1,193 @@
+"""What a balancer does with a caller's packet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, field
+
+from bilberrypath.coordination.effects import Count, SendFrame, SendToCaller
+from bilberrypath.coordination.routing import (
+    MAX_CACHED_ROUTES,
+    Candidates,
+    Established,
+    GivenUp,
+    Router,
+    Routing,
+)
+from bilberrypath.protocol.frame import Forward
+from bilberrypath.protocol.packet import (
+    FIXED_BIT,
+    LONG_FORM,
+    PacketFault,
+    PacketHeader,
+    PacketKind,
+    read_header,
+)
+from bilberrypath.protocol.reset import build_stateless_reset
+from bilberrypath.protocol.token import TOKEN_LENGTH
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bilberrypath.coordination.effects import Effect
+    from bilberrypath.coordination.events import PacketReceived
+    from bilberrypath.coordination.freshness import Freshness
+    from bilberrypath.coordination.membership import Membership
+    from bilberrypath.coordination.releases import ReleaseKeeper
+    from bilberrypath.protocol.token import TokenCodec
+    from bilberrypath.types import Address, Seconds
+
+MAX_HELD_PACKETS = 512
+HOLD_LIMIT: Seconds = 0.5
+SHORT_MASK = LONG_FORM | FIXED_BIT
+SHORT_END = 1 + TOKEN_LENGTH
+
+
+@define
+class Forwarder:
+    """Route packets while what is known is fresh, and hold them until then."""
+
+    codec: TokenCodec
+    rng: Random
+    members: Membership
+    releases: ReleaseKeeper
+    freshness: Freshness
+    router: Router = field(init=False)
+    _agent_by_flow: dict[tuple[int, bytes], Address] = Factory(dict)
+    _held: list[tuple[Seconds, PacketReceived]] = Factory(list)
+
+    def __attrs_post_init__(self) -> None:
+        self.router = Router(self.codec)
+
+    @property
+    def held_count(self) -> int:
+        """How many packets wait for what is known to be fresh."""
+        return len(self._held)
+
+    def find_established(
+        self, service_port: int, payload: bytes, now: Seconds
+    ) -> Address | None:
+        """Return where a packet of a flow seen before goes, if nothing changed.
+
+        This is the short way for most packets; None means that :meth:`route`
+        has to decide.
+        """
+        if now > self.freshness.fresh_until or payload[0] & SHORT_MASK != FIXED_BIT:
+            return None
+        return self._agent_by_flow.get((service_port, payload[1:SHORT_END]))
+
+    def forget_routes(self) -> None:
+        """Decide anew on every flow, since something changed."""
+        self._agent_by_flow.clear()
+
+    def route(self, packet: PacketReceived, now: Seconds) -> list[Effect]:
+        """Return what to do with a packet."""
+        header = read_header(packet.payload)
+        if isinstance(header, PacketFault):
+            return [Count("packet_dropped", header.value)]
+        if not self.freshness.is_fresh(now):
+            return self._hold(packet, now)
+        routing = self._find_routing(packet, header, now)
+        if routing is None:
+            return [Count("packet_dropped", "no_token")]
+        return self._carry_out(routing, packet, header.connection_id)
+
+    def release_held(self, now: Seconds) -> list[Effect]:
+        """Route what was held, or drop what was held for too long."""
+        if not self._held:
+            return []
+        held, self._held = self._held, []
+        effects: list[Effect] = []
+        if self.freshness.is_fresh(now):
+            for _, packet in held:
+                effects += self.route(packet, now)
+            return effects
+        for at, packet in held:
+            if now - at <= HOLD_LIMIT:
+                self._held.append((at, packet))
+            else:
+                effects.append(Count("packet_dropped", "stale"))
+        return effects
+
+    def make_frame(self, packet: PacketReceived, others: tuple) -> Forward:
+        """Return the frame that carries a packet to an agent."""
+        host, port = self.members.me.address
+        return Forward(
+            self.releases.revision,
+            packet.caller[0],
+            packet.caller[1],
+            host,
+            port,
+            packet.service_port,
+            0,
+            others,
+            packet.payload,
+        )
+
+    def reset(
+        self, port: int, caller: Address, token: bytes, length: int, reason: str
+    ) -> list[Effect]:
+        """Tell a caller that its flow is over.
+
+        ``length`` is that of the packet which the reset answers.
+        """
+        effects: list[Effect] = [Count("flow_given_up", reason)]
+        reset_token = self.codec.derive_reset_token(token)
+        packet = build_stateless_reset(reset_token, length, self.rng)
+        if packet is not None:
+            effects.append(SendToCaller(port, caller, packet))
+        return effects
+
+    def _find_routing(
+        self, packet: PacketReceived, header: PacketHeader, now: Seconds
+    ) -> Routing | None:
+        port, token = packet.service_port, header.connection_id
+        routing = self.router.route_token(port, token)
+        if header.kind is PacketKind.SHORT:
+            return self._check_over(routing, port, token)
+        if routing is not None:
+            return routing
+        return self.router.route_open(port, token, self.members.table, now)
+
+    def _check_over(
+        self, routing: Routing | None, service_port: int, token: bytes
+    ) -> Routing | None:
+        """Return that a flow is over, or keep the route of one that is not."""
+        if not isinstance(routing, Established):
+            return routing
+        host, port = routing.to
+        member = self.members.table.get(f"{host}:{port}")
+        over = self.router.check_known_over(routing, member)
+        if over is not None:
+            return over
+        if len(self._agent_by_flow) >= MAX_CACHED_ROUTES:
+            self._agent_by_flow.clear()
+        self._agent_by_flow[(service_port, token)] = routing.to
+        return routing
+
+    def _carry_out(
+        self, routing: Routing, packet: PacketReceived, connection_id: bytes
+    ) -> list[Effect]:
+        if isinstance(routing, Established):
+            return [SendFrame(routing.to, self.make_frame(packet, ()))]
+        if isinstance(routing, Candidates):
+            first, *others = routing.agents
+            frame = self.make_frame(packet, tuple(others))
+            return [SendFrame((first.host, first.port), frame)]
+        if isinstance(routing, GivenUp):
+            length = len(packet.payload)
+            return self.reset(
+                packet.service_port,
+                packet.caller,
+                connection_id,
+                length,
+                routing.reason,
+            )
+        return [Count("packet_dropped", routing.reason)]
+
+    def _hold(self, packet: PacketReceived, now: Seconds) -> list[Effect]:
+        if len(self._held) >= MAX_HELD_PACKETS:
+            return [Count("packet_dropped", "stale")]
+        self._held.append((now, packet))
+        return []
--- a/bilberrypath/coordination/freshness.py
+++ b/bilberrypath/coordination/freshness.py
@@ -16,6 +16,7 @@
     from bilberrypath.types import Seconds
 
 FRESH_LIMIT: Seconds = 2.0
+UNANSWERED_WINDOW: Seconds = 5.0
 _MAX_OPEN = 64
 
 
@@ -52,6 +53,12 @@
         """Record that an exchange that started at a time was answered."""
         self.confirmed_at = max(self.confirmed_at, started_at)
 
+    def count_unanswered(self, now: Seconds) -> int:
+        """Return how many exchanges of late were not answered yet."""
+        since = max(self.confirmed_at, now - UNANSWERED_WINDOW)
+        started = self._started_at_by_sequence.values()
+        return sum(started_at > since for started_at in started)
+
     @property
     def fresh_until(self) -> Seconds:
         """The time up to which what this process knows may be acted upon."""
--- a/tests/coordination/test_sessions.py
+++ b/tests/coordination/test_sessions.py
@@ -145,10 +145,13 @@
         session.run(3.0)
         session.delivered.clear()
         session.process_by_name[frozen].backlog = waiting
+        before = len(session.lines)
         session.thaw(frozen)
         session.packet(frozen, make_short(token), "packet after the thaw")
         session.run(0.5)
         assert session.delivered == []
+        sent = [line for line in session.lines[before:] if "Forward" in line]
+        assert sent == []
         assert session.core(frozen).releases.revision == 2
         assert session.transcript() == snapshot
 
@@ -166,6 +169,25 @@
         assert len(session.to_callers) == 4
         assert session.transcript() == snapshot
 
+    def test_what_is_held_waits_for_the_routes_of_a_release_just_read(self):
+        session = Session()
+        core = session.add_balancer("b1", B1, "atlantic").core
+        session.add_agent("a1", "127.1.1.1", "atlantic", "dispatch", seeds=(B1,))
+        _, release = session.accept(first_note(), Release())
+        session.run(2.0)
+        _, token = open_flow(session)
+        session.freeze("b1")
+        session.packet("b1", make_short(token), "packet, waits in the socket")
+        waiting = list(session.process_by_name["b1"].backlog)
+        session.run(5.0)
+        session.accept(out_note("n2", "atlantic"), release)
+        session.process_by_name["b1"].backlog = waiting
+        before = len(session.lines)
+        session.thaw("b1")
+        session.run(1.0)
+        assert core.releases.revision == 2
+        assert not [line for line in session.lines[before:] if "Forward" in line]
+
     def test_routes_kept_do_not_outlive_the_release(self, session):
         agent, token = open_flow(session)
         for _ in range(3):
