Graceful end: an agent ends only when its callers have confirmed every answer

The agent now waits until all it sent is confirmed and a second has passed, then closes with a word that says so; a caller may then truthfully say that what was not answered did not run, and sends it elsewhere. Bench: a real daemon's settings instead of a bare object, which had broken it.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -12,6 +12,13 @@
 from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
 from bilberrypath.protocol.frame import FrameSeal
 from bilberrypath.protocol.token import Route, TokenCodec
+from bilberrypath.settings import (
+    BalancerSettings,
+    KeySettings,
+    NodeSettings,
+    StoreSettings,
+    TraceSettings,
+)
 from bilberrypath.state.members import Member, Role, Status
 from bilberrypath.state.release import (
     DataCentre,
@@ -139,13 +146,19 @@
     return seconds
 
 
+def make_settings():
+    """Return the settings of a balancer that never runs on its own."""
+    keys = KeySettings({1: bytes(16)}, 1, bytes(32))
+    node = NodeSettings(
+        (HOST, 7000), "citybowl", (), None, keys, StoreSettings(), TraceSettings()
+    )
+    return BalancerSettings(node, HOST)
+
+
 async def measure_balancer(packets, sink, core):
     """Return processor seconds for the balancer's way of a packet."""
-    daemon = BalancerDaemon.__new__(BalancerDaemon)
+    daemon = BalancerDaemon(make_settings())
     daemon.core = core
-    daemon._seal = FrameSeal(bytes(32))
-    daemon._last_packet_at = 0.0
-    daemon._head_by_caller = {}
     daemon._peer_socket = PeerSocket(
         (HOST, 0), daemon._seal, daemon._handle, lambda event, reason: None
     )
--- a/bilberrypath/caller/caller.py
+++ b/bilberrypath/caller/caller.py
@@ -15,6 +15,7 @@
 from bilberrypath.caller.events import ItemParser, StreamItem
 from bilberrypath.caller.flow import RESET, CallerFlow, FlowLost, open_flow
 from bilberrypath.protocol.http import (
+    AGENT_ENDED,
     DATA_CENTRE_OUT,
     DEFAULT_DEADLINE,
     OUTCOME_PATH,
@@ -220,6 +221,8 @@
             self._note_lost(flow)
         except TimeoutError:
             pass
+        if flow.lost_reason == AGENT_ENDED:
+            return RefusedNotRun(Reason.DRAINING, elsewhere=True)
         if head.idempotent:
             return Unknown(Reason.FLOW_LOST)
         return await self._resolve(flow, head.key, first_sent_at)
--- a/bilberrypath/protocol/http.py
+++ b/bilberrypath/protocol/http.py
@@ -35,6 +35,7 @@
 UNKNOWN_TYPE = "urn:bilberrypath:unknown"
 SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 DATA_CENTRE_OUT = "data centre out of service"  # why a flow is closed
+AGENT_ENDED = "agent ended"  # all it received is answered and confirmed
 DEFAULT_DEADLINE: Seconds = 10.0
 MAX_DEADLINE: Seconds = 120.0
 _STATUS_BY_REASON = {
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -29,6 +29,7 @@
 )
 from bilberrypath.protocol.http import (
     AGENT,
+    AGENT_ENDED,
     DATA_CENTRE_OUT,
     OUTCOME,
     OUTCOME_PATH,
@@ -70,6 +71,7 @@
 ADMISSION_PERIOD: Seconds = 0.05
 PAUSE_LIMIT: Seconds = 0.5
 DRAIN_POLL: Seconds = 0.05
+LINGER: Seconds = 1.0
 GIVE_UP_PAUSE: Seconds = 0.05
 _log = structlog.get_logger("agent")
 
@@ -168,16 +170,22 @@
     async def _leave(self) -> None:
         """Take no new work, and wait until no request or stream is left."""
         self._drain()
-        while not self._killed.is_set():
-            busy = any(flow.open_requests for flow in self._flows)
-            if not busy and not self.runner.open_count and not self._tasks:
-                break
+        quiet_since = time.monotonic()
+        while time.monotonic() - quiet_since < LINGER and not self._killed.is_set():
+            if self._is_busy():
+                quiet_since = time.monotonic()
             await asyncio.sleep(DRAIN_POLL)
         self._handle(ev.Leave())
+        reason = "killed" if self._is_busy() else AGENT_ENDED
         for flow in list(self._flows):
-            flow.close("agent ended")
+            flow.close(reason)
         await asyncio.sleep(DRAIN_POLL)
 
+    def _is_busy(self) -> bool:
+        if self.runner.open_count or self._tasks:
+            return True
+        return any(flow.is_busy for flow in self._flows)
+
     def _drain(self) -> None:
         if self.lifecycle.state == "draining":
             return
--- a/bilberrypath/transport/flow.py
+++ b/bilberrypath/transport/flow.py
@@ -93,6 +93,11 @@
         """How many requests and streams are not finished."""
         return len(self._stream_by_id)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is open, or an answer not confirmed by the caller."""
+        return bool(self._stream_by_id) or self.connection.has_unconfirmed()
+
     def receive(self, payload: bytes, caller: Address, now: Seconds) -> None:
         """Take in one packet of the flow."""
         self.connection.receive_datagram(payload, caller, now=now)
--- a/bilberrypath/transport/quic.py
+++ b/bilberrypath/transport/quic.py
@@ -98,6 +98,10 @@
         stream = self._streams.get(stream_id)
         return len(stream.sender._buffer) if stream else 0
 
+    def has_unconfirmed(self) -> bool:
+        """Return whether the caller has not confirmed all that was sent to it."""
+        return any(len(stream.sender._buffer) for stream in self._streams.values())
+
     def _replenish_connection_ids(self) -> None:
         while len(self._host_cids) < min(8, self._remote_active_connection_id_limit):
             cid = self._issue()
--- a/tests/caller/test_caller.py
+++ b/tests/caller/test_caller.py
@@ -1,13 +1,14 @@
 """The caller library over flows that tests control."""
 
 import asyncio
+import time
 
 import pytest
 
 from bilberrypath.caller.caller import Caller, CallerOptions
-from bilberrypath.caller.flow import RESET, CallerFlow, Reply
-from bilberrypath.protocol.http import DATA_CENTRE_OUT
-from bilberrypath.protocol.outcome import Reason, Unknown
+from bilberrypath.caller.flow import RESET, CallerFlow, FlowLost, Reply
+from bilberrypath.protocol.http import AGENT_ENDED, DATA_CENTRE_OUT, RequestHead
+from bilberrypath.protocol.outcome import Reason, RefusedNotRun, Unknown
 from bilberrypath.transport.quic import CallerConnection, make_caller_configuration
 
 
@@ -63,6 +64,26 @@
         assert caller.counts.asked == 0
 
 
+class TestAgentEnded:
+    async def test_request_that_crossed_the_end_did_not_run(self, monkeypatch):
+        caller = Caller(CallerOptions(("127.0.0.1", 1)))
+        flow = QuietFlow()
+        flow.lost_reason = AGENT_ENDED
+        flow.agent_incarnation = 7
+
+        async def pick(tried, until):
+            return flow
+
+        async def fail(*_):
+            raise FlowLost(AGENT_ENDED)
+
+        monkeypatch.setattr(Caller, "_pick_flow", lambda self, *a: pick(*a))
+        monkeypatch.setattr(Caller, "_exchange_traced", fail)
+        head = RequestHead("POST", "/rides", "k", 1.0, False)
+        outcome = await caller._try_once(head, b"", time.monotonic() + 1.0, [])
+        assert outcome == RefusedNotRun(Reason.DRAINING, elsewhere=True)
+
+
 class TestCallerFlow:
     async def test_release_after_the_socket_closed(self):
         configuration = make_caller_configuration(None, "localhost")
--- a/tests/transport/test_quic.py
+++ b/tests/transport/test_quic.py
@@ -101,6 +101,16 @@
         assert any(isinstance(event, events.HandshakeCompleted) for event in seen)
 
 
+class TestUnconfirmed:
+    def test_answer_counts_until_the_caller_has_confirmed_it(self, pair):
+        pair.feed(pair.client, pair.client_h3)
+        assert not pair.server.has_unconfirmed()
+        pair.server_h3.send_goaway()
+        assert pair.server.has_unconfirmed()
+        pair.exchange()
+        assert not pair.server.has_unconfirmed()
+
+
 class TestGoaway:
     def test_goaway_is_heard(self, pair):
         pair.feed(pair.client, pair.client_h3)
