--- a/bilberrypath/caller/caller.py
+++ b/bilberrypath/caller/caller.py
@@ -214,7 +214,9 @@
         except FlowLost:
             return RefusedNotRun(Reason.NO_AGENT, elsewhere=True, retry_after=1.0)
         tried.append(flow)
-        left = max(0.0, until - time.monotonic())
+        left = until - time.monotonic()
+        if left <= 0.0:
+            return RefusedNotRun(Reason.DEADLINE, elsewhere=False)
         try:
             return await self._exchange_traced(flow, evolve(head, deadline=left), body)
         except FlowLost:
--- a/tests/caller/test_caller.py
+++ b/tests/caller/test_caller.py
@@ -84,6 +84,20 @@
         assert outcome == RefusedNotRun(Reason.DRAINING, elsewhere=True)
 
 
+class TestDeadline:
+    async def test_nothing_is_sent_after_the_deadline(self, monkeypatch):
+        caller = Caller(CallerOptions(("127.0.0.1", 1)))
+        flow = QuietFlow()
+
+        async def pick(tried, until):
+            return flow
+
+        monkeypatch.setattr(Caller, "_pick_flow", lambda self, *a: pick(*a))
+        head = RequestHead("POST", "/rides", "k", 1.0, False)
+        outcome = await caller._try_once(head, b"", time.monotonic() - 0.1, [])
+        assert outcome == RefusedNotRun(Reason.DEADLINE, elsewhere=False)
+
+
 class TestCallerFlow:
     async def test_release_after_the_socket_closed(self):
         configuration = make_caller_configuration(None, "localhost")
--- a/tests/support/workload.py
+++ b/tests/support/workload.py
@@ -70,6 +70,7 @@
     overruns: int
     given_up: int
     reasons: dict
+    slowest: float
 
     @property
     def is_clean(self):
@@ -84,7 +85,8 @@
 
     def explain(self):
         """Return the reasons of what was not answered."""
-        return " ".join(f"{reason}:{count}" for reason, count in self.reasons.items())
+        shown = [f"{reason}:{count}" for reason, count in self.reasons.items()]
+        return " ".join([*shown, f"slowest={self.slowest:.1f}s"])
 
 
 @define
@@ -192,6 +194,7 @@
         )
         return Verdict(
             reasons=dict(reasons),
+            slowest=max((sent.seconds for sent in self.sent), default=0.0),
             flows=sum(c.counts.flows_opened for c in self.callers),
             broken=sum(f.agent_incarnation not in left_incarnations for f in lost),
             given_up=sum(f.agent_incarnation in left_incarnations for f in lost),
