Held packets are let go in one place; dead code and doubled notes are gone

What was wrong: a special case kept held packets back after an adoption, on top of four handlers that each let them go. BalancerCore.handle now does it once, after the routes of a new release are in use; the golden files are unchanged. Removed because nothing called them: a count of upstreams, names by number, a count by data centre, an unused limit and size, a counter's reading, a flow's open requests, and the prober's pardon. The demo takes its note and its data centres from the cases.

--- a/bilberrypath/coordination/admission.py
+++ b/bilberrypath/coordination/admission.py
@@ -145,7 +145,7 @@
         """
         if self.is_away:
             return False
-        return self.state != "unhealthy" or self._may_try(now)
+        return self.state != "unhealthy" or self.wants_trial(now)
 
     def wants_trial(self, now: Seconds) -> bool:
         """Return whether one flow is wanted to see if the upstream is well."""
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -111,11 +111,11 @@
         leaves this method for any content of a message.
         """
         effects = self._handle(event, now)
-        if _adopts(effects):
-            effects += self._use_release(now)
+        if any(isinstance(effect, fx.Adopted) for effect in effects):
+            effects += self._use_release()
         if self.members.changed_services:
             self._refresh_routes()
-        return effects
+        return effects + self.forwarder.release_held(now)
 
     # Packets
 
@@ -156,13 +156,9 @@
     @_handle.register(ev.FrameReceived)
     def _(self, event: ev.FrameReceived, now: Seconds) -> list[Effect]:
         frame = event.frame
-        caller = (
-            (frame.caller_host, frame.caller_port)
-            if isinstance(frame, Return | NotMine)
-            else None
-        )
-        if caller is None:
+        if not isinstance(frame, Return | NotMine):
             return [fx.Count("frame_dropped", "unexpected")]
+        caller = (frame.caller_host, frame.caller_port)
         effects = self._note_agent_revision(frame.revision, now)
         if isinstance(frame, Return):
             self.router.note_load(event.sender, frame.load, now)
@@ -197,10 +193,7 @@
     def _(self, event: ev.StoreRead, now: Seconds) -> list[Effect]:
         if self._is_alone(now):
             self.freshness.confirm_started(event.asked_at)
-        effects = self.releases.take_read(event, now)
-        if _adopts(effects):
-            return effects
-        return effects + self.forwarder.release_held(now)
+        return self.releases.take_read(event, now)
 
     @_handle.register(ev.StoreFailed)
     def _(self, event: ev.StoreFailed, now: Seconds) -> list[Effect]:
@@ -227,7 +220,7 @@
             effects += self.releases.plan_read(now)
         if not self._joined and now - self.started_at > JOIN_LIMIT:
             self._joined = True
-        return effects + self.forwarder.release_held(now)
+        return effects
 
     def _is_alone(self, now: Seconds) -> bool:
         """Return whether no other balancer can tell which release is in force.
@@ -394,7 +387,7 @@
             asker, sequence = relayed
             answer = ctl.ProbeAck(sequence, message.news)
             effects.append(fx.SendControl(asker, answer))
-        return effects + self.forwarder.release_held(now)
+        return effects
 
     @_take_message.register(ctl.Gossip)
     def _(self, message: ctl.Gossip, sender: Address, now: Seconds) -> list[Effect]:
@@ -414,9 +407,8 @@
     ) -> list[Effect]:
         if message.revision > self.releases.revision:
             return self._note_agent_revision(message.revision, now)
-        if self.freshness.confirm(message.sequence) is None:
-            return []
-        return self.forwarder.release_held(now)
+        self.freshness.confirm(message.sequence)
+        return []
 
     def _take_news(self, news: ctl.News, sender: Address, now: Seconds) -> list[Effect]:
         effects = self.members.merge(news.sender, now)
@@ -451,7 +443,7 @@
 
     # Shared
 
-    def _use_release(self, now: Seconds) -> list[Effect]:
+    def _use_release(self) -> list[Effect]:
         release = self.releases.release
         self.forwarder.forget_routes()
         self.router.use_release(release)
@@ -464,7 +456,7 @@
             if member is not None:
                 view = self.releases.view_for(member)
                 effects.append(self._send(node_id, ctl.ViewPush(view)))
-        return effects + self.forwarder.release_held(now)
+        return effects
 
     def _refresh_routes(self) -> None:
         self.forwarder.forget_routes()
@@ -485,8 +477,3 @@
     def _send(self, node_id: NodeId, message: ctl.ControlMessage) -> fx.SendControl:
         host, _, port = node_id.rpartition(":")
         return fx.SendControl((host, int(port)), message)
-
-
-def _adopts(effects: list[Effect]) -> bool:
-    """Return whether a new release came; what is held must wait for its routes."""
-    return any(isinstance(effect, fx.Adopted) for effect in effects)
--- a/bilberrypath/coordination/membership.py
+++ b/bilberrypath/coordination/membership.py
@@ -32,7 +32,6 @@
 KEEP_GONE: Seconds = 600.0
 PAUSE_LIMIT: Seconds = 1.0
 SWEEP_COUNT = 4  # records looked at each tick
-LOAD_FADES_AFTER: Seconds = 3.0
 
 
 @define
--- a/bilberrypath/coordination/probing.py
+++ b/bilberrypath/coordination/probing.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,7 +50,6 @@
     _round: list[NodeId] = Factory(list)
     _open_by_target: dict[NodeId, OpenProbe] = Factory(dict)
     _asked_others: set[NodeId] = Factory(set)
-    _last_tick: Seconds | None = field(default=None)
 
     def plan(self, peers: list[NodeId], now: Seconds) -> ProbePlan:
         """Return what is due at ``now`` among the peers that are not gone."""
@@ -64,11 +63,6 @@
         self._open_by_target.pop(target, None)
         self._asked_others.discard(target)
 
-    def pardon(self, gap: Seconds) -> None:
-        """Give every open probe the time that this process was away."""
-        for target, probe in self._open_by_target.items():
-            self._open_by_target[target] = OpenProbe(target, probe.started_at + gap)
-
     def _forget_missing(self) -> None:
         for target in [t for t in self._open_by_target if not self.is_peer(t)]:
             self.note_answer(target)
--- a/bilberrypath/coordination/routing.py
+++ b/bilberrypath/coordination/routing.py
@@ -86,7 +86,6 @@
 
     codec: TokenCodec
     service_by_port: dict[int, Service] = Factory(dict)
-    name_by_number: dict[int, str] = Factory(dict)
     out_numbers: frozenset[int] = frozenset()
     unreachable: frozenset[str] = frozenset()
     load_by_address: dict[Address, HeardLoad] = Factory(dict)
@@ -97,7 +96,6 @@
         """Take over the services and data centres of a release."""
         services = release.list_services()
         self.service_by_port = {service.port: service for service in services}
-        self.name_by_number = {service.number: service.name for service in services}
         self._out_names = release.list_out()
         self.out_numbers = frozenset(
             release.data_centre_by_name[name].number for name in self._out_names
@@ -157,10 +155,6 @@
         heard.load = load
         heard.heard_at = now
 
-    def count_upstreams(self, service: Service, table: MemberTable) -> int:
-        """Return how many agents may take opens of a service."""
-        return len(self._list_upstreams(service, table))
-
     def _list_upstreams(self, service: Service, table: MemberTable) -> list[Upstream]:
         upstreams = self._upstreams_by_service.get(service.name)
         if upstreams is None:
--- a/bilberrypath/protocol/bulk.py
+++ b/bilberrypath/protocol/bulk.py
@@ -15,7 +15,6 @@
 PULL_RELEASE = f"/{SERVICE}/PullRelease"
 PULL_TABLE = f"/{SERVICE}/PullTable"
 SHOW_STATUS = f"/{SERVICE}/ShowStatus"
-MAX_RELEASE_PART = 512 * 1024  # bytes
 
 
 class Struct(msgspec.Struct, array_like=True, frozen=True):
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -189,14 +189,6 @@
             members.extend(self._member_by_id[node_id] for node_id in ids)
         return members
 
-    def count_by_data_centre(self, role: Role) -> dict[DataCentreName, int]:
-        """Return how many members of a role each data centre has."""
-        count: dict[DataCentreName, int] = {}
-        for member in self:
-            if member.role is role and not member.is_gone:
-                count[member.data_centre] = count.get(member.data_centre, 0) + 1
-        return count
-
     def _toggle_digest(self, bucket: int, member: Member) -> None:
         """Add or remove a record; those of gone members do not count.
 
--- a/bilberrypath/transport/flow.py
+++ b/bilberrypath/transport/flow.py
@@ -88,11 +88,6 @@
         self._stream_by_id: dict[int, RequestStream] = {}
         self._goaway_due = False
 
-    @property
-    def open_requests(self) -> int:
-        """How many requests and streams are not finished."""
-        return len(self._stream_by_id)
-
     @property
     def is_busy(self) -> bool:
         """Whether a request is open, or an answer not confirmed by the caller."""
--- a/bilberrypath/transport/telemetry.py
+++ b/bilberrypath/transport/telemetry.py
@@ -44,10 +44,6 @@
         """Show a value that is read when the metrics are asked for."""
         self._gauges.labels(name).set_function(read)
 
-    def get_count(self, event: str, reason: str) -> float:
-        """Return the present value of a counter."""
-        return self._events.labels(event, reason)._value.get()
-
 
 class _QuietHandler(WSGIRequestHandler):
     def log_message(self, *_args: Any) -> None:
--- a/demo/cape_town.py
+++ b/demo/cape_town.py
@@ -10,20 +10,10 @@
 import tempfile
 from pathlib import Path
 
+from tests.support.cases import CENTRES, FIRST_NOTE, change
 from tests.support.deployment import Deployment
 from tests.support.workload import Workload, list_incarnations
 
-CENTRES = ("atlantic", "citybowl", "winelands")
-NOTE = """\
-[added]
-data centre atlantic = in
-data centre citybowl = in
-data centre winelands = in
-service dispatch = port 9443, data centres atlantic citybowl winelands
-service photos = port 9444, data centres atlantic citybowl winelands
-"""
-OUT = "[changed]\ndata centre citybowl = out\n"
-BACK = "[changed]\ndata centre citybowl = in\n"
 PROCESSES = 13
 BOARDS = 60
 
@@ -50,7 +40,7 @@
         deployment.add_upstream(CENTRES[index % 3], "dispatch")
     for centre in CENTRES:
         deployment.add_upstream(centre, "photos")
-    return await accept(deployment, NOTE, 1, PROCESSES)
+    return await accept(deployment, FIRST_NOTE, 1, PROCESSES)
 
 
 async def run(deployment):
@@ -64,11 +54,11 @@
     say(f"{BOARDS} boards stream, bookings and photos flow")
     await asyncio.sleep(5)
     say("taking data centre citybowl out")
-    await accept(deployment, OUT, 2, PROCESSES)
+    await accept(deployment, change("citybowl", "out"), 2, PROCESSES)
     await work.wait_for_next_items()
     await asyncio.sleep(5)
     say("bringing data centre citybowl back")
-    await accept(deployment, BACK, 3, PROCESSES)
+    await accept(deployment, change("citybowl", "in"), 3, PROCESSES)
     await asyncio.sleep(5)
     victim = deployment.balancers.pop(0)
     say(f"killing balancer {victim.host} and starting another")
--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -21,6 +21,7 @@
 from bilberrypath.protocol.frame import Forward, NotMine, Return
 from bilberrypath.protocol.token import TokenCodec
 from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.release import ReleaseStep, apply_note
 from tests.support.fake_store import FakeKeyValue, make_store, run_now
 
 DELAY = 0.001  # seconds between any two processes
@@ -137,8 +138,6 @@
 
     def accept(self, note, release):
         """Accept a note as an operator does, and return the result."""
-        from bilberrypath.state.release import ReleaseStep, apply_note
-
         after = apply_note(release, note)
         step = ReleaseStep(after.revision, after.digest(), note)
         result = run_now(make_store(self.key_value).accept(release, step))
