--- a/bilberrypath/__init__.py
+++ b/bilberrypath/__init__.py
@@ -1,21 +1,50 @@
 """A layer-4 load balancer whose balancers hold no state that a flow depends on.
 
 The public surface is the caller library, the outcomes of requests, and the
-two decision cores for whoever drives them.
+decision cores for whoever drives them. Each name is imported when it is first
+used, so that a process pays only for the parts it runs.
 """
 
-from bilberrypath.caller.caller import Caller, CallerOptions
-from bilberrypath.caller.events import StreamItem
-from bilberrypath.coordination.agent import AgentCore, AgentSetup
-from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
-from bilberrypath.protocol.outcome import (
-    Answered,
-    Outcome,
-    Reason,
-    RefusedNotRun,
-    Unknown,
-)
-from bilberrypath.protocol.token import Route, TokenCodec
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from bilberrypath.caller.caller import Caller, CallerOptions
+    from bilberrypath.caller.events import StreamItem
+    from bilberrypath.coordination.agent import AgentCore, AgentSetup
+    from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
+    from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
+    from bilberrypath.coordination.flow_balancer import FlowBalancer
+    from bilberrypath.protocol.outcome import (
+        Answered,
+        Outcome,
+        Reason,
+        RefusedNotRun,
+        Unknown,
+    )
+    from bilberrypath.protocol.token import Route, TokenCodec
+
+_MODULE_BY_NAME = {
+    "AgentCore": "coordination.agent",
+    "AgentSetup": "coordination.agent",
+    "Answered": "protocol.outcome",
+    "BalancerCore": "coordination.balancer",
+    "BalancerSetup": "coordination.balancer",
+    "Caller": "caller.caller",
+    "CallerOptions": "caller.caller",
+    "FlowAgent": "coordination.flow_agent",
+    "FlowAgentSetup": "coordination.flow_agent",
+    "FlowBalancer": "coordination.flow_balancer",
+    "Outcome": "protocol.outcome",
+    "Reason": "protocol.outcome",
+    "RefusedNotRun": "protocol.outcome",
+    "Route": "protocol.token",
+    "StreamItem": "caller.events",
+    "TokenCodec": "protocol.token",
+    "Unknown": "protocol.outcome",
+}
 
 __all__ = [
     "AgentCore",
@@ -25,6 +54,9 @@
     "BalancerSetup",
     "Caller",
     "CallerOptions",
+    "FlowAgent",
+    "FlowAgentSetup",
+    "FlowBalancer",
     "Outcome",
     "Reason",
     "RefusedNotRun",
@@ -33,3 +65,10 @@
     "TokenCodec",
     "Unknown",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    module = _MODULE_BY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -13,12 +13,11 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.fleet import PUSH_FANOUT, Fleet, send
 from bilberrypath.coordination.forwarding import Forwarder
 from bilberrypath.coordination.freshness import Freshness
-from bilberrypath.coordination.membership import Membership
-from bilberrypath.coordination.probing import Prober
 from bilberrypath.coordination.ranking import is_reader
-from bilberrypath.coordination.releases import PUSH_FANOUT, ReleaseKeeper
+from bilberrypath.coordination.releases import ReleaseKeeper
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol.frame import Forward, NotMine, Return
 from bilberrypath.protocol.reset import MAX_RESET
@@ -32,15 +31,7 @@
     from bilberrypath.protocol.token import TokenCodec
     from bilberrypath.types import Address, NodeId, Seconds
 
-GOSSIP_FANOUT = 2
-SEED_PERIOD: Seconds = 1.0
-COMPARE_PERIOD: Seconds = 10.0
-DIFFERING_LIMIT: Seconds = 1.0
-RECORD_BYTES = 80  # bytes of a record on the wire, about
-COMPARE_RATE = 6000  # bytes a second that compares may take for a while
-MAX_COMPARE_PAUSE: Seconds = 60.0
 MAX_PUSHED_STEP = 1000  # bytes of an encoded step that goes in one datagram
-JOIN_LIMIT: Seconds = 3.0
 AGENT_PROBES = 2
 ASK_PERIOD: Seconds = 0.2
 ALONE_AFTER = 6  # exchanges in a row that nobody answered
@@ -79,22 +70,22 @@
         self.setup = setup
         self.codec = codec
         self.rng = rng
-        self.members = Membership(setup.me)
         self.releases = ReleaseKeeper()
         self.freshness = Freshness()
+        self.fleet = Fleet(
+            setup.me,
+            setup.seeds,
+            rng,
+            self.freshness,
+            lambda: self.releases.revision,
+            self.releases.learn_of,
+            now,
+        )
+        self.members = self.fleet.members
         self.forwarder = Forwarder(
             codec, rng, self.members, self.releases, self.freshness
         )
         self.router = self.forwarder.router
-        self.prober = Prober(rng, now, self.members.is_peer)
-        self.started_at = now
-        self._joined = False
-        self._next_seed_at = now
-        self._next_compare_at = now + COMPARE_PERIOD * rng.uniform(0.5, 1.5)
-        self._probe_target_by_sequence: dict[int, NodeId] = {}
-        self._relayed: dict[int, tuple[Address, int]] = {}
-        self._last_differing: tuple[Address, Seconds] | None = None
-        self._confirm_at: tuple[int, Seconds] | None = None
         self._next_ask_at = now
         self._reader_epoch = -1
         self._is_reader = False
@@ -102,7 +93,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether opens can be routed: a release is held and peers are known."""
-        return self.releases.revision > 0 and self._joined
+        return self.releases.revision > 0 and self.fleet.is_joined
 
     def handle(self, event: Event, now: Seconds) -> list[Effect]:
         """Take one event at a time and return what is to be done.
@@ -178,11 +169,7 @@
 
     @_handle.register(ev.TablePulled)
     def _(self, event: ev.TablePulled, now: Seconds) -> list[Effect]:
-        self._joined = True
-        pause = len(event.members) * RECORD_BYTES / COMPARE_RATE
-        later = now + min(pause, MAX_COMPARE_PAUSE)
-        self._next_compare_at = max(self._next_compare_at, later)
-        return self.members.merge_all(event.members, now)
+        return self.fleet.take_table(event, now)
 
     @_handle.register(ev.PullFailed)
     def _(self, event: ev.PullFailed, now: Seconds) -> list[Effect]:
@@ -203,23 +190,24 @@
     @_handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[Effect]:
         self.members.announce(Status.LEFT)
-        peers = self.members.list_peers()
-        drawn = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
-        return [self._send(peer, ctl.Gossip(self._news())) for peer in drawn]
+        drawn = self.fleet.draw(self.members.list_peers(), PUSH_FANOUT)
+        return [send(peer, ctl.Gossip(self.fleet.make_news())) for peer in drawn]
 
     @_handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[Effect]:
         effects = self.members.tick(now)
         self.router.unreachable = self.members.beacons.list_unreachable(now)
         peers = self.members.list_peers()
-        effects += self._probe(peers, now)
-        effects += self._seek_seeds(peers, now)
-        effects += self._spread(peers)
-        effects += self._compare(now)
+        effects += self.fleet.probe(peers, now)
+        if not peers:
+            effects += self._probe_agents(now)
+        effects += self.fleet.seek_seeds(peers, now)
+        effects += self._push_again(peers)
+        effects += self.fleet.spread_rumours(peers)
+        effects += self.fleet.compare(now)
         if self.setup.has_store and self._reads_store():
             effects += self.releases.plan_read(now)
-        if not self._joined and now - self.started_at > JOIN_LIMIT:
-            self._joined = True
+        self.fleet.stop_waiting_to_join(now)
         return effects
 
     def _is_alone(self, now: Seconds) -> bool:
@@ -239,98 +227,40 @@
             self._is_reader = is_reader(self.members.me, self.members.table)
         return self._is_reader or self.releases.revision == 0
 
-    def _probe(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
-        plan = self.prober.plan(peers, now)
-        effects: list[Effect] = []
-        if plan.probe is not None:
-            effects.append(self._start_probe(plan.probe, now))
-        for helper, target in plan.probe_through:
-            sequence = self._open_sequence(target, now)
-            message = ctl.ProbeFor(sequence, target, self._news())
-            effects.append(self._send(helper, message))
-        for target in plan.suspect:
-            effects += self.members.suspect(target, now)
-        if not peers:
-            effects += self._probe_agents(now)
-        return effects
-
-    def _start_probe(self, target: NodeId, now: Seconds) -> fx.SendControl:
-        sequence = self._open_sequence(target, now)
-        return self._send(target, ctl.Probe(sequence, self._news()))
-
-    def _open_sequence(self, target: NodeId, now: Seconds) -> int:
-        sequence = self.freshness.start(now)
-        self._probe_target_by_sequence[sequence] = target
-        if len(self._probe_target_by_sequence) > 64:
-            oldest = next(iter(self._probe_target_by_sequence))
-            del self._probe_target_by_sequence[oldest]
-        return sequence
-
     def _probe_agents(self, now: Seconds) -> list[Effect]:
         heard = list(self.members.hearing.heard_by_id)
         drawn = self.rng.sample(heard, min(AGENT_PROBES, len(heard)))
         revision = self.releases.revision
         return [
-            self._send(agent, ctl.AgentProbe(self.freshness.start(now), revision))
+            send(agent, ctl.AgentProbe(self.freshness.start(now), revision))
             for agent in drawn
         ]
 
     def _ask_to_confirm(self, now: Seconds) -> list[Effect]:
         peers = self.members.list_peers()
-        drawn = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
-        effects: list[Effect] = [self._start_probe(peer, now) for peer in drawn]
+        effects = self.fleet.probe_some(peers, now)
         if not peers:
             effects += self._probe_agents(now)
         return effects
 
-    def _seek_seeds(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
-        """Probe the seeds while alone, and one of them now and then.
-
-        The latter joins two halves that lost each other for so long that
-        each took the other for gone.
-        """
-        if now < self._next_seed_at or not self.setup.seeds:
+    def _push_again(self, peers: list[NodeId]) -> list[Effect]:
+        if self.releases.push_rounds_left <= 0:
             return []
-        period = SEED_PERIOD if len(peers) == 0 or not self._joined else 10.0
-        self._next_seed_at = now + period * self.rng.uniform(0.8, 1.2)
-        seeds = [s for s in self.setup.seeds if s != self.members.me.address]
-        if peers and self._joined:
-            seeds = self.rng.sample(seeds, min(1, len(seeds)))
-        return [self._start_probe(f"{host}:{port}", now) for host, port in seeds]
-
-    def _spread(self, peers: list[NodeId]) -> list[Effect]:
-        effects: list[Effect] = []
-        if self.releases.push_rounds_left > 0:
-            self.releases.push_rounds_left -= 1
-            effects += self._push_release(peers)
-        if not self.members.rumours or not peers:
-            return effects
-        fanout = 1 if self.members.rumours.is_backlogged else GOSSIP_FANOUT
-        drawn = self.rng.sample(peers, min(fanout, len(peers)))
-        return effects + [self._send(peer, ctl.Gossip(self._news())) for peer in drawn]
+        self.releases.push_rounds_left -= 1
+        return self._push_release(peers)
 
     def _push_release(self, peers: list[NodeId]) -> list[Effect]:
-        drawn = self.rng.sample(peers, min(PUSH_FANOUT, len(peers)))
+        drawn = self.fleet.draw(peers, PUSH_FANOUT)
         message = self._describe_release()
-        return [self._send(peer, message) for peer in drawn]
+        return [send(peer, message) for peer in drawn]
 
     def _describe_release(self) -> ctl.ReleasePush | ctl.Gossip:
         """Return the last step if it fits a datagram, else the revision alone."""
         if self.releases.steps:
-            push = ctl.ReleasePush(self.releases.steps[-1], self._news())
+            push = ctl.ReleasePush(self.releases.steps[-1], self.fleet.make_news())
             if len(ctl.encode_control(push.step)) <= MAX_PUSHED_STEP:
                 return push
-        return ctl.Gossip(self._news())
-
-    def _compare(self, now: Seconds) -> list[Effect]:
-        if now < self._next_compare_at or self._last_differing is None:
-            return []
-        self._next_compare_at = now + COMPARE_PERIOD * self.rng.uniform(0.8, 1.2)
-        peer, seen_at = self._last_differing
-        self._last_differing = None
-        if now - seen_at > DIFFERING_LIMIT:
-            return []
-        return [fx.PullTable(peer, self.members.table.list_digests())]
+        return ctl.Gossip(self.fleet.make_news())
 
     # Messages
 
@@ -361,37 +291,19 @@
 
     @_take_message.register(ctl.Probe)
     def _(self, message: ctl.Probe, sender: Address, now: Seconds) -> list[Effect]:
-        effects = self._take_news(message.news, sender, now)
-        answer = ctl.ProbeAck(message.sequence, self._news())
-        return [*effects, fx.SendControl(sender, answer)]
+        return self.fleet.answer_probe(message, sender, now)
 
     @_take_message.register(ctl.ProbeFor)
     def _(self, message: ctl.ProbeFor, sender: Address, now: Seconds) -> list[Effect]:
-        effects = self._take_news(message.news, sender, now)
-        sequence = self._open_sequence(message.target, now)
-        self._relayed[sequence] = (sender, message.sequence)
-        if len(self._relayed) > 64:
-            del self._relayed[next(iter(self._relayed))]
-        probe = ctl.Probe(sequence, self._news())
-        return [*effects, self._send(message.target, probe)]
+        return self.fleet.relay_probe(message, sender, now)
 
     @_take_message.register(ctl.ProbeAck)
     def _(self, message: ctl.ProbeAck, sender: Address, now: Seconds) -> list[Effect]:
-        effects = self._take_news(message.news, sender, now)
-        target = self._probe_target_by_sequence.pop(message.sequence, None)
-        if target is not None:
-            self.prober.note_answer(target)
-        effects += self._confirm(message, sender, now)
-        relayed = self._relayed.pop(message.sequence, None)
-        if relayed is not None:
-            asker, sequence = relayed
-            answer = ctl.ProbeAck(sequence, message.news)
-            effects.append(fx.SendControl(asker, answer))
-        return effects
+        return self.fleet.take_probe_ack(message, sender, now)
 
     @_take_message.register(ctl.Gossip)
     def _(self, message: ctl.Gossip, sender: Address, now: Seconds) -> list[Effect]:
-        return self._take_news(message.news, sender, now)
+        return self.fleet.take_news(message.news, sender, now)
 
     @_take_message.register(ctl.ReleasePush)
     def _(
@@ -399,7 +311,7 @@
     ) -> list[Effect]:
         taken = self.releases.offer_step(message.step)
         effects = list(taken or ())
-        return effects + self._take_news(message.news, sender, now)
+        return effects + self.fleet.take_news(message.news, sender, now)
 
     @_take_message.register(ctl.AgentProbeAck)
     def _(
@@ -410,30 +322,6 @@
         self.freshness.confirm(message.sequence)
         return []
 
-    def _take_news(self, news: ctl.News, sender: Address, now: Seconds) -> list[Effect]:
-        effects = self.members.merge(news.sender, now)
-        effects += self.members.merge_all(news.members, now)
-        self.members.beacons.merge(news.beacons, now)
-        self.members.beacons.note_heard(news.sender.data_centre, now)
-        effects += self.releases.learn_of(sender, news.revision, now)
-        if news.table_digest != self.members.table.digest():
-            self._last_differing = (sender, now)
-        return effects
-
-    def _confirm(
-        self, message: ctl.ProbeAck, sender: Address, now: Seconds
-    ) -> list[Effect]:
-        """Count an answer as proof of freshness once its revision is held."""
-        newer = message.news.revision > self.releases.revision
-        started_at = self.freshness.confirm(message.sequence, hold=newer)
-        if started_at is None:
-            return []
-        if newer:
-            self._confirm_at = (message.news.revision, started_at)
-        if self._joined:
-            return []
-        return [fx.PullTable(sender, self.members.table.list_digests())]
-
     def _note_agent_revision(self, revision: int, now: Seconds) -> list[Effect]:
         """Ask peers at once when an agent knows of a newer release."""
         if revision <= self.releases.revision or now < self._next_ask_at:
@@ -447,15 +335,13 @@
         release = self.releases.release
         self.forwarder.forget_routes()
         self.router.use_release(release)
-        if self._confirm_at is not None and self._confirm_at[0] <= release.revision:
-            self.freshness.confirm_started(self._confirm_at[1])
-            self._confirm_at = None
+        self.fleet.note_adopted(release.revision)
         effects = self._push_release(self.members.list_peers())
         for node_id in self.members.hearing.heard_by_id:
             member = self.members.table.get(node_id)
             if member is not None:
                 view = self.releases.view_for(member)
-                effects.append(self._send(node_id, ctl.ViewPush(view)))
+                effects.append(send(node_id, ctl.ViewPush(view)))
         return effects
 
     def _refresh_routes(self) -> None:
@@ -463,17 +349,3 @@
         for name in self.members.changed_services:
             self.router.forget_service(name)
         self.members.changed_services.clear()
-
-    def _news(self) -> ctl.News:
-        balancers = len(self.members.list_peers()) + 1
-        return ctl.News(
-            sender=self.members.me,
-            revision=self.releases.revision,
-            table_digest=self.members.table.digest(),
-            beacons=dict(self.members.beacons.counter_by_centre),
-            members=self.members.rumours.take(balancers),
-        )
-
-    def _send(self, node_id: NodeId, message: ctl.ControlMessage) -> fx.SendControl:
-        host, _, port = node_id.rpartition(":")
-        return fx.SendControl((host, int(port)), message)
--- /dev/null
+++ b/bilberrypath/coordination/fleet.py
@@ -0,0 +1,245 @@
+"""How balancers find, watch and inform each other.
+
+Probes, suspicion and rumours after SWIM; records that were missed come by a
+periodic compare. What is in force in this process, a release or a table of
+routes, takes part by its revision alone: the owner is asked for it and told
+of newer ones.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination.membership import Membership
+from bilberrypath.coordination.probing import Prober
+from bilberrypath.protocol import control as ctl
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from bilberrypath.coordination.effects import Effect
+    from bilberrypath.coordination.events import TablePulled
+    from bilberrypath.coordination.freshness import Freshness
+    from bilberrypath.state.members import Member
+    from bilberrypath.types import Address, NodeId, Revision, Seconds
+
+GOSSIP_FANOUT = 2
+PUSH_FANOUT = 3
+SEED_PERIOD: Seconds = 1.0
+COMPARE_PERIOD: Seconds = 10.0
+DIFFERING_LIMIT: Seconds = 1.0
+RECORD_BYTES = 80  # bytes of a record on the wire, about
+COMPARE_RATE = 6000  # bytes a second that compares may take for a while
+MAX_COMPARE_PAUSE: Seconds = 60.0
+JOIN_LIMIT: Seconds = 3.0
+MAX_OPEN_PROBES = 64
+
+
+class Fleet:
+    """Keep the members of one balancer in step with those of the others.
+
+    ``read_revision`` tells the revision in force here, and ``learn_of`` is
+    called with a peer and the revision that it told.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        seeds: tuple[Address, ...],
+        rng: Random,
+        freshness: Freshness,
+        read_revision: Callable[[], Revision],
+        learn_of: Callable[[Address, Revision, Seconds], list[Effect]],
+        now: Seconds,
+    ) -> None:
+        self.members = Membership(me)
+        self.seeds = seeds
+        self.freshness = freshness
+        self.prober = Prober(rng, now, self.members.is_peer)
+        self.started_at = now
+        self.is_joined = False
+        self._rng = rng
+        self._read_revision = read_revision
+        self._learn_of = learn_of
+        self._next_seed_at = now
+        self._next_compare_at = now + COMPARE_PERIOD * rng.uniform(0.5, 1.5)
+        self._probe_target_by_sequence: dict[int, NodeId] = {}
+        self._relayed: dict[int, tuple[Address, int]] = {}
+        self._last_differing: tuple[Address, Seconds] | None = None
+        self._confirm_at: tuple[int, Seconds] | None = None
+
+    # Time
+
+    def probe(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
+        """Return the probes that are due, and suspect who did not answer."""
+        plan = self.prober.plan(peers, now)
+        effects: list[Effect] = []
+        if plan.probe is not None:
+            effects.append(self.start_probe(plan.probe, now))
+        for helper, target in plan.probe_through:
+            sequence = self._open_sequence(target, now)
+            message = ctl.ProbeFor(sequence, target, self.make_news())
+            effects.append(send(helper, message))
+        for target in plan.suspect:
+            effects += self.members.suspect(target, now)
+        return effects
+
+    def start_probe(self, target: NodeId, now: Seconds) -> fx.SendControl:
+        """Return a probe of a process."""
+        sequence = self._open_sequence(target, now)
+        return send(target, ctl.Probe(sequence, self.make_news()))
+
+    def probe_some(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
+        """Return probes of a few peers, to learn of news at once."""
+        return [self.start_probe(peer, now) for peer in self.draw(peers, PUSH_FANOUT)]
+
+    def seek_seeds(self, peers: list[NodeId], now: Seconds) -> list[Effect]:
+        """Probe the seeds while alone, and one of them now and then.
+
+        The latter joins two halves that lost each other for so long that
+        each took the other for gone.
+        """
+        if now < self._next_seed_at or not self.seeds:
+            return []
+        period = SEED_PERIOD if len(peers) == 0 or not self.is_joined else 10.0
+        self._next_seed_at = now + period * self._rng.uniform(0.8, 1.2)
+        seeds = [s for s in self.seeds if s != self.members.me.address]
+        if peers and self.is_joined:
+            seeds = self._rng.sample(seeds, min(1, len(seeds)))
+        return [self.start_probe(f"{host}:{port}", now) for host, port in seeds]
+
+    def spread_rumours(self, peers: list[NodeId]) -> list[Effect]:
+        """Return the records that changed, on their way to a few peers."""
+        if not self.members.rumours or not peers:
+            return []
+        fanout = 1 if self.members.rumours.is_backlogged else GOSSIP_FANOUT
+        return [
+            send(peer, ctl.Gossip(self.make_news()))
+            for peer in self.draw(peers, fanout)
+        ]
+
+    def compare(self, now: Seconds) -> list[Effect]:
+        """Return the pull of records that a peer holds and this one lacks."""
+        if now < self._next_compare_at or self._last_differing is None:
+            return []
+        self._next_compare_at = now + COMPARE_PERIOD * self._rng.uniform(0.8, 1.2)
+        peer, seen_at = self._last_differing
+        self._last_differing = None
+        if now - seen_at > DIFFERING_LIMIT:
+            return []
+        return [fx.PullTable(peer, self.members.table.list_digests())]
+
+    def stop_waiting_to_join(self, now: Seconds) -> None:
+        """Go on alone when nobody let this process in for too long."""
+        if not self.is_joined and now - self.started_at > JOIN_LIMIT:
+            self.is_joined = True
+
+    # Messages
+
+    def take_table(self, pulled: TablePulled, now: Seconds) -> list[Effect]:
+        """Take in the records that a peer sent."""
+        self.is_joined = True
+        pause = len(pulled.members) * RECORD_BYTES / COMPARE_RATE
+        later = now + min(pause, MAX_COMPARE_PAUSE)
+        self._next_compare_at = max(self._next_compare_at, later)
+        return self.members.merge_all(pulled.members, now)
+
+    def take_news(self, news: ctl.News, sender: Address, now: Seconds) -> list[Effect]:
+        """Take in what rides on a peer's message."""
+        effects = self.members.merge(news.sender, now)
+        effects += self.members.merge_all(news.members, now)
+        self.members.beacons.merge(news.beacons, now)
+        self.members.beacons.note_heard(news.sender.data_centre, now)
+        effects += self._learn_of(sender, news.revision, now)
+        if news.table_digest != self.members.table.digest():
+            self._last_differing = (sender, now)
+        return effects
+
+    def answer_probe(
+        self, message: ctl.Probe, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        """Show a peer that this process lives."""
+        effects = self.take_news(message.news, sender, now)
+        answer = ctl.ProbeAck(message.sequence, self.make_news())
+        return [*effects, fx.SendControl(sender, answer)]
+
+    def relay_probe(
+        self, message: ctl.ProbeFor, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        """Probe a process for a peer that got no answer from it."""
+        effects = self.take_news(message.news, sender, now)
+        sequence = self._open_sequence(message.target, now)
+        self._relayed[sequence] = (sender, message.sequence)
+        if len(self._relayed) > MAX_OPEN_PROBES:
+            del self._relayed[next(iter(self._relayed))]
+        probe = ctl.Probe(sequence, self.make_news())
+        return [*effects, send(message.target, probe)]
+
+    def take_probe_ack(
+        self, message: ctl.ProbeAck, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        """Take in the answer to a probe, and pass it on to who asked for it."""
+        effects = self.take_news(message.news, sender, now)
+        target = self._probe_target_by_sequence.pop(message.sequence, None)
+        if target is not None:
+            self.prober.note_answer(target)
+        effects += self._confirm(message, sender, now)
+        relayed = self._relayed.pop(message.sequence, None)
+        if relayed is not None:
+            asker, sequence = relayed
+            answer = ctl.ProbeAck(sequence, message.news)
+            effects.append(fx.SendControl(asker, answer))
+        return effects
+
+    def note_adopted(self, revision: Revision) -> None:
+        """Count the answer that told of a revision, now that it is held."""
+        if self._confirm_at is not None and self._confirm_at[0] <= revision:
+            self.freshness.confirm_started(self._confirm_at[1])
+            self._confirm_at = None
+
+    # Shared
+
+    def draw(self, peers: list[NodeId], count: int) -> list[NodeId]:
+        """Return some of the peers, or all if they are few."""
+        return self._rng.sample(peers, min(count, len(peers)))
+
+    def make_news(self) -> ctl.News:
+        """Return what rides on the next message to a peer."""
+        balancers = len(self.members.list_peers()) + 1
+        return ctl.News(
+            sender=self.members.me,
+            revision=self._read_revision(),
+            table_digest=self.members.table.digest(),
+            beacons=dict(self.members.beacons.counter_by_centre),
+            members=self.members.rumours.take(balancers),
+        )
+
+    def _open_sequence(self, target: NodeId, now: Seconds) -> int:
+        sequence = self.freshness.start(now)
+        self._probe_target_by_sequence[sequence] = target
+        if len(self._probe_target_by_sequence) > MAX_OPEN_PROBES:
+            oldest = next(iter(self._probe_target_by_sequence))
+            del self._probe_target_by_sequence[oldest]
+        return sequence
+
+    def _confirm(
+        self, message: ctl.ProbeAck, sender: Address, now: Seconds
+    ) -> list[Effect]:
+        """Count an answer as proof of freshness once its revision is held."""
+        newer = message.news.revision > self._read_revision()
+        started_at = self.freshness.confirm(message.sequence, hold=newer)
+        if started_at is None:
+            return []
+        if newer:
+            self._confirm_at = (message.news.revision, started_at)
+        if self.is_joined:
+            return []
+        return [fx.PullTable(sender, self.members.table.list_digests())]
+
+
+def send(node_id: NodeId, message: ctl.ControlMessage) -> fx.SendControl:
+    """Return a control message for a process by its name."""
+    host, _, port = node_id.rpartition(":")
+    return fx.SendControl((host, int(port)), message)
--- /dev/null
+++ b/bilberrypath/coordination/flow_agent.py
@@ -0,0 +1,469 @@
+"""The decisions of an agent about datagram flows, as one state machine.
+
+The agent is the only way to its upstream: what must never reach the upstream
+is refused here, whatever balancers and other agents believe. It knows its
+upstream's flows from seeing both directions, places opens as the home of a
+flow, and finds the holder of a flow that it does not have.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import evolve, frozen
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination import flow_events as fev
+from bilberrypath.coordination.deadlines import Deadlines
+from bilberrypath.coordination.flow_finder import FlowFinder
+from bilberrypath.coordination.flow_opener import FlowOpener
+from bilberrypath.coordination.flow_places import FlowPlaces
+from bilberrypath.coordination.flow_presence import FlowPresence
+from bilberrypath.coordination.held_flows import HeldFlows
+from bilberrypath.coordination.open_placement import OpenPlacement
+from bilberrypath.coordination.route_keeper import RouteKeeper
+from bilberrypath.coordination.silent_peers import SilentPeers
+from bilberrypath.coordination.upstream_watch import (
+    ReportKind,
+    Unable,
+    UpstreamWatch,
+)
+from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_messages import to_address
+from bilberrypath.state.flow_agents import digest_agents
+from bilberrypath.state.members import Status
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bilberrypath.coordination.events import Event
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.coordination.held_flows import HeldFlow
+    from bilberrypath.protocol.flow_packet import FlowPacket, PacketCodec
+    from bilberrypath.state.members import Member
+    from bilberrypath.types import Address, NodeId, Seconds
+
+REPORT_PERIOD: Seconds = 0.3  # a few running times of a request
+REPORTS_PER_SECOND = 60  # sent at most; about 0.3% of a core
+IDLE_SLACK: Seconds = 5.0  # a flow is kept longer than its ends keep it
+PAUSE_LIMIT: Seconds = 1.0  # five ticks; this process stood still
+UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
+
+
+@frozen
+class FlowAgentSetup:
+    """What an agent is told at its start.
+
+    ``upstream`` is the address at which its upstream receives packets.
+    ``knows_all`` says that the upstream has no flow that this process did not
+    see; otherwise that is so after ``flow_lifetime``, the longest that a flow
+    lasts. ``report_period`` is the time between reports of the upstream.
+    """
+
+    me: Member
+    seeds: tuple[Address, ...]
+    upstream: Address
+    report_period: Seconds
+    flow_lifetime: Seconds
+    knows_all: bool = False
+
+
+class FlowAgent:
+    """Guard one upstream, and find and place the flows of its service."""
+
+    def __init__(
+        self, setup: FlowAgentSetup, codec: PacketCodec, rng: Random, now: Seconds
+    ) -> None:
+        self.setup = setup
+        self.codec = codec
+        self.routes = RouteKeeper()
+        self.presence = FlowPresence(setup.me, setup.seeds, rng)
+        self.watch = UpstreamWatch(setup.report_period)
+        self.flows = HeldFlows()
+        self.redirects = FlowPlaces()
+        self.silent = SilentPeers()
+        self.placement = OpenPlacement(rng)
+        self.deadlines: Deadlines[tuple[str, bytes]] = Deadlines()
+        self.opener = FlowOpener(self)
+        self.finder = FlowFinder(self)
+        self.agents_changed_at = now
+        self._started_at = now
+        self._knows_all = setup.knows_all
+        self._next_report_at = now
+        self._last_tick_at = now
+
+    @property
+    def me(self) -> NodeId:
+        """The name of this process."""
+        return self.presence.me.node_id
+
+    @property
+    def service(self) -> str:
+        """The service of the upstream."""
+        return self.presence.me.service
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether opens can be judged."""
+        return self.routes.revision > 0
+
+    def knows_all_flows(self, now: Seconds) -> bool:
+        """Return whether the upstream has no flow that is unknown here."""
+        return self._knows_all or now - self._started_at > self.setup.flow_lifetime
+
+    def next_wake(self) -> Seconds | None:
+        """Return when :meth:`wake` is to be called, or None."""
+        return self.deadlines.next_at()
+
+    def wake(self, now: Seconds) -> list[FlowEffect]:
+        """Act on the deadlines that have come."""
+        self._pardon_own_pause(now)
+        effects: list[FlowEffect] = []
+        for kind, flow in self.deadlines.take_due(now):
+            if kind == "search":
+                effects += self.finder.stop_waiting(flow, now)
+            else:
+                effects += self.opener.take_deadline(kind, flow, now)
+        return effects
+
+    # Packets
+
+    def take_carry(
+        self, carry: msg.Carry, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        """Return what to do with a packet of a client."""
+        packet = self.codec.read_from_client(carry.datagram)
+        if packet is None:
+            return [fx.Count("packet_dropped", "not_a_packet")]
+        effects: list[FlowEffect] = []
+        if carry.revision > self.routes.revision:
+            effects += self.routes.learn_of(carry.origin, carry.revision, now)
+        return effects + self.route(carry, packet, f"{sender[0]}:{sender[1]}", now)
+
+    def route(
+        self, carry: msg.Carry, packet: FlowPacket, sender: NodeId, now: Seconds
+    ) -> list[FlowEffect]:
+        """Deliver a packet here, or hand it to whoever has or takes its flow."""
+        held = self.flows.get(packet.flow)
+        if held is not None:
+            self.flows.note_client(held, packet, now)
+            told = self.tell_place(carry, packet.flow, self.me, sender)
+            return [ffx.SendToUpstream(packet.datagram), *told]
+        if self.finder.keep(carry, packet):
+            return []
+        holder = self.redirects.find(packet.flow, now)
+        if holder is not None and self._may_ask(holder, sender, carry):
+            return self.pass_to(holder, carry, packet)
+        self.redirects.forget(packet.flow)
+        if packet.opens:
+            return self.opener.place(carry, packet, sender, now)
+        return self.finder.find(carry, packet, now)
+
+    def _may_ask(self, holder: NodeId, sender: NodeId, carry: msg.Carry) -> bool:
+        known = holder in self.placement.peer_by_id
+        return known and holder not in (sender, self.me) and holder not in carry.tried
+
+    def pass_to(
+        self, agent: NodeId, carry: msg.Carry, packet: FlowPacket
+    ) -> list[FlowEffect]:
+        """Hand a packet to another agent."""
+        passed = msgspec.structs.replace(
+            carry,
+            revision=max(carry.revision, self.routes.revision),
+            service=carry.service or self.service,
+            home=carry.home or self.me,
+            seeks=True,
+            hops=carry.hops + 1,
+        )
+        return [fx.SendControl(to_address(agent), passed)]
+
+    def tell_place(
+        self, carry: msg.Carry, flow: bytes, holder: NodeId, sender: NodeId = ""
+    ) -> list[FlowEffect]:
+        """Tell those who asked where a flow is."""
+        if not carry.seeks:
+            return []
+        told = {carry.origin, carry.home, sender} - {"", self.me}
+        message = msg.Placed(flow, holder)
+        return [
+            fx.SendControl(to_address(node_id), message) for node_id in sorted(told)
+        ]
+
+    def take_upstream_packet(self, datagram: bytes, now: Seconds) -> list[FlowEffect]:
+        """Return what to do with a packet that the upstream sent or handed back."""
+        packet = self.codec.read_from_upstream(datagram)
+        if packet is None:
+            return [fx.Count("packet_dropped", "not_a_packet")]
+        effects = self._note_heard(now)
+        if packet.refused:
+            return effects + self._take_refused(packet, now)
+        held = self.flows.get(packet.flow)
+        if held is None:
+            if packet.resets or packet.closes:
+                return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
+            held = self._adopt_from_upstream(packet, now)
+        if packet.accepts_open:
+            self.opener.note_accepted(packet.flow, now)
+        self.flows.note_upstream(held, packet, now)
+        return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
+
+    def _adopt_from_upstream(self, packet: FlowPacket, now: Seconds) -> HeldFlow:
+        held = self.flows.add(packet, confirmed=True, now=now)
+        held.acknowledged = packet.sequence
+        return held
+
+    def _take_refused(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+        """Go on with a packet that the upstream does not hold or can't take."""
+        clean = evolve(packet, refused=False, datagram=self.codec.strip_mark(packet))
+        held = self.flows.remove(packet.flow, now)
+        count = fx.Count("upstream_refused", "open" if packet.opens else "packet")
+        if packet.opens:
+            return [count, *self.opener.take_refused(clean, now)]
+        lost = held is not None and held.confirmed
+        return [count, *self.finder.take_refused(clean, lost, now)]
+
+    def reset(self, flow: bytes, acknowledged: int, reason: str) -> list[FlowEffect]:
+        """Tell a client that its flow is over."""
+        datagram = self.codec.make_reset(flow, acknowledged)
+        return [
+            fx.Count("flow_reset", reason),
+            ffx.SendToClient(flow, datagram),
+            ffx.Decided("flow_reset", flow, {"reason": reason}),
+        ]
+
+    # Upstream
+
+    def _note_heard(self, now: Seconds) -> list[FlowEffect]:
+        was_lost = self.watch.is_lost
+        self.watch.note_heard(now)
+        return self.refresh_status("heard", now) if was_lost else []
+
+    def _lose_flows(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Reset the flows of an upstream that no longer holds them."""
+        effects: list[FlowEffect] = []
+        for flow, held in self.flows:
+            self.flows.remove(flow, now)
+            if not held.is_ended:
+                effects += self.reset(flow, held.acknowledged, reason)
+        return effects
+
+    def lose_upstream(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Give up the flows of an upstream that is proven gone."""
+        effects = [fx.Changed("upstream_lost", {"reason": reason})]
+        effects += self._lose_flows("upstream_lost", now)
+        return effects + self.refresh_status(reason, now)
+
+    def find_unable(self, now: Seconds) -> Unable | None:
+        """Return why the upstream may not take an open now, or None."""
+        limits = self.routes.limits_by_service.get(self.service)
+        if limits is None:
+            return Unable.ABSENT
+        return self.watch.find_unable(
+            limits.cold_opens, len(self.flows), limits.max_flows, now
+        )
+
+    def refresh_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Announce whether the upstream takes work, if that changed."""
+        unable = self.watch.find_unable(0.0, 0, 1, now)
+        status = Status.DRAINING if unable in UNABLE_TO_SERVE else Status.SERVING
+        if self.presence.me.status in (status, Status.LEFT):
+            return []
+        self.presence.announce(status)
+        fields = {"status": status.name.lower(), "reason": reason}
+        return [
+            fx.Changed("serving", fields),
+            *self.presence.send_heartbeats(0, 0, now),
+            *self._report_load(now),
+        ]
+
+    # Events
+
+    @singledispatchmethod
+    def handle(self, event: Event, now: Seconds) -> list[FlowEffect]:
+        """Take one event at a time and return what is to be done."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @handle.register(ev.ControlReceived)
+    def _(self, event: ev.ControlReceived, now: Seconds) -> list[FlowEffect]:
+        if self.silent.since_by_id:
+            self.silent.note_heard(f"{event.sender[0]}:{event.sender[1]}")
+        return self._take_message(event.message, event.sender, now)
+
+    @handle.register(fev.UpstreamReport)
+    def _(self, event: fev.UpstreamReport, now: Seconds) -> list[FlowEffect]:
+        if event.address != self.setup.upstream:
+            return [fx.Count("report_dropped", "wrong_address")]
+        first = self.watch.report is None
+        kind = self.watch.take_report(event, now)
+        effects: list[FlowEffect] = []
+        if kind is ReportKind.NEW_START:
+            effects += self._take_new_start(event, first, now)
+        if event.service != self.service and kind is not ReportKind.OUTDATED:
+            effects += self._change_service(event.service)
+        counted = fx.Count("upstream_report", kind.value)
+        return [*effects, counted, *self.refresh_status("report", now)]
+
+    @handle.register(fev.UpstreamLeft)
+    def _(self, event: fev.UpstreamLeft, now: Seconds) -> list[FlowEffect]:
+        report = self.watch.report
+        if report is None or report.upstream_id != event.upstream_id:
+            return [fx.Count("report_dropped", "other_upstream")]
+        self.watch.forget()
+        self._knows_all = True
+        return self.lose_upstream("left", now)
+
+    @handle.register(fev.UpstreamUnreachable)
+    def _(self, event: fev.UpstreamUnreachable, now: Seconds) -> list[FlowEffect]:
+        if self.watch.report is None or not self.watch.note_refused():
+            return []
+        return self.lose_upstream("nothing_listens", now)
+
+    @handle.register(fev.RoutesPulled)
+    def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
+        effects = self.routes.offer(event.table)
+        self.presence.table_revision = self.routes.revision
+        return effects + self.opener.retry_waiting(now)
+
+    @handle.register(fev.RoutesPullFailed)
+    def _(self, event: fev.RoutesPullFailed, now: Seconds) -> list[FlowEffect]:
+        self.routes.note_pull_failed()
+        return [fx.Count("pull_failed", "routes")]
+
+    @handle.register(ev.Leave)
+    def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
+        alive = self.watch.report is not None and not self.watch.is_lost
+        self.presence.announce(Status.DRAINING if alive else Status.LEFT)
+        return self.presence.send_heartbeats(0, 0, now)
+
+    @handle.register(ev.Tick)
+    def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
+        self._pardon_own_pause(now)
+        effects: list[FlowEffect] = list(self.presence.tick(0, 0, now))
+        effects += self.silent.tick(now)
+        if self.watch.note_absent(now):
+            effects += self.lose_upstream("absent", now)
+        effects += self.refresh_status("tick", now)
+        idle_limit = self.routes.table.idle_timeout + IDLE_SLACK
+        self.flows.sweep(idle_limit, now)
+        self.redirects.sweep(idle_limit, now)
+        if now >= self._next_report_at:
+            effects += self._report_load(now)
+        return effects
+
+    # Messages
+
+    @singledispatchmethod
+    def _take_message(
+        self, message: msg.FlowMessage, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return [fx.Count("control_dropped", "unexpected")]
+
+    @_take_message.register(msg.Placed)
+    def _(self, message: msg.Placed, sender: Address, now: Seconds) -> list[FlowEffect]:
+        self.opener.note_placed(message.flow)
+        if message.holder and message.holder != self.me:
+            self.redirects.note(message.flow, message.holder, now)
+        else:
+            self.redirects.forget(message.flow)
+        return []
+
+    @_take_message.register(msg.WhoHolds)
+    def _(
+        self, message: msg.WhoHolds, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return [fx.SendControl(sender, self.finder.answer(message.flow, now))]
+
+    @_take_message.register(msg.Holds)
+    def _(self, message: msg.Holds, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return self.finder.take_answer(message, f"{sender[0]}:{sender[1]}", now)
+
+    @_take_message.register(msg.LoadReport)
+    def _(
+        self, message: msg.LoadReport, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        node_id = f"{sender[0]}:{sender[1]}"
+        peer = self.placement.peer_by_id.get(node_id)
+        if peer is not None and message.service == self.service:
+            peer.take_report(message, now)
+        return []
+
+    @_take_message.register(msg.FlowHeartbeatAck)
+    def _(
+        self, message: msg.FlowHeartbeatAck, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        if not self.presence.take_flow_ack(message, sender, now):
+            return []
+        if message.agents is not None:
+            if self.placement.use_agents(message.agents, self.me):
+                self.agents_changed_at = now
+            self.presence.agents_digest = digest_agents(message.agents)
+        balancer = f"{sender[0]}:{sender[1]}"
+        return self.routes.learn_of(balancer, message.revision, now)
+
+    @_take_message.register(msg.RoutesChanged)
+    def _(
+        self, message: msg.RoutesChanged, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        balancer = f"{sender[0]}:{sender[1]}"
+        return self.routes.learn_of(balancer, message.revision, now)
+
+    @_take_message.register(msg.Ping)
+    def _(self, message: msg.Ping, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return [fx.SendControl(sender, msg.Pong())]
+
+    @_take_message.register(msg.Pong)
+    def _(self, message: msg.Pong, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return []
+
+    # Shared
+
+    def _take_new_start(
+        self, report: fev.UpstreamReport, first: bool, now: Seconds
+    ) -> list[FlowEffect]:
+        """Note an upstream that this process did not know in this start."""
+        fields = {
+            "upstream": report.upstream_id,
+            "service": report.service,
+            "slots": report.slots,
+            "draining": report.draining,
+            "cold_for": report.cold_for,
+        }
+        effects: list[FlowEffect] = [fx.Changed("upstream_started", fields)]
+        if first and report.sequence > 1 and not self._knows_all:
+            return effects
+        self._knows_all = True
+        return effects + self._lose_flows("upstream_restarted", now)
+
+    def _change_service(self, service: str) -> list[FlowEffect]:
+        before = self.presence.me
+        self.presence.me = msgspec.structs.replace(
+            before, service=service, version=before.version + 1
+        )
+        self.placement.peer_by_id.clear()
+        fields = {"service": service, "before": before.service}
+        return [fx.Changed("upstream_service", fields)]
+
+    def _report_load(self, now: Seconds) -> list[FlowEffect]:
+        peers = self.placement.peer_by_id
+        period = max(REPORT_PERIOD, len(peers) / REPORTS_PER_SECOND)
+        self._next_report_at = now + period
+        report = self.watch.report
+        slots = report.slots if report is not None else 1
+        message = msg.LoadReport(
+            self.routes.revision,
+            self.service,
+            self.find_unable(now) is None,
+            round(self.flows.compute_mean_busy(now) / max(1, slots), 3),
+            len(self.flows),
+        )
+        return [fx.SendControl(to_address(node_id), message) for node_id in peers]
+
+    def _pardon_own_pause(self, now: Seconds) -> None:
+        gap, self._last_tick_at = now - self._last_tick_at, now
+        if gap > PAUSE_LIMIT:
+            self.watch.pardon(gap)
+            self.deadlines.shift(gap)
--- /dev/null
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -0,0 +1,414 @@
+"""The decisions of a balancer about datagram flows, as one state machine.
+
+A balancer holds nothing that a flow would miss. Where a flow is it learns
+from the agents; until then it hands packets to the flow's home, the first
+agent of the service by rendezvous hash, which knows or finds out.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination import flow_events as fev
+from bilberrypath.coordination.deadlines import Deadlines
+from bilberrypath.coordination.fleet import PUSH_FANOUT, Fleet, send
+from bilberrypath.coordination.flow_places import FlowPlaces
+from bilberrypath.coordination.flow_ranking import FlowRanking
+from bilberrypath.coordination.freshness import Freshness
+from bilberrypath.coordination.ranking import is_reader
+from bilberrypath.coordination.route_keeper import RouteKeeper
+from bilberrypath.coordination.silent_peers import SilentPeers
+from bilberrypath.protocol import control as ctl
+from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_messages import to_address
+from bilberrypath.state.flow_agents import digest_agents
+from bilberrypath.state.members import Role, Status
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bilberrypath.coordination.events import Event
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.protocol.flow_packet import FlowPacket, PacketCodec
+    from bilberrypath.state.members import Member
+    from bilberrypath.state.routes import FlowRoute
+    from bilberrypath.types import Address, NodeId, Seconds, ServiceName
+
+PLACE_TIMEOUT: Seconds = 0.06  # two passes between agents, each with its own timeout
+FIND_TIMEOUT: Seconds = 0.15  # a search among the agents of a service takes 0.06 s
+MAX_TRIES = 4  # agents; a client's next copy begins anew
+MAX_SEEKING = 4096  # flows
+IDLE_SLACK: Seconds = 5.0  # a place outlives the flow's own idle timeout
+
+
+@define
+class Seeking:
+    """A flow whose place was asked for, and the agents asked so far.
+
+    ``others`` are services of the same route that may have the flow too.
+    """
+
+    packet: FlowPacket
+    service: ServiceName
+    others: list[ServiceName]
+    asked: list[NodeId] = Factory(list)
+
+
+class FlowBalancer:
+    """Hand packets of clients to agents, and keep members and routes.
+
+    Every public method takes the time as the last argument, a monotonic time
+    in seconds that never falls, and returns effects.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        seeds: tuple[Address, ...],
+        codec: PacketCodec,
+        rng: Random,
+        now: Seconds,
+    ) -> None:
+        self.rng = rng
+        self.routes = RouteKeeper()
+        self.freshness = Freshness()
+        self.fleet = Fleet(
+            me,
+            seeds,
+            rng,
+            self.freshness,
+            lambda: self.routes.revision,
+            self._learn_of,
+            now,
+        )
+        self.members = self.fleet.members
+        self.places = FlowPlaces()
+        self.silent = SilentPeers()
+        self._codec = codec
+        self._ranking = FlowRanking()
+        self._seeking_by_flow: dict[bytes, Seeking] = {}
+        self._deadlines: Deadlines[bytes] = Deadlines()
+        self._unreachable: frozenset[str] = frozenset()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether opens can be placed: routes are held and peers are known."""
+        return self.routes.revision > 0 and self.fleet.is_joined
+
+    @property
+    def reads_store(self) -> bool:
+        """Whether this balancer should watch the platform's service now."""
+        if self.routes.revision == 0:
+            return True
+        return is_reader(self.members.me, self.members.table)
+
+    def next_wake(self) -> Seconds | None:
+        """Return when :meth:`wake` is to be called, or None."""
+        return self._deadlines.next_at()
+
+    def wake(self, now: Seconds) -> list[FlowEffect]:
+        """Ask other agents for the flows whose place nobody told in time."""
+        effects: list[FlowEffect] = []
+        for flow in self._deadlines.take_due(now):
+            effects += self._ask_next(flow, now)
+        return effects
+
+    # Packets
+
+    def take_packet(self, datagram: bytes, now: Seconds) -> list[FlowEffect]:
+        """Return what to do with a datagram of a client."""
+        packet = self._codec.read_from_client(datagram)
+        if packet is None:
+            return [fx.Count("packet_dropped", "not_a_packet")]
+        holder = self.places.find(packet.flow, now)
+        if holder is None or self._is_gone(holder):
+            return self._seek(packet, now)
+        return [self._carry(packet, "", holder, False, True)]
+
+    def _is_gone(self, holder: NodeId) -> bool:
+        member = self.members.table.get(holder)
+        return member is not None and member.is_gone
+
+    def _seek(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+        route = self.routes.find_route(packet.flow)
+        if route is None:
+            return self._refuse_unknown(packet)
+        service = route.choose_service(packet.flow)
+        if service is None:
+            return [fx.Count("packet_dropped", "no_target")]
+        seeking = self._seeking_by_flow.get(packet.flow)
+        if seeking is not None:
+            return [self._ask(seeking, packet)]
+        home = self._choose(packet.flow, service, ())
+        if home is None:
+            return [fx.Count("packet_dropped", "no_agent")]
+        others = [] if packet.opens else _list_other_services(route, service)
+        seeking = Seeking(packet, service, others, [home])
+        if len(self._seeking_by_flow) < MAX_SEEKING:
+            self._seeking_by_flow[packet.flow] = seeking
+            self._set_deadline(packet, now)
+        return [self._ask(seeking, packet)]
+
+    def _refuse_unknown(self, packet: FlowPacket) -> list[FlowEffect]:
+        """Reset an open to an address without a route, if that is certain."""
+        if not packet.opens:
+            return [fx.Count("packet_dropped", "no_route")]
+        if not self.is_ready or self.routes.is_behind:
+            return [fx.Count("packet_dropped", "routes_behind")]
+        reset = self._codec.make_reset(packet.flow, packet.acknowledged)
+        return [
+            fx.Count("open_refused", "no_route"),
+            ffx.SendToClient(packet.flow, reset),
+            ffx.Decided(
+                "open_refused",
+                packet.flow,
+                {"reason": "no_route", "revision": self.routes.revision},
+            ),
+        ]
+
+    def _set_deadline(self, packet: FlowPacket, now: Seconds) -> None:
+        timeout = PLACE_TIMEOUT if packet.opens else FIND_TIMEOUT
+        self._deadlines.set(packet.flow, now + timeout)
+
+    def _ask_next(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
+        seeking = self._seeking_by_flow.get(flow)
+        if seeking is None:
+            return []
+        late = seeking.asked[-1]
+        effects = self.silent.note_late(late, now)
+        target = self._choose(flow, seeking.service, seeking.asked)
+        if target is None or len(seeking.asked) >= MAX_TRIES:
+            del self._seeking_by_flow[flow]
+            return [*effects, fx.Count("packet_dropped", "no_answer")]
+        seeking.asked.append(target)
+        self._set_deadline(seeking.packet, now)
+        fields = {"late": late, "to": target, "revision": self.routes.revision}
+        return [
+            *effects,
+            ffx.Decided("asked_next", flow, fields),
+            self._ask(seeking, seeking.packet),
+        ]
+
+    def _choose(
+        self, flow: bytes, service: ServiceName, asked: list[NodeId] | tuple
+    ) -> NodeId | None:
+        passed_over = {*self.silent.since_by_id, *asked}
+        choice = self._ranking.choose(
+            flow, service, self.members.table, passed_over, self._unreachable
+        )
+        return None if choice in asked else choice
+
+    def _ask(self, seeking: Seeking, packet: FlowPacket) -> fx.SendControl:
+        """Hand a packet to the agent that was asked last."""
+        to = seeking.asked[-1]
+        return self._carry(packet, seeking.service, to, True, not seeking.others)
+
+    def _ask_other_service(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
+        """Look for a flow in the next service that its route leads to."""
+        seeking = self._seeking_by_flow[flow]
+        seeking.service = seeking.others.pop()
+        home = self._choose(flow, seeking.service, ())
+        if home is None:
+            del self._seeking_by_flow[flow]
+            return [fx.Count("packet_dropped", "no_agent")]
+        seeking.asked = [home]
+        self._set_deadline(seeking.packet, now)
+        return [self._ask(seeking, seeking.packet)]
+
+    def _carry(
+        self,
+        packet: FlowPacket,
+        service: ServiceName,
+        to: NodeId,
+        seeks: bool,
+        may_reset: bool,
+    ) -> fx.SendControl:
+        message = msg.Carry(
+            self.routes.revision,
+            service,
+            self.members.me.node_id,
+            seeks,
+            "",
+            (),
+            0,
+            may_reset,
+            packet.datagram,
+        )
+        return fx.SendControl(to_address(to), message)
+
+    # Events
+
+    @singledispatchmethod
+    def handle(self, event: Event, now: Seconds) -> list[FlowEffect]:
+        """Take one event at a time and return what is to be done."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @handle.register(ev.ControlReceived)
+    def _(self, event: ev.ControlReceived, now: Seconds) -> list[FlowEffect]:
+        if self.silent.since_by_id:
+            self.silent.note_heard(f"{event.sender[0]}:{event.sender[1]}")
+        effects = self._take_message(event.message, event.sender, now)
+        self._forget_changed()
+        return effects
+
+    @handle.register(ev.TablePulled)
+    def _(self, event: ev.TablePulled, now: Seconds) -> list[FlowEffect]:
+        effects = self.fleet.take_table(event, now)
+        self._forget_changed()
+        return effects
+
+    @handle.register(ev.PullFailed)
+    def _(self, event: ev.PullFailed, now: Seconds) -> list[FlowEffect]:
+        return [fx.Count("pull_failed", "members")]
+
+    @handle.register(fev.RoutesPulled)
+    def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
+        return self._adopt(self.routes.offer(event.table))
+
+    @handle.register(fev.RoutesRead)
+    def _(self, event: fev.RoutesRead, now: Seconds) -> list[FlowEffect]:
+        if event.table is None:
+            return []
+        return self._adopt(self.routes.offer(event.table))
+
+    @handle.register(fev.RoutesPullFailed)
+    def _(self, event: fev.RoutesPullFailed, now: Seconds) -> list[FlowEffect]:
+        self.routes.note_pull_failed()
+        return [fx.Count("pull_failed", "routes")]
+
+    @handle.register(ev.Leave)
+    def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
+        self.members.announce(Status.LEFT)
+        drawn = self.fleet.draw(self.members.list_peers(), PUSH_FANOUT)
+        return [send(peer, ctl.Gossip(self.fleet.make_news())) for peer in drawn]
+
+    @handle.register(ev.Tick)
+    def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
+        effects: list[FlowEffect] = list(self.members.tick(now))
+        self._unreachable = self.members.beacons.list_unreachable(now)
+        peers = self.members.list_peers()
+        effects += self.fleet.probe(peers, now)
+        effects += self.fleet.seek_seeds(peers, now)
+        effects += self.fleet.spread_rumours(peers)
+        effects += self.fleet.compare(now)
+        effects += self.silent.tick(now)
+        self.fleet.stop_waiting_to_join(now)
+        self.places.sweep(self.routes.table.idle_timeout + IDLE_SLACK, now)
+        self._forget_changed()
+        return effects
+
+    # Messages
+
+    @singledispatchmethod
+    def _take_message(
+        self, message: msg.FlowMessage, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return [fx.Count("control_dropped", "unexpected")]
+
+    @_take_message.register(msg.Placed)
+    def _(self, message: msg.Placed, sender: Address, now: Seconds) -> list[FlowEffect]:
+        seeking = self._seeking_by_flow.get(message.flow)
+        if seeking is not None:
+            self._deadlines.clear(message.flow)
+            if not message.holder and seeking.others:
+                return self._ask_other_service(message.flow, now)
+            del self._seeking_by_flow[message.flow]
+        if message.holder:
+            self.places.note(message.flow, message.holder, now)
+        else:
+            self.places.forget(message.flow)
+        return []
+
+    @_take_message.register(msg.FlowHeartbeat)
+    def _(
+        self, message: msg.FlowHeartbeat, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        member = message.member
+        if member.role is not Role.AGENT or member.address != sender:
+            return [fx.Count("control_dropped", "wrong_sender")]
+        effects = self.members.merge(member, now)
+        if not member.is_gone:
+            self.members.hearing.note(member.node_id, message.revision, 0, now)
+        self.members.beacons.note_heard(member.data_centre, now)
+        effects += self.routes.learn_of(member.node_id, message.revision, now)
+        return [*effects, fx.SendControl(sender, self._answer_heartbeat(message))]
+
+    @_take_message.register(msg.RoutesChanged)
+    def _(
+        self, message: msg.RoutesChanged, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return self._learn_of(sender, message.revision, now)
+
+    @_take_message.register(msg.Ping)
+    def _(self, message: msg.Ping, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return [fx.SendControl(sender, msg.Pong())]
+
+    @_take_message.register(msg.Pong)
+    def _(self, message: msg.Pong, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return []
+
+    @_take_message.register(ctl.Probe)
+    def _(self, message: ctl.Probe, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return self.fleet.answer_probe(message, sender, now)
+
+    @_take_message.register(ctl.ProbeFor)
+    def _(
+        self, message: ctl.ProbeFor, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return self.fleet.relay_probe(message, sender, now)
+
+    @_take_message.register(ctl.ProbeAck)
+    def _(
+        self, message: ctl.ProbeAck, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return self.fleet.take_probe_ack(message, sender, now)
+
+    @_take_message.register(ctl.Gossip)
+    def _(self, message: ctl.Gossip, sender: Address, now: Seconds) -> list[FlowEffect]:
+        return self.fleet.take_news(message.news, sender, now)
+
+    # Shared
+
+    def _answer_heartbeat(self, message: msg.FlowHeartbeat) -> msg.FlowHeartbeatAck:
+        member = message.member
+        table = self.members.table
+        agents = tuple(table.list_agents(member.service))
+        same = digest_agents(agents) == message.agents_digest
+        return msg.FlowHeartbeatAck(
+            message.sequence,
+            self.routes.revision,
+            table.get(member.node_id) or member,
+            self.members.list_homes(member.node_id, member.data_centre),
+            None if same else agents,
+        )
+
+    def _learn_of(
+        self, sender: Address, revision: int, now: Seconds
+    ) -> list[FlowEffect]:
+        return self.routes.learn_of(f"{sender[0]}:{sender[1]}", revision, now)
+
+    def _adopt(self, effects: list[FlowEffect]) -> list[FlowEffect]:
+        """Tell peers and agents of a table that was just taken over."""
+        if not any(isinstance(effect, ffx.RoutesAdopted) for effect in effects):
+            return effects
+        self.fleet.note_adopted(self.routes.revision)
+        told = self.fleet.draw(self.members.list_peers(), PUSH_FANOUT)
+        told += list(self.members.hearing.heard_by_id)
+        message = msg.RoutesChanged(self.routes.revision)
+        return [*effects, *(send(node_id, message) for node_id in told)]
+
+    def _forget_changed(self) -> None:
+        if self.members.changed_services:
+            self._ranking.forget(self.members.changed_services)
+            self.members.changed_services.clear()
+
+
+def _list_other_services(route: FlowRoute, service: ServiceName) -> list[ServiceName]:
+    """Return the services that may have flows of a route, but for one."""
+    return [t.service for t in route.targets if t.service != service]
--- /dev/null
+++ b/bilberrypath/coordination/flow_finder.py
@@ -0,0 +1,172 @@
+"""How an agent finds the holder of a flow that it does not know."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import Factory, define, field
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination.flow_search import (
+    Found,
+    Nowhere,
+    Search,
+    SearchEnd,
+    Searches,
+    TryNext,
+)
+from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_messages import Carry, to_address
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.protocol.flow_packet import FlowPacket
+    from bilberrypath.types import NodeId, Seconds
+
+SEARCH_TIMEOUT: Seconds = 0.05  # several round trips; a client copies after 200 ms
+SETTLE_TIME: Seconds = 3.0  # in which a new agent is known to all of its service
+MAX_GUESSES = 4096  # flows; a refused packet comes back within a ms
+
+
+@define
+class FlowFinder:
+    """Find flows for one agent, or prove that they are gone."""
+
+    agent: FlowAgent = field(repr=False)
+    searches: Searches = Factory(Searches)
+    _guess_by_flow: dict[bytes, Carry] = Factory(dict)
+
+    def keep(self, carry: Carry, packet: FlowPacket) -> bool:
+        """Return whether a packet now waits for the search of its flow."""
+        search = self.searches.get(packet.flow)
+        return search is not None and search.keep(carry, packet)
+
+    def find(self, carry: Carry, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+        """Try the own upstream if it may have the flow, else ask the others."""
+        agent = self.agent
+        if agent.me in carry.tried or agent.knows_all_flows(now):
+            return self._ask(carry, packet, now)
+        held = agent.flows.add(packet, confirmed=False, now=now)
+        agent.flows.note_client(held, packet, now)
+        self._note_guess(packet.flow, carry)
+        return [
+            ffx.SendToUpstream(packet.datagram),
+            *agent.tell_place(carry, packet.flow, agent.me),
+            fx.Count("flow_adopted", "guess"),
+        ]
+
+    def take_refused(
+        self, packet: FlowPacket, was_confirmed: bool, now: Seconds
+    ) -> list[FlowEffect]:
+        """Go on with a packet whose flow the upstream does not have."""
+        agent = self.agent
+        if self.searches.get(packet.flow) is not None:
+            return []
+        carry = self._guess_by_flow.pop(packet.flow, None)
+        if carry is None:
+            carry = Carry(
+                agent.routes.revision,
+                agent.service,
+                "",
+                False,
+                "",
+                (),
+                0,
+                True,
+                packet.datagram,
+            )
+        reason = "flow_lost" if was_confirmed else "wrong_guess"
+        return [
+            fx.Count("flow_refused", reason),
+            *self._ask(carry, packet, now),
+        ]
+
+    def answer(self, flow: bytes, now: Seconds) -> msg.Holds:
+        """Return what this agent knows of a flow."""
+        agent = self.agent
+        if agent.flows.get(flow) is not None:
+            return msg.Holds(flow, agent.me, False)
+        holder = agent.redirects.find(flow, now)
+        if holder is not None and holder in agent.placement.peer_by_id:
+            return msg.Holds(flow, holder, False)
+        return msg.Holds(flow, "", not agent.knows_all_flows(now))
+
+    def take_answer(
+        self, answer: msg.Holds, sender: NodeId, now: Seconds
+    ) -> list[FlowEffect]:
+        """Take in another agent's answer."""
+        end = self.searches.take_answer(answer, sender)
+        return [] if end is None else self._end(answer.flow, end, now)
+
+    def stop_waiting(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
+        """End a search with the answers that came in time."""
+        search = self.searches.get(flow)
+        if search is None:
+            return []
+        effects: list[FlowEffect] = []
+        for node_id in sorted(search.waiting):
+            effects += self.agent.silent.note_late(node_id, now)
+        return effects + self._end(flow, self.searches.conclude(flow), now)
+
+    def _note_guess(self, flow: bytes, carry: Carry) -> None:
+        """Keep who asked, until the upstream hands the packet back."""
+        self._guess_by_flow[flow] = carry
+        if len(self._guess_by_flow) > MAX_GUESSES:
+            del self._guess_by_flow[next(iter(self._guess_by_flow))]
+
+    def _ask(self, carry: Carry, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+        agent = self.agent
+        tried = tuple(dict.fromkeys((*carry.tried, agent.me)))
+        others = [n for n in agent.placement.peer_by_id if n not in tried]
+        search = self.searches.begin(carry, packet, tried, others)
+        if search is None:
+            return [fx.Count("packet_dropped", "too_many_searches")]
+        if not others:
+            return self._end(packet.flow, self.searches.conclude(packet.flow), now)
+        agent.deadlines.set(("search", packet.flow), now + SEARCH_TIMEOUT)
+        question = msg.WhoHolds(packet.flow)
+        return [fx.SendControl(to_address(node_id), question) for node_id in others]
+
+    def _end(self, flow: bytes, end: SearchEnd, now: Seconds) -> list[FlowEffect]:
+        self.agent.deadlines.clear(("search", flow))
+        search = self.searches.end(flow)
+        if isinstance(end, Found):
+            self.agent.redirects.note(flow, end.holder, now)
+            return self._hand_over(search, end.holder, "found")
+        if isinstance(end, TryNext):
+            return self._hand_over(search, end.agent, "try_next")
+        return self._give_up(flow, search, end, now)
+
+    def _hand_over(self, search: Search, to: NodeId, reason: str) -> list[FlowEffect]:
+        effects: list[FlowEffect] = [fx.Count("flow_search", reason)]
+        for carry, packet in search.carries:
+            passed = msgspec.structs.replace(carry, tried=search.tried)
+            effects += self.agent.pass_to(to, passed, packet)
+        flow = search.carries[0][1].flow
+        fields = {"to": to, "reason": reason, "tried": list(search.tried)}
+        return [*effects, ffx.Decided("flow_handed_over", flow, fields)]
+
+    def _give_up(
+        self, flow: bytes, search: Search, end: Nowhere, now: Seconds
+    ) -> list[FlowEffect]:
+        """Reset a flow that nobody has, if that is certain."""
+        agent = self.agent
+        carry, packet = search.carries[-1]
+        told = agent.tell_place(carry, flow, "")
+        settled = now - agent.agents_changed_at > SETTLE_TIME
+        may_reset = all(kept.may_reset for kept, _ in search.carries)
+        if end.certain and settled and may_reset and not packet.resets:
+            return [*told, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
+        fields = {
+            "certain": end.certain,
+            "settled": settled,
+            "silent": sorted(search.waiting),
+        }
+        return [
+            *told,
+            fx.Count("flow_search", "nobody"),
+            ffx.Decided("flow_not_found", flow, fields),
+        ]
--- /dev/null
+++ b/bilberrypath/coordination/flow_opener.py
@@ -0,0 +1,255 @@
+"""How an agent places opens: take one, pass it on, or refuse it.
+
+What must never reach the upstream is refused here: opens on a route that the
+table in force does not allow, in a data centre that is out, while the upstream
+drains, and above what it bears in cold start.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import Factory, define, field, frozen
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination.open_placement import MAX_HOPS, OwnLoad
+from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_messages import to_address
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.protocol.flow_messages import Carry
+    from bilberrypath.protocol.flow_packet import FlowPacket
+    from bilberrypath.types import NodeId, Seconds
+
+PASS_TIMEOUT: Seconds = 0.025  # several round trips between data centres
+ACCEPT_TIMEOUT: Seconds = 0.04  # an upstream accepts within a ms; a slow one in 40
+ROUTES_TIMEOUT: Seconds = 0.1  # half of a client's first wait for its open
+MAX_WAITING = 256  # opens that wait for a newer table of routes
+
+
+@frozen
+class Opening:
+    """An open and who handed it here."""
+
+    carry: Carry
+    packet: FlowPacket
+    sender: NodeId
+    since: Seconds
+
+
+@frozen
+class Passing:
+    """An open that was passed on, until somebody tells that he took it."""
+
+    carry: Carry
+    packet: FlowPacket
+    to: NodeId
+
+
+@define
+class FlowOpener:
+    """Place the opens that come to one agent."""
+
+    agent: FlowAgent = field(repr=False)
+    _opening_by_flow: dict[bytes, Opening] = Factory(dict)
+    _passing_by_flow: dict[bytes, Passing] = Factory(dict)
+    _waiting_by_flow: dict[bytes, Opening] = Factory(dict)
+
+    def place(
+        self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
+    ) -> list[FlowEffect]:
+        """Return what to do with an open, once the table of routes is as new."""
+        behind = carry.revision > self.agent.routes.revision
+        if behind and len(self._waiting_by_flow) < MAX_WAITING:
+            opening = Opening(carry, packet, sender, now)
+            self._waiting_by_flow[packet.flow] = opening
+            self.agent.deadlines.set(("routes", packet.flow), now + ROUTES_TIMEOUT)
+            return [fx.Count("open_waits", "routes_behind")]
+        return self._judge(carry, packet, sender, now)
+
+    def retry_waiting(self, now: Seconds) -> list[FlowEffect]:
+        """Place the opens that waited for a newer table of routes."""
+        waiting, self._waiting_by_flow = self._waiting_by_flow, {}
+        effects: list[FlowEffect] = []
+        for flow, opening in waiting.items():
+            self.agent.deadlines.clear(("routes", flow))
+            effects += self.place(opening.carry, opening.packet, opening.sender, now)
+        return effects
+
+    def note_placed(self, flow: bytes) -> None:
+        """Record that somebody took an open that was passed on."""
+        if self._passing_by_flow.pop(flow, None) is not None:
+            self.agent.deadlines.clear(("pass", flow))
+
+    def note_accepted(self, flow: bytes, now: Seconds) -> None:
+        """Record that the upstream accepted an open."""
+        if self._opening_by_flow.pop(flow, None) is not None:
+            self.agent.deadlines.clear(("open", flow))
+
+    def take_refused(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+        """Pass on an open that the upstream handed back."""
+        opening = self._opening_by_flow.pop(packet.flow, None)
+        if opening is None:
+            return []
+        self.agent.deadlines.clear(("open", packet.flow))
+        return self._pass_unable(opening.carry, packet, "upstream_refused", now)
+
+    def take_deadline(self, kind: str, flow: bytes, now: Seconds) -> list[FlowEffect]:
+        """Act on an open that nobody answered in time."""
+        if kind == "routes":
+            waiting = self._waiting_by_flow.pop(flow)
+            return self._judge(waiting.carry, waiting.packet, waiting.sender, now)
+        if kind == "pass":
+            return self._pass_again(self._passing_by_flow.pop(flow), now)
+        return self._give_up_opening(self._opening_by_flow.pop(flow), now)
+
+    def _judge(
+        self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
+    ) -> list[FlowEffect]:
+        refused = self._check_routes(carry, packet)
+        if refused is not None:
+            return refused
+        unable = self._find_unable(now)
+        if unable is not None:
+            return self._pass_unable(carry, packet, unable, now)
+        other = self._find_less_busy(carry, sender, now)
+        if other is not None:
+            return self._pass_on(carry, packet, other, "load", now)
+        return self._accept(carry, packet, sender, now)
+
+    def _check_routes(
+        self, carry: Carry, packet: FlowPacket
+    ) -> list[FlowEffect] | None:
+        """Return what to do with an open that may not come here, or None.
+
+        A balancer with an older table than ours may have routed it wrongly.
+        """
+        agent = self.agent
+        if carry.service not in ("", agent.service):
+            told = agent.tell_place(carry, packet.flow, "")
+            return [fx.Count("open_dropped", "other_service"), *told]
+        if carry.revision >= agent.routes.revision and carry.service:
+            return None
+        news = msg.RoutesChanged(agent.routes.revision)
+        told = agent.tell_place(carry, packet.flow, "")
+        told.append(fx.SendControl(to_address(carry.origin), news))
+        route = agent.routes.find_route(packet.flow)
+        if route is None:
+            reset = agent.reset(packet.flow, packet.acknowledged, "no_route")
+            return [*told, *reset]
+        if not route.allows(agent.service):
+            return [*told, fx.Count("open_dropped", "routed_by_older_table")]
+        return None
+
+    def _find_unable(self, now: Seconds) -> str | None:
+        agent = self.agent
+        if agent.setup.me.data_centre in agent.routes.table.out:
+            return "data_centre_out"
+        unable = agent.find_unable(now)
+        return None if unable is None else unable.value
+
+    def _find_less_busy(
+        self, carry: Carry, sender: NodeId, now: Seconds
+    ) -> NodeId | None:
+        if carry.hops >= MAX_HOPS:
+            return None
+        agent = self.agent
+        report = agent.watch.report
+        slots = report.slots if report is not None else 1
+        busy = agent.flows.busy_count
+        pressure = agent.flows.compute_mean_busy(now) / max(1, slots)
+        passed_over = {sender, *carry.tried, *agent.silent.since_by_id}
+        out = agent.routes.table.out
+        own = OwnLoad(busy, slots, pressure)
+        return agent.placement.choose_less_busy(own, passed_over, out, now)
+
+    def _accept(
+        self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
+    ) -> list[FlowEffect]:
+        agent = self.agent
+        flow = packet.flow
+        held = agent.flows.add(packet, confirmed=True, now=now)
+        agent.flows.note_client(held, packet, now)
+        agent.watch.note_open(now)
+        self._opening_by_flow[flow] = Opening(carry, packet, sender, now)
+        agent.deadlines.set(("open", flow), now + ACCEPT_TIMEOUT)
+        fields = {
+            "busy": agent.flows.busy_count,
+            "hops": carry.hops,
+            "revision": agent.routes.revision,
+            "balancer": carry.origin,
+        }
+        return [
+            ffx.SendToUpstream(packet.datagram),
+            *agent.tell_place(carry, flow, agent.me, sender),
+            fx.Count("open", "accepted"),
+            ffx.Decided("open_accepted", flow, fields),
+        ]
+
+    def _pass_unable(
+        self, carry: Carry, packet: FlowPacket, reason: str, now: Seconds
+    ) -> list[FlowEffect]:
+        agent = self.agent
+        tried = (*carry.tried, agent.me)
+        carry = msgspec.structs.replace(carry, tried=tried)
+        out = agent.routes.table.out
+        passed_over = {*tried, *agent.silent.since_by_id}
+        other = agent.placement.choose_any(passed_over, out, now)
+        if other is not None:
+            return self._pass_on(carry, packet, other, reason, now)
+        return self._refuse(carry, packet, reason)
+
+    def _refuse(
+        self, carry: Carry, packet: FlowPacket, reason: str
+    ) -> list[FlowEffect]:
+        """Tell the client at once that nobody can take its open."""
+        agent = self.agent
+        fields = {"reason": reason, "tried": list(carry.tried)}
+        return [
+            *agent.tell_place(carry, packet.flow, ""),
+            *agent.reset(packet.flow, packet.acknowledged, "nobody_able"),
+            fx.Count("open", "refused"),
+            ffx.Decided("open_refused", packet.flow, fields),
+        ]
+
+    def _pass_on(
+        self, carry: Carry, packet: FlowPacket, to: NodeId, reason: str, now: Seconds
+    ) -> list[FlowEffect]:
+        agent = self.agent
+        flow = packet.flow
+        agent.redirects.note(flow, to, now)
+        self._passing_by_flow[flow] = Passing(carry, packet, to)
+        agent.deadlines.set(("pass", flow), now + PASS_TIMEOUT)
+        fields = {"to": to, "reason": reason, "busy": agent.flows.busy_count}
+        return [
+            *agent.pass_to(to, carry, packet),
+            fx.Count("open_passed_on", reason),
+            ffx.Decided("open_passed_on", flow, fields),
+        ]
+
+    def _pass_again(self, passing: Passing, now: Seconds) -> list[FlowEffect]:
+        agent = self.agent
+        agent.redirects.forget(passing.packet.flow)
+        carry = msgspec.structs.replace(
+            passing.carry, tried=(*passing.carry.tried, passing.to)
+        )
+        return [
+            *agent.silent.note_late(passing.to, now),
+            *self._judge(carry, passing.packet, "", now),
+        ]
+
+    def _give_up_opening(self, opening: Opening, now: Seconds) -> list[FlowEffect]:
+        """Pass on an open that the upstream left unanswered."""
+        agent = self.agent
+        agent.flows.remove(opening.packet.flow, now)
+        effects: list[FlowEffect] = [fx.Count("upstream_silent", "open")]
+        if agent.watch.note_late_open(now):
+            effects += agent.lose_upstream("silent", now)
+        effects += self._pass_unable(
+            opening.carry, opening.packet, "upstream_silent", now
+        )
+        return effects
--- /dev/null
+++ b/bilberrypath/coordination/flow_presence.py
@@ -0,0 +1,50 @@
+"""How an agent of datagram flows makes itself known to its balancers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from bilberrypath.coordination.effects import SendControl
+from bilberrypath.coordination.presence import Presence
+from bilberrypath.protocol.flow_messages import FlowHeartbeat, FlowHeartbeatAck
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.effects import Effect
+    from bilberrypath.types import Address, Revision, Seconds
+
+
+@define
+class FlowPresence(Presence):
+    """Send heartbeats that name the table of routes and the agents known."""
+
+    table_revision: Revision = 0
+    agents_digest: int = 0
+
+    def send_heartbeats(self, load: int, running: int, now: Seconds) -> list[Effect]:
+        """Return a heartbeat to each home, or to seeds while none is known."""
+        return [
+            SendControl(
+                target,
+                FlowHeartbeat(
+                    self.me,
+                    self.freshness.start(now),
+                    self.table_revision,
+                    self.agents_digest,
+                ),
+            )
+            for target in self._list_targets(now)
+        ]
+
+    def take_flow_ack(
+        self, ack: FlowHeartbeatAck, balancer: Address, now: Seconds
+    ) -> bool:
+        """Take in a balancer's answer; return whether it answers a heartbeat."""
+        if self.freshness.confirm(ack.sequence) is None:
+            return False
+        self.note_balancer(balancer, now)
+        if ack.homes:
+            self._homes = ack.homes
+        self._answer_known(ack.known)
+        return True
--- /dev/null
+++ b/bilberrypath/coordination/held_flows.py
@@ -0,0 +1,137 @@
+"""The flows of one upstream, as its agent sees them pass.
+
+A request's bytes are never read. A flow is busy from the first data of its
+client until the upstream's next data, and the busy flows are the load.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from bilberrypath.protocol.flow_packet import FlowPacket
+    from bilberrypath.types import Seconds
+
+PRESSURE_TIME: Seconds = 1.0  # constant of the moving mean of busy flows
+LINGER: Seconds = 5.0  # an ended flow's late packets come within three 1.6 s intervals
+BUSY_LIMIT: Seconds = 10.0  # a request without answer for so long was given up
+SWEEP_COUNT = 256  # flows looked at each tick
+
+
+@define(slots=True)
+class HeldFlow:
+    """One flow of the upstream.
+
+    ``confirmed`` is false while only our own guess says that the upstream has
+    the flow. ``acknowledged`` is the client's last, for a reset.
+    """
+
+    seen_at: Seconds
+    acknowledged: int
+    is_open: bool = False
+    confirmed: bool = False
+    busy_since: Seconds | None = None
+    client_closed: bool = False
+    upstream_closed: bool = False
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether both ends have closed the flow."""
+        return self.client_closed and self.upstream_closed
+
+
+@define
+class HeldFlows:
+    """The flows by key, how many are busy, and the mean of that of late."""
+
+    flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
+    busy_count: int = 0
+    _mean_busy: float = 0.0
+    _mean_at: Seconds = float("-inf")
+    _sweep: list[bytes] = Factory(list)
+
+    def __len__(self) -> int:
+        return len(self.flow_by_key)
+
+    def __iter__(self) -> Iterator[tuple[bytes, HeldFlow]]:
+        return iter(list(self.flow_by_key.items()))
+
+    def get(self, flow: bytes) -> HeldFlow | None:
+        """Return a flow that the upstream holds, or None."""
+        return self.flow_by_key.get(flow)
+
+    def add(self, packet: FlowPacket, confirmed: bool, now: Seconds) -> HeldFlow:
+        """Begin to hold a flow."""
+        held = HeldFlow(now, packet.acknowledged, confirmed=confirmed)
+        held.is_open = not packet.opens
+        self.flow_by_key[packet.flow] = held
+        return held
+
+    def remove(self, flow: bytes, now: Seconds) -> HeldFlow | None:
+        """Stop holding a flow, and return it if it was held."""
+        held = self.flow_by_key.pop(flow, None)
+        if held is not None:
+            self._end_busy(held, now)
+        return held
+
+    def note_client(self, held: HeldFlow, packet: FlowPacket, now: Seconds) -> None:
+        """Record a packet of the client."""
+        held.seen_at = now
+        if not packet.opens:
+            held.acknowledged = packet.acknowledged
+        if packet.closes or packet.resets:
+            held.client_closed = True
+        if packet.data_length and held.busy_since is None:
+            self._move_mean(now)
+            held.busy_since = now
+            self.busy_count += 1
+
+    def note_upstream(self, held: HeldFlow, packet: FlowPacket, now: Seconds) -> None:
+        """Record a packet of the upstream."""
+        held.seen_at = now
+        held.confirmed = True
+        if packet.accepts_open or packet.data_length:
+            held.is_open = True
+        if packet.data_length or packet.closes or packet.resets:
+            self._end_busy(held, now)
+        if packet.closes:
+            held.upstream_closed = True
+        if packet.resets:
+            held.client_closed = held.upstream_closed = True
+
+    def compute_mean_busy(self, now: Seconds) -> float:
+        """Return the mean number of busy flows of late."""
+        self._move_mean(now)
+        return self._mean_busy
+
+    def sweep(self, idle_limit: Seconds, now: Seconds) -> None:
+        """Drop some of the flows that ended or were idle for too long."""
+        if not self._sweep:
+            self._sweep = list(self.flow_by_key)
+        for _ in range(min(SWEEP_COUNT, len(self._sweep))):
+            flow = self._sweep.pop()
+            held = self.flow_by_key.get(flow)
+            if held is None:
+                continue
+            if held.busy_since is not None and now - held.busy_since > BUSY_LIMIT:
+                self._end_busy(held, now)
+            limit = LINGER if held.is_ended else idle_limit
+            if now - held.seen_at > limit:
+                self.remove(flow, now)
+
+    def _end_busy(self, held: HeldFlow, now: Seconds) -> None:
+        if held.busy_since is None:
+            return
+        self._move_mean(now)
+        held.busy_since = None
+        self.busy_count -= 1
+
+    def _move_mean(self, now: Seconds) -> None:
+        weight = math.exp(-max(0.0, now - self._mean_at) / PRESSURE_TIME)
+        self._mean_busy = self.busy_count + (self._mean_busy - self.busy_count) * weight
+        self._mean_at = now
--- /dev/null
+++ b/bilberrypath/coordination/open_placement.py
@@ -0,0 +1,134 @@
+"""Which agent of a service takes an open.
+
+The home of a flow takes the open itself unless another agent is clearly less
+busy. Loads of others are reports of a moment ago, so the choice is made among
+a few drawn at random, and what was just sent there is added.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+    from random import Random
+
+    from bilberrypath.protocol.flow_messages import LoadReport
+    from bilberrypath.state.members import Member
+    from bilberrypath.types import DataCentreName, NodeId, Seconds
+
+DRAWN = 3  # agents compared for an open
+MARGIN = 0.15  # of the slots; a smaller gain is not worth the way
+SENT_WEIGHT = 0.3  # of a slot; an open runs about a third of a report's period
+REPORT_LIMIT: Seconds = 2.0  # older reports say nothing of the load
+MAX_HOPS = 3  # passes from agent to agent before the load no longer counts
+
+
+@define
+class PeerAgent:
+    """Another agent of the service, with its last word."""
+
+    member: Member
+    report: LoadReport | None = None
+    heard_at: Seconds = float("-inf")
+    sent_since: int = 0
+
+    def take_report(self, report: LoadReport, now: Seconds) -> None:
+        """Take in the agent's word of its load."""
+        self.report = report
+        self.heard_at = now
+        self.sent_since = 0
+
+    def takes_opens(self, now: Seconds) -> bool:
+        """Return whether the agent may take an open, as far as is known."""
+        if not self.member.takes_work:
+            return False
+        if self.report is None or now - self.heard_at > REPORT_LIMIT:
+            return True
+        return self.report.takes_opens
+
+    def rate_pressure(self, now: Seconds) -> float:
+        """Return the pressure that is to be expected, 1 where nothing is known."""
+        if self.report is None or now - self.heard_at > REPORT_LIMIT:
+            return 1.0
+        return self.report.pressure + SENT_WEIGHT * self.sent_since
+
+
+@frozen
+class OwnLoad:
+    """The load of the agent that decides: busy flows, slots, mean pressure."""
+
+    busy: int
+    slots: int
+    pressure: float
+
+
+@define
+class OpenPlacement:
+    """Choose another agent for an open, or none."""
+
+    rng: Random
+    peer_by_id: dict[NodeId, PeerAgent] = Factory(dict)
+
+    def use_agents(self, agents: tuple[Member, ...], me: NodeId) -> bool:
+        """Take over the agents of the service; return whether one came or went."""
+        before = set(self.peer_by_id)
+        found = {member.node_id: member for member in agents if member.node_id != me}
+        for node_id in before - set(found):
+            del self.peer_by_id[node_id]
+        for node_id, member in found.items():
+            peer = self.peer_by_id.get(node_id)
+            if peer is None:
+                self.peer_by_id[node_id] = PeerAgent(member)
+            else:
+                peer.member = member
+        return before != set(found)
+
+    def choose_less_busy(
+        self,
+        own: OwnLoad,
+        passed_over: Container[NodeId],
+        out: Container[DataCentreName],
+        now: Seconds,
+    ) -> NodeId | None:
+        """Return an agent that is clearly less busy than this one, or None."""
+        best = self._draw_best(passed_over, out, now)
+        if best is None:
+            return None
+        gain = own.pressure - best.rate_pressure(now)
+        is_full = own.busy >= own.slots
+        if gain > MARGIN or (is_full and gain > 0):
+            return self._send_to(best)
+        return None
+
+    def choose_any(
+        self,
+        passed_over: Container[NodeId],
+        out: Container[DataCentreName],
+        now: Seconds,
+    ) -> NodeId | None:
+        """Return the best agent for an open that can't be taken here, or None."""
+        best = self._draw_best(passed_over, out, now)
+        return None if best is None else self._send_to(best)
+
+    def _send_to(self, peer: PeerAgent) -> NodeId:
+        peer.sent_since += 1
+        return peer.member.node_id
+
+    def _draw_best(
+        self,
+        passed_over: Container[NodeId],
+        out: Container[DataCentreName],
+        now: Seconds,
+    ) -> PeerAgent | None:
+        able = [
+            peer
+            for node_id, peer in self.peer_by_id.items()
+            if node_id not in passed_over
+            and peer.member.data_centre not in out
+            and peer.takes_opens(now)
+        ]
+        drawn = self.rng.sample(able, min(DRAWN, len(able)))
+        return min(drawn, key=lambda peer: peer.rate_pressure(now), default=None)
--- a/bilberrypath/coordination/releases.py
+++ b/bilberrypath/coordination/releases.py
@@ -34,7 +34,6 @@
 READ_PERIOD: Seconds = 0.5
 READ_TIMEOUT: Seconds = 2.0
 PUSH_ROUNDS = 3
-PUSH_FANOUT = 3
 
 
 @define
--- /dev/null
+++ b/bilberrypath/coordination/upstream_watch.py
@@ -0,0 +1,167 @@
+"""What an agent believes of the upstream beside it.
+
+The upstream reports itself every now and then; what passes shows more. An
+upstream that leaves an open unanswered rests for a while. One that leaves
+several unanswered and says nothing at all is taken for lost.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_events import UpstreamReport
+    from bilberrypath.types import Seconds
+
+MISSED_REPORTS = 3.5  # report periods without a report after which it is absent
+FIRST_REST: Seconds = 0.1  # half of a client's first wait for its open
+LONGEST_REST: Seconds = 1.0  # a recovered upstream is used again after this
+LATE_OPENS_TO_LOSE = 3  # one may be a lost datagram, two an unlucky pair
+SILENCE_TO_LOSE: Seconds = 0.4  # twice a client's first retransmission
+COLD_WINDOW: Seconds = 1.0  # the limit of a cold upstream is given by the second
+COLD_SPARE = 3  # opens above the stated rate; two below the slack of the bound
+
+
+class ReportKind(Enum):
+    """What a report of an upstream was."""
+
+    NEW_START = "new_start"
+    NEWS = "news"
+    REPEATED = "repeated"
+    OUTDATED = "outdated"
+
+
+class Unable(Enum):
+    """Why an upstream may not take an open now."""
+
+    ABSENT = "absent"
+    DRAINING = "draining"
+    RESTING = "resting"
+    LOST = "lost"
+    COLD = "cold"
+    FULL = "full"
+
+
+@define
+class UpstreamWatch:
+    """Judge reports and answers of one upstream."""
+
+    report_period: Seconds
+    report: UpstreamReport | None = None
+    is_lost: bool = False
+    _reported_at: Seconds = float("-inf")
+    _heard_at: Seconds = float("-inf")
+    _cold_until: Seconds = float("-inf")
+    _rest_until: Seconds = float("-inf")
+    _late_opens: int = 0
+    _cold_opens: deque[float] = Factory(deque)
+
+    def take_report(self, report: UpstreamReport, now: Seconds) -> ReportKind:
+        """Take in a report, unless a newer one was taken before."""
+        kind = self._classify(report)
+        if kind is ReportKind.OUTDATED:
+            return kind
+        if kind is ReportKind.NEW_START:
+            self._cold_opens.clear()
+        if kind is not ReportKind.REPEATED:
+            self.report = report
+            self._cold_until = now + report.cold_for
+        self._reported_at = now
+        self._heard_at = now
+        self._late_opens = 0
+        self._rest_until = float("-inf")
+        self.is_lost = False
+        return kind
+
+    def forget(self) -> None:
+        """Take the upstream for ended."""
+        self.report = None
+
+    def note_heard(self, now: Seconds) -> None:
+        """Record that the upstream sent a packet."""
+        self._heard_at = now
+        self._late_opens = 0
+        self._rest_until = float("-inf")
+        self.is_lost = False
+
+    def note_late_open(self, now: Seconds) -> bool:
+        """Record an open left unanswered; return whether it is lost since."""
+        self._late_opens += 1
+        rest = FIRST_REST * 2 ** (self._late_opens - 1)
+        self._rest_until = now + min(rest, LONGEST_REST)
+        if self.is_lost or self._late_opens < LATE_OPENS_TO_LOSE:
+            return False
+        if now - self._heard_at < SILENCE_TO_LOSE:
+            return False
+        self.is_lost = True
+        return True
+
+    def note_refused(self) -> bool:
+        """Record that nothing listens there; return whether that is news."""
+        if self.is_lost:
+            return False
+        self.is_lost = True
+        return True
+
+    def note_absent(self, now: Seconds) -> bool:
+        """Return whether it is lost since, as neither report nor packet came."""
+        if self.report is None or self.is_lost or not self._is_absent(now):
+            return False
+        self.is_lost = True
+        return True
+
+    def pardon(self, gap: Seconds) -> None:
+        """Give the upstream the time that this process stood still."""
+        self._reported_at += gap
+        self._heard_at += gap
+
+    def find_unable(
+        self, cold_rate: float, flow_count: int, max_flows: int, now: Seconds
+    ) -> Unable | None:
+        """Return why an open can't be taken now, or None."""
+        report = self.report
+        if report is None or self._is_absent(now):
+            return Unable.ABSENT
+        if report.draining:
+            return Unable.DRAINING
+        if self.is_lost:
+            return Unable.LOST
+        if now < self._rest_until:
+            return Unable.RESTING
+        if flow_count >= max_flows:
+            return Unable.FULL
+        if now < self._cold_until and self._is_cold_budget_spent(cold_rate, now):
+            return Unable.COLD
+        return None
+
+    def note_open(self, now: Seconds) -> None:
+        """Count an open that was handed to the upstream."""
+        if now < self._cold_until:
+            self._cold_opens.append(now)
+
+    def _is_absent(self, now: Seconds) -> bool:
+        limit = MISSED_REPORTS * self.report_period
+        return now - max(self._reported_at, self._heard_at) > limit
+
+    def _is_cold_budget_spent(self, cold_rate: float, now: Seconds) -> bool:
+        while self._cold_opens and now - self._cold_opens[0] > COLD_WINDOW:
+            self._cold_opens.popleft()
+        return len(self._cold_opens) >= int(cold_rate) + COLD_SPARE
+
+    def _classify(self, report: UpstreamReport) -> ReportKind:
+        known = self.report
+        if known is None:
+            return ReportKind.NEW_START
+        if report.started_at != known.started_at:
+            newer = report.started_at > known.started_at
+            return ReportKind.NEW_START if newer else ReportKind.OUTDATED
+        if report.upstream_id != known.upstream_id:
+            return ReportKind.NEW_START
+        if report.sequence < known.sequence:
+            return ReportKind.OUTDATED
+        same = report.sequence == known.sequence
+        return ReportKind.REPEATED if same else ReportKind.NEWS
--- /dev/null
+++ b/bilberrypath/platform/store.py
@@ -0,0 +1,131 @@
+"""The client of the platform's store, as the source of routes."""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING
+from urllib.parse import urlencode
+
+import msgspec
+
+from bilberrypath.platform.documents import (
+    OPERATOR_PREFIX,
+    DocumentError,
+    change_table,
+)
+from bilberrypath.state.routes import RouteTable
+from bilberrypath.transport.flow_balancer_daemon import RoutesUnavailable
+from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
+
+if TYPE_CHECKING:
+    from bilberrypath.types import Address, Seconds
+
+READ_TIMEOUT: Seconds = 1.0  # the store answers in milliseconds
+WATCH_WAIT: Seconds = 4.0  # a silent connection is noticed this much later
+WATCH_SLACK: Seconds = 1.0
+OK = 200
+HISTORY_GONE = 410
+UNANSWERABLE = (429, 503)  # nothing was done; the same call may be made again
+
+
+class Item(msgspec.Struct):
+    """A key of the store, or the news that it was removed (``deleted``)."""
+
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class Range(msgspec.Struct, rename="camel"):
+    """A page of a range; ``current_rev`` is the revision of the whole store."""
+
+    items: list[Item]
+    current_rev: int
+    has_more: bool = False
+
+
+class Events(msgspec.Struct, rename="camel"):
+    """Changes in order; the next watch begins after ``current_rev``."""
+
+    events: list[Item]
+    current_rev: int
+
+
+_decode_range = msgspec.json.Decoder(Range).decode
+_decode_events = msgspec.json.Decoder(Events).decode
+
+
+class PlatformRoutes:
+    """Follow the operator's documents; see ``RouteSource``."""
+
+    def __init__(self, address: Address) -> None:
+        self._client = HttpClient(address)
+        self._watched_to = 0
+
+    async def follow(self, have: RouteTable) -> RouteTable | None:
+        """Return the next table after ``have``, or None if none came in time."""
+        if have.revision == 0:
+            return await self._read_whole()
+        after = max(self._watched_to, have.revision)
+        query = {
+            "prefix": OPERATOR_PREFIX,
+            "after": after,
+            "waitMs": round(WATCH_WAIT * 1000),
+        }
+        status, body = await self._get("/v1/kv-watch", query, WATCH_WAIT + WATCH_SLACK)
+        if status == HISTORY_GONE:
+            return await self._read_whole()
+        news = _decode(_decode_events, status, body)
+        table = have
+        for item in news.events:
+            if item.revision > table.revision:
+                table = _apply(table, item)
+        self._watched_to = max(after, news.current_rev)
+        return table if table.revision > have.revision else None
+
+    async def _read_whole(self) -> RouteTable | None:
+        table = RouteTable()
+        query: dict[str, str | int] = {"prefix": OPERATOR_PREFIX}
+        while True:
+            status, body = await self._get("/v1/kv-range", query, READ_TIMEOUT)
+            page = _decode(_decode_range, status, body)
+            for item in page.items:
+                table = _apply(table, item)
+            if not page.has_more or not page.items:
+                break
+            query["after"] = page.items[-1].key
+        if not table.routes:
+            return None
+        self._watched_to = page.current_rev
+        return msgspec.structs.replace(table, revision=page.current_rev)
+
+    async def _get(
+        self, path: str, query: dict[str, str | int], timeout: Seconds
+    ) -> tuple[int, bytes]:
+        try:
+            response = await self._client.call(
+                "GET", f"{path}?{urlencode(query)}", timeout
+            )
+        except HttpCallFailed as error:
+            raise RoutesUnavailable(str(error)) from error
+        if response.status in UNANSWERABLE:
+            raise RoutesUnavailable(f"{path} was answered by {response.status}")
+        return response.status, response.body
+
+
+def _apply(table: RouteTable, item: Item) -> RouteTable:
+    value = None if item.deleted else base64.b64decode(item.value)
+    try:
+        return change_table(table, item.revision, item.key, value)
+    except DocumentError as error:
+        raise RoutesUnavailable(str(error)) from error
+
+
+def _decode(decode, status: int, body: bytes):
+    if status != OK:
+        raise RoutesUnavailable(f"the store answered by {status}")
+    try:
+        return decode(body)
+    except msgspec.MsgspecError as error:
+        raise RoutesUnavailable(f"an answer can't be read: {error}") from error
--- /dev/null
+++ b/bilberrypath/protocol/flow_messages.py
@@ -0,0 +1,155 @@
+"""Messages about datagram flows between the system's own processes.
+
+They share the socket with the probes and rumours of the balancers. Nothing
+here is secret or signed: the platform gives its processes no common key, so
+the network between them is trusted, as the platform's own calls are.
+"""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import Union
+
+import msgspec
+
+from bilberrypath.protocol import control as ctl
+from bilberrypath.protocol.control import Struct
+from bilberrypath.state.members import Member  # noqa: TC001
+from bilberrypath.types import Address, NodeId  # noqa: TC001
+
+
+class Carry(Struct, tag=20):
+    """A client's packet on its way to an upstream.
+
+    ``origin`` is the balancer that took the packet, which is told where the
+    flow is if it ``seeks``. ``home`` is the agent that keeps the redirect of
+    the flow, empty until the first agent has it. ``tried`` are agents that
+    can't have or take the flow, and ``hops`` counts the agents that passed the
+    packet on. A flow that none of the service's agents has is reset only where
+    ``may_reset`` says that no other service can have it.
+    """
+
+    revision: int
+    service: str
+    origin: str
+    seeks: bool
+    home: str
+    tried: tuple[str, ...]
+    hops: int
+    may_reset: bool
+    datagram: bytes
+
+
+class Placed(Struct, tag=21):
+    """Where a flow is; an empty ``holder`` means that nobody is known to have it."""
+
+    flow: bytes
+    holder: str
+
+
+class WhoHolds(Struct, tag=22):
+    """Ask an agent whether it has a flow or knows who has."""
+
+    flow: bytes
+
+
+class Holds(Struct, tag=23):
+    """The answer: the holder if known.
+
+    ``unsure`` means that the agent started after its upstream did, so that
+    the upstream may have the flow unknown to the agent.
+    """
+
+    flow: bytes
+    holder: str
+    unsure: bool
+
+
+class LoadReport(Struct, tag=24):
+    """An agent's word of its load to the other agents of its service.
+
+    ``pressure`` is the mean of running requests over slots of late;
+    ``takes_opens`` is false while the agent would refuse an open.
+    """
+
+    revision: int
+    service: str
+    takes_opens: bool
+    pressure: float
+    flow_count: int
+
+
+class FlowHeartbeat(Struct, tag=25):
+    """An agent's word to its balancers that it lives.
+
+    ``agents_digest`` tells which list of its service's agents it holds.
+    """
+
+    member: Member
+    sequence: int
+    revision: int
+    agents_digest: int
+
+
+class FlowHeartbeatAck(Struct, tag=26):
+    """A balancer's answer: the record it holds, where to go next.
+
+    ``agents`` lists the live agents of the service, or is None when the
+    sender holds the same list already.
+    """
+
+    sequence: int
+    revision: int
+    known: Member
+    homes: tuple[str, ...]
+    agents: tuple[Member, ...] | None
+
+
+class RoutesChanged(Struct, tag=27):
+    """A balancer's word that a newer table of routes is in force."""
+
+    revision: int
+
+
+class Ping(Struct, tag=28):
+    """Ask a process that owed an answer whether it lives."""
+
+
+class Pong(Struct, tag=29):
+    """The answer to a ping."""
+
+
+FlowMessage = Union[  # noqa: UP007
+    Carry,
+    Placed,
+    WhoHolds,
+    Holds,
+    LoadReport,
+    FlowHeartbeat,
+    FlowHeartbeatAck,
+    RoutesChanged,
+    Ping,
+    Pong,
+    ctl.Probe,
+    ctl.ProbeAck,
+    ctl.ProbeFor,
+    ctl.Gossip,
+]
+
+encode_message = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(FlowMessage)
+
+
+def decode_message(body: bytes) -> FlowMessage | None:
+    """Return the message in a datagram, or None if it can't be one."""
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError:
+        return None
+
+
+@lru_cache(maxsize=1 << 17)
+def to_address(node_id: NodeId) -> Address:
+    """Return the socket address in the name of a process."""
+    host, _, port = node_id.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/bilberrypath/state/routes.py
@@ -0,0 +1,97 @@
+"""The routes of datagram flows: the part of the configuration they need.
+
+A route leads from an address that clients send to, to one service or to
+several by weight. The whole table has one revision, which only rises.
+"""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from bilberrypath.types import (  # noqa: TC001
+    Address,
+    DataCentreName,
+    Revision,
+    Seconds,
+    ServiceName,
+)
+
+DEFAULT_IDLE_TIMEOUT: Seconds = 15.0  # used until a configuration is known
+SPLIT_SEED = 0x51  # keeps the split of a flow apart from its rank of agents
+
+
+class Target(msgspec.Struct, array_like=True, frozen=True):
+    """A service that takes a share of a route's flows."""
+
+    service: ServiceName
+    weight: int
+
+
+class FlowRoute(msgspec.Struct, array_like=True, frozen=True):
+    """Where flows to one address of the platform lead."""
+
+    address: Address
+    targets: tuple[Target, ...]
+
+    def choose_service(self, flow: bytes) -> ServiceName | None:
+        """Return the service of a flow, the same one in every process.
+
+        None means that no target has a weight above zero.
+        """
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        total = sum(target.weight for target in self.targets)
+        if total <= 0:
+            return None
+        point = xxhash.xxh64_intdigest(flow, SPLIT_SEED) % total
+        for target in self.targets:
+            point -= target.weight
+            if point < 0:
+                return target.service
+        return None
+
+    def allows(self, service: ServiceName) -> bool:
+        """Return whether a service may take flows of this route."""
+        return any(t.service == service and t.weight > 0 for t in self.targets)
+
+
+class UpstreamLimits(msgspec.Struct, array_like=True, frozen=True):
+    """What one upstream of a service bears.
+
+    ``max_flows`` are open flows; ``cold_opens`` are opens a second while it is
+    in cold start.
+    """
+
+    service: ServiceName
+    max_flows: int
+    cold_opens: float
+
+
+class RouteTable(msgspec.Struct, array_like=True, frozen=True):
+    """All routes and limits of one revision, and the data centres taken out.
+
+    ``version`` is the operator's own number of the configuration, for logs.
+
+    Examples
+    --------
+    >>> route = FlowRoute(("198.18.0.1", 443), (Target("board", 1),))
+    >>> table = RouteTable(7, 3, (route,), (), ("citybowl",))
+    >>> table.index()[("198.18.0.1", 443)].allows("board")
+    True
+    """
+
+    revision: Revision = 0
+    version: int = 0
+    routes: tuple[FlowRoute, ...] = ()
+    limits: tuple[UpstreamLimits, ...] = ()
+    out: tuple[DataCentreName, ...] = ()
+    idle_timeout: Seconds = DEFAULT_IDLE_TIMEOUT
+
+    def index(self) -> dict[Address, FlowRoute]:
+        """Return the routes by the address that clients send to."""
+        return {route.address: route for route in self.routes}
+
+    def index_limits(self) -> dict[ServiceName, UpstreamLimits]:
+        """Return the limits by service."""
+        return {limits.service: limits for limits in self.limits}
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -41,10 +41,11 @@
 from bilberrypath.state.members import Member, Role, Status
 from bilberrypath.transport.control_calls import ControlServer
 from bilberrypath.transport.flow import Flow, RequestStream
+from bilberrypath.transport.metrics import Metrics
 from bilberrypath.transport.peer_socket import PeerSocket
 from bilberrypath.transport.quic import TokenConnection, make_agent_configuration
 from bilberrypath.transport.runner import Request, RequestRunner
-from bilberrypath.transport.telemetry import Metrics, MetricsServer
+from bilberrypath.transport.telemetry import MetricsServer
 from bilberrypath.transport.tracing import (
     choose_context,
     make_open_context,
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -29,8 +29,9 @@
 )
 from bilberrypath.transport.datagrams import DatagramSocket
 from bilberrypath.transport.etcd import EtcdKeyValue
+from bilberrypath.transport.metrics import Metrics
 from bilberrypath.transport.peer_socket import PeerSocket
-from bilberrypath.transport.telemetry import Metrics, MetricsServer
+from bilberrypath.transport.telemetry import MetricsServer
 from bilberrypath.transport.tracing import make_open_context, make_tracer
 
 if TYPE_CHECKING:
--- a/bilberrypath/transport/datagrams.py
+++ b/bilberrypath/transport/datagrams.py
@@ -66,3 +66,43 @@
             self._on_datagram(data, sender)
             if self._socket.fileno() < 0:
                 return
+
+
+class ConnectedSocket:
+    """A UDP socket that sends to one address, and hears that nobody listens.
+
+    ``on_refused`` is called when the machine at the address says so.
+    """
+
+    def __init__(self, address: Address, on_refused: Callable[[], None]) -> None:
+        self._on_refused = on_refused
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
+        self._socket.connect(address)
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._socket.fileno(), self._read)
+        self.dropped_count = 0
+
+    def send(self, data: bytes) -> None:
+        """Send a datagram, or drop it if the kernel has no room."""
+        try:
+            self._socket.send(data)
+        except ConnectionRefusedError:
+            self._loop.call_soon(self._on_refused)
+        except OSError:
+            self.dropped_count += 1
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def _read(self) -> None:
+        """Read what is not expected here, for the errors that come with it."""
+        try:
+            self._socket.recv(MAX_READ)
+        except ConnectionRefusedError:
+            self._on_refused()
+        except OSError:
+            self.dropped_count += 1
--- /dev/null
+++ b/bilberrypath/transport/flow_daemon.py
@@ -0,0 +1,340 @@
+"""What the daemons of datagram flows share: sockets, clock, log, calls."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+import traceback
+from abc import ABC, abstractmethod
+from contextlib import suppress
+from functools import singledispatchmethod
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from attrs import evolve
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination import flow_events as fev
+from bilberrypath.protocol.bulk import TableReply
+from bilberrypath.protocol.flow_messages import (
+    Carry,
+    decode_message,
+    encode_message,
+    to_address,
+)
+from bilberrypath.protocol.flow_packet import describe_flow
+from bilberrypath.settings_reader import SettingsError
+from bilberrypath.state.routes import RouteTable
+from bilberrypath.transport.bulk_calls import (
+    BulkServer,
+    CallFailed,
+    MembersRequest,
+    RoutesRequest,
+    StatusReply,
+    StatusRequest,
+    call_bulk,
+)
+from bilberrypath.transport.datagrams import DatagramSocket
+from bilberrypath.transport.http_server import HttpRequest, HttpResponse, HttpServer
+from bilberrypath.transport.line_log import LineLog
+from bilberrypath.transport.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_balancer import FlowBalancer
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.flow_settings import FlowNodeSettings
+    from bilberrypath.transport.bulk_calls import Request
+    from bilberrypath.types import Address, Seconds
+
+SETTINGS_PERIOD: Seconds = 2.0  # seeds are at most three seconds behind the fleet
+LEAVE_LIMIT: Seconds = 4.5  # below the six seconds that a process is given to end
+
+
+class FlowDaemon(ABC):
+    """Own the sockets of one process and carry out its core's effects."""
+
+    role = ""
+
+    def __init__(
+        self,
+        settings: FlowNodeSettings,
+        core: FlowBalancer | FlowAgent,
+        reload: Callable[[], FlowNodeSettings],
+    ) -> None:
+        self.settings = settings
+        self.core = core
+        self._reload = reload
+        self._http_servers: list[tuple[HttpServer, Address]] = []
+        self.metrics = Metrics()
+        host, port = settings.peer_address
+        self.log = LineLog(f"{host}:{port}", self.role)
+        self._tasks: set[asyncio.Task] = set()
+        self._stopping = asyncio.Event()
+        self._timer: asyncio.TimerHandle | None = None
+        self._bulk = BulkServer(self._answer_call)
+        self._metrics_server = HttpServer(self._answer_metrics)
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, then leave without harm."""
+        self._peer = DatagramSocket(self.settings.peer_address, self._take_message)
+        await self._bulk.start(self.settings.peer_address)
+        if self.settings.metrics_address is not None:
+            await self._metrics_server.start(self.settings.metrics_address)
+        await self.open()
+        for server, address in self._http_servers:
+            await server.start(address)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._note_exception)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._look_at_settings)
+        self.write_log("started", zone=self.settings.data_centre)
+        self.start(self._tick_forever())
+        self.start(self._watch_settings())
+        await self._stopping.wait()
+        self.write_log("stopping")
+        self.feed(ev.Leave())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_LIMIT):
+                await self.leave()
+        self.write_log("stopped")
+        self.log.close()
+
+    @abstractmethod
+    async def open(self) -> None:
+        """Open the sockets that only this kind of process has."""
+
+    @abstractmethod
+    async def leave(self) -> None:
+        """Go on until ending harms nobody."""
+
+    @abstractmethod
+    def use_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Take over other seeds while running."""
+
+    def serve_http(self, server: HttpServer, address: Address) -> None:
+        """Have a server started with this process."""
+        self._http_servers.append((server, address))
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was asked to end."""
+        return self._stopping.is_set()
+
+    def feed(self, event: ev.Event) -> None:
+        """Give the core an event and do what it asks for."""
+        now = time.monotonic()
+        self.perform_all(self.core.handle(event, now), now)
+
+    def perform_all(self, effects: list[FlowEffect], now: Seconds) -> None:
+        """Carry out effects, and wake the core at its next deadline."""
+        for effect in effects:
+            if type(effect) is fx.SendControl:
+                self._peer.send(encode_message(effect.message), effect.to)
+            else:
+                self.perform(effect, now)
+        self._set_timer()
+
+    def start(self, work: Coroutine) -> None:
+        """Run work beside the rest, as long as the process lives."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def write_log(self, event: str, **fields: object) -> None:
+        """Write a line to the log."""
+        self.log.write(event, time.monotonic(), **fields)
+
+    def _end_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            raise task.exception()
+
+    def _note_exception(
+        self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Tell of an error that nothing expected; the process goes on."""
+        error = context.get("exception")
+        self.metrics.count("internal_error", type(error).__name__)
+        frames = traceback.extract_tb(error.__traceback__) if error else []
+        where = [f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames]
+        self.write_log(
+            "internal_error",
+            message=context.get("message"),
+            error=repr(error),
+            where=where[-4:],
+        )
+
+    def _look_at_settings(self) -> None:
+        """Take over what may change while running, and tell of the rest."""
+        try:
+            settings = self._reload()
+        except SettingsError as error:
+            self.write_log("settings_refused", error=str(error))
+            return
+        if settings == self.settings:
+            return
+        self.use_seeds(settings.seeds)
+        same = evolve(settings, seeds=self.settings.seeds) == self.settings
+        self.settings = evolve(self.settings, seeds=settings.seeds)
+        self.write_log("settings_changed", seeds=len(settings.seeds), restart=not same)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_PERIOD)
+            self._look_at_settings()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.feed(ev.Tick())
+            self.log.flush()
+            await asyncio.sleep(ev.TICK_PERIOD)
+
+    # Datagrams and deadlines
+
+    def _take_message(self, datagram: bytes, sender: Address) -> None:
+        message = decode_message(datagram)
+        if message is None:
+            self.metrics.count("control_dropped", "unreadable")
+            return
+        now = time.monotonic()
+        if type(message) is Carry:
+            self.perform_all(self.take_carry(message, sender, now), now)
+            return
+        event = ev.ControlReceived(sender, message)
+        self.perform_all(self.core.handle(event, now), now)
+
+    def take_carry(
+        self, carry: Carry, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        """Return what to do with a packet that another process handed here."""
+        return [fx.Count("packet_dropped", "not_an_agent")]
+
+    def _set_timer(self) -> None:
+        wake_at = self.core.next_wake()
+        timer = self._timer
+        if timer is not None:
+            if wake_at is not None and timer.when() <= wake_at:
+                return
+            timer.cancel()
+            self._timer = None
+        if wake_at is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(wake_at, self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        now = time.monotonic()
+        self.perform_all(self.core.wake(now), now)
+
+    # Effects
+
+    @singledispatchmethod
+    def perform(self, effect: FlowEffect, now: Seconds) -> None:
+        """Carry out one effect."""
+        raise TypeError(f"no way to perform {type(effect).__name__}")
+
+    @perform.register(fx.Count)
+    def _(self, effect: fx.Count, now: Seconds) -> None:
+        self.metrics.count(effect.event, effect.reason)
+
+    @perform.register(fx.Changed)
+    def _(self, effect: fx.Changed, now: Seconds) -> None:
+        self.log.write(effect.event, now, **effect.fields)
+
+    @perform.register(ffx.Decided)
+    def _(self, effect: ffx.Decided, now: Seconds) -> None:
+        flow = describe_flow(effect.flow)
+        self.log.write(effect.event, now, flow=flow, **effect.fields)
+
+    @perform.register(ffx.Observe)
+    def _(self, effect: ffx.Observe, now: Seconds) -> None:
+        self.metrics.observe(effect.name, effect.seconds)
+
+    @perform.register(ffx.RoutesAdopted)
+    def _(self, effect: ffx.RoutesAdopted, now: Seconds) -> None:
+        self.metrics.count("routes", "adopted")
+
+    @perform.register(ffx.SendToUpstream)
+    def _(self, effect: ffx.SendToUpstream, now: Seconds) -> None:
+        self.send_upstream(effect.datagram)
+
+    @perform.register(ffx.SendToClient)
+    def _(self, effect: ffx.SendToClient, now: Seconds) -> None:
+        client = ".".join(map(str, effect.flow[:4]))
+        self._peer.send(effect.datagram, (client, self.settings.client_port))
+
+    @perform.register(ffx.PullRoutes)
+    def _(self, effect: ffx.PullRoutes, now: Seconds) -> None:
+        self.start(self._pull_routes(effect))
+
+    @perform.register(fx.PullTable)
+    def _(self, effect: fx.PullTable, now: Seconds) -> None:
+        self.start(self._pull_table(effect))
+
+    def send_upstream(self, datagram: bytes) -> None:
+        """Send a datagram to the upstream beside this process."""
+        raise TypeError(f"a {self.role} has no upstream beside it")
+
+    async def _pull_routes(self, effect: ffx.PullRoutes) -> None:
+        try:
+            peer = to_address(effect.peer)
+            table = await call_bulk(peer, RoutesRequest(), RouteTable)
+        except CallFailed as error:
+            self.write_log("pull_failed", what="routes", error=str(error))
+            self.feed(fev.RoutesPullFailed(effect.peer))
+            return
+        self.feed(fev.RoutesPulled(effect.peer, table))
+
+    async def _pull_table(self, effect: fx.PullTable) -> None:
+        request = MembersRequest(effect.digests)
+        try:
+            reply = await call_bulk(effect.peer, request, TableReply)
+        except CallFailed as error:
+            self.write_log("pull_failed", what="members", error=str(error))
+            self.feed(ev.PullFailed(effect.peer))
+            return
+        self.feed(ev.TablePulled(effect.peer, reply.members))
+
+    # Calls
+
+    @singledispatchmethod
+    def answer(self, request: Request) -> RouteTable | TableReply | StatusReply:
+        """Answer a call of another process."""
+        raise CallFailed(f"{type(request).__name__} is not answered by a {self.role}")
+
+    @answer.register(RoutesRequest)
+    def _(self, request: RoutesRequest) -> RouteTable:
+        return self.core.routes.table
+
+    @answer.register(MembersRequest)
+    def _(self, request: MembersRequest) -> TableReply:
+        return self.list_members(request)
+
+    @answer.register(StatusRequest)
+    def _(self, request: StatusRequest) -> StatusReply:
+        return self.describe(request.flow, time.monotonic())
+
+    def list_members(self, request: MembersRequest) -> TableReply:
+        """Return the records that another balancer lacks."""
+        raise CallFailed(f"a {self.role} keeps no table of members")
+
+    @abstractmethod
+    def describe(self, flow: bytes, now: Seconds) -> StatusReply:
+        """Return how the process stands, or what it knows of one flow."""
+
+    def _answer_call(self, request: Request) -> RouteTable | TableReply | StatusReply:
+        return self.answer(request)
+
+    def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, self.metrics.render(), "text/plain; version=0.0.4")
+
+    def show(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value among the metrics."""
+        self.metrics.show(name, read)
--- /dev/null
+++ b/bilberrypath/transport/http_client.py
@@ -0,0 +1,91 @@
+"""A small HTTP/1.1 client that keeps one connection and never waits for ever."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import h11
+
+from bilberrypath.transport.http_server import HttpResponse
+
+if TYPE_CHECKING:
+    from bilberrypath.types import Address, Seconds
+
+READ_SIZE = 65536  # bytes
+
+
+class HttpCallFailed(Exception):
+    """No whole answer came; the call may or may not have been carried out."""
+
+
+class HttpClient:
+    """One connection to one server, opened anew after any failure."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._connection: h11.Connection | None = None
+
+    async def call(
+        self, method: str, path: str, timeout: Seconds, body: bytes = b""
+    ) -> HttpResponse:
+        """Return the answer to a call; raises :class:`HttpCallFailed`."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._open()
+                return await self._exchange(method, path, body)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            self.close()
+            name = type(error).__name__
+            raise HttpCallFailed(f"{method} {path}: {name} {error}".strip()) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = self._connection = None
+
+    async def _open(self) -> None:
+        if self._writer is not None:
+            return
+        self._reader, self._writer = await asyncio.open_connection(*self._address)
+        self._connection = h11.Connection(h11.CLIENT)
+
+    async def _exchange(self, method: str, path: str, body: bytes) -> HttpResponse:
+        connection = self._connection
+        host = f"{self._address[0]}:{self._address[1]}"
+        headers = [("Host", host), ("Content-Length", str(len(body)))]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        data = connection.send(h11.Request(method=method, target=path, headers=headers))
+        if body:
+            data += connection.send(h11.Data(data=body))
+        data += connection.send(h11.EndOfMessage())
+        self._writer.write(data)
+        response = await self._read_response()
+        if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
+            connection.start_next_cycle()
+        else:
+            self.close()
+        return response
+
+    async def _read_response(self) -> HttpResponse:
+        status = 0
+        body = bytearray()
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                self._connection.receive_data(await self._reader.read(READ_SIZE))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpResponse(status, bytes(body))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before an answer")
--- /dev/null
+++ b/bilberrypath/transport/http_server.py
@@ -0,0 +1,110 @@
+"""A small HTTP/1.1 server for the few calls that a process answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import h11
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bilberrypath.types import Address, Seconds
+
+IDLE_TIMEOUT: Seconds = 30.0  # far beyond the pause between two calls of a caller
+MAX_BODY = 65536  # bytes; a call to a process is below 1 KB
+READ_SIZE = 16384  # bytes
+
+
+@frozen
+class HttpRequest:
+    """A request with its whole body; ``path`` includes the query."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@frozen
+class HttpResponse:
+    """A response with its whole body."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+
+
+class HttpServer:
+    """Answer each request by one call of a function."""
+
+    def __init__(self, answer: Callable[[HttpRequest], HttpResponse]) -> None:
+        self._answer = answer
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> None:
+        """Begin to answer."""
+        self._server = await asyncio.start_server(self._serve, *address)
+
+    def close(self) -> None:
+        """Stop answering."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(connection, reader, writer):
+                connection.start_next_cycle()
+        except (OSError, TimeoutError, h11.ProtocolError):
+            writer.transport.abort()
+            return
+        writer.close()
+
+    async def _serve_one(
+        self,
+        connection: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer one request; return whether another may follow."""
+        request = await _read_request(connection, reader)
+        if request is None:
+            return False
+        response = self._answer(request)
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+        ]
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = connection.send(head)
+        data += connection.send(h11.Data(data=response.body))
+        data += connection.send(h11.EndOfMessage())
+        writer.write(data)
+        await writer.drain()
+        return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+
+async def _read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> HttpRequest | None:
+    head = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(IDLE_TIMEOUT):
+                connection.receive_data(await reader.read(READ_SIZE))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY:
+                return None
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return HttpRequest(head.method.decode(), head.target.decode(), bytes(body))
+        else:
+            return None
--- /dev/null
+++ b/bilberrypath/transport/line_log.py
@@ -0,0 +1,119 @@
+"""A log of JSON lines on standard output that never blocks the process.
+
+Lines wait in a bounded buffer and are written by a thread. Each kind of line
+has a budget a second; what is above it, and what the buffer sheds, is counted
+and told in a line of its own.
+"""
+
+from __future__ import annotations
+
+import os
+import queue
+import threading
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import structlog
+from attrs import Factory, define
+
+if TYPE_CHECKING:
+    from bilberrypath.types import Seconds
+
+LINES_PER_KIND = 40  # a second; a balancer places about 30 opens a second today
+MAX_WAITING = 2000  # lines, about 500 KB
+STANDARD_OUTPUT = 1
+
+
+@define
+class LineBudget:
+    """Count lines by kind, and those that were left out, second by second."""
+
+    limit: int = LINES_PER_KIND
+    dropped_by_kind: dict[str, int] = Factory(dict)
+    _written_by_kind: dict[str, int] = Factory(dict)
+    _until: Seconds = float("-inf")
+
+    def takes(self, kind: str, now: Seconds) -> bool:
+        """Return whether a line of a kind is within its budget."""
+        if now >= self._until:
+            self._until = now + 1.0
+            self._written_by_kind.clear()
+        written = self._written_by_kind.get(kind, 0)
+        if written >= self.limit:
+            self.dropped_by_kind[kind] = self.dropped_by_kind.get(kind, 0) + 1
+            return False
+        self._written_by_kind[kind] = written + 1
+        return True
+
+    def take_dropped(self) -> dict[str, int]:
+        """Return how many lines were left out since the last call, by kind."""
+        dropped, self.dropped_by_kind = self.dropped_by_kind, {}
+        return dropped
+
+
+class LineLog:
+    """Render lines at once, and write them in the background."""
+
+    def __init__(self, node: str, role: str) -> None:
+        self._budget = LineBudget()
+        self._waiting: deque[str] = deque(maxlen=MAX_WAITING)
+        self._batches: queue.Queue[list[str]] = queue.Queue(maxsize=1)
+        self._logger = structlog.wrap_logger(
+            _Buffer(self._waiting, self._budget),
+            processors=[
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.JSONRenderer(),
+            ],
+            wrapper_class=structlog.BoundLogger,
+        ).bind(node=node, role=role)
+        threading.Thread(target=self._write_forever, daemon=True).start()
+
+    def write(self, event: str, now: Seconds, **fields: Any) -> None:
+        """Write a line, unless there were too many of its kind."""
+        if self._budget.takes(event, now):
+            self._logger.info(event, **fields)
+
+    def flush(self) -> None:
+        """Hand waiting lines to the writer, if it has written the last ones."""
+        dropped = self._budget.take_dropped()
+        if dropped:
+            self._logger.info("lines_dropped", **dropped)
+        if not self._waiting or self._batches.full():
+            return
+        batch = list(self._waiting)
+        self._waiting.clear()
+        self._batches.put_nowait(batch)
+
+    def close(self) -> None:
+        """Write what waits, at the end of the process."""
+        self.flush()
+        self._batches.join()
+
+    def _write_forever(self) -> None:
+        while True:
+            batch = self._batches.get()
+            _write_all(("\n".join(batch) + "\n").encode())
+            self._batches.task_done()
+
+
+class _Buffer:
+    """The logger that structlog calls with rendered lines."""
+
+    def __init__(self, waiting: deque[str], budget: LineBudget) -> None:
+        self._waiting = waiting
+        self._budget = budget
+
+    def info(self, line: str) -> None:
+        if len(self._waiting) == MAX_WAITING:
+            dropped = self._budget.dropped_by_kind
+            dropped["oldest"] = dropped.get("oldest", 0) + 1
+        self._waiting.append(line)
+
+
+def _write_all(data: bytes) -> None:
+    """Write to standard output, or lose the lines if nobody takes them."""
+    while data:
+        try:
+            data = data[os.write(STANDARD_OUTPUT, data) :]
+        except OSError:
+            return
--- a/bilberrypath/transport/telemetry.py
+++ b/bilberrypath/transport/telemetry.py
@@ -1,4 +1,4 @@
-"""Counters, readiness and logs of a daemon."""
+"""Serving the counters and readiness of a daemon, and its log."""
 
 from __future__ import annotations
 
@@ -8,43 +8,17 @@
 from wsgiref.simple_server import WSGIRequestHandler, make_server
 
 import structlog
-from prometheus_client import CollectorRegistry, Counter, Gauge, make_wsgi_app
+from prometheus_client import make_wsgi_app
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
     from typing import Any
     from wsgiref.types import StartResponse, WSGIEnvironment
 
+    from bilberrypath.transport.metrics import Metrics
     from bilberrypath.types import Address
 
 
-class Metrics:
-    """The counters and gauges of one process, in a registry of its own."""
-
-    def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self._events = Counter(
-            "bilberrypath_events",
-            "Drops, refusals, outcomes and other events, by reason.",
-            ["event", "reason"],
-            registry=self.registry,
-        )
-        self._gauges = Gauge(
-            "bilberrypath_state",
-            "Present state: revision, members, connections, limit and so on.",
-            ["name"],
-            registry=self.registry,
-        )
-
-    def count(self, event: str, reason: str) -> None:
-        """Add one to an event."""
-        self._events.labels(event, reason).inc()
-
-    def show(self, name: str, read: Callable[[], float]) -> None:
-        """Show a value that is read when the metrics are asked for."""
-        self._gauges.labels(name).set_function(read)
-
-
 class _QuietHandler(WSGIRequestHandler):
     def log_message(self, *_args: Any) -> None:
         """Say nothing of each request."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,28 @@
 }
 FOREIGN = {"asyncio", "socket", "time", "grpc", "aioquic", "aetcd", "structlog"}
 PURE = ("coordination", "state", "protocol")
-SHARED = {"types", "settings"}
+SHARED = {"types", "settings", "settings_reader", "flow_settings"}
+WIRE_NAMES = (
+    "heartbeatAddr",
+    "coldRemainingMs",
+    "cold_remaining",
+    "maxConns",
+    "max_conns",
+    "coldPerS",
+    "cold_per_s",
+    "datagramAddr",
+    "idleTimeoutMs",
+    "idle_timeout_ms",
+    "bounced",
+    "kv-watch",
+    "kv-range",
+    "op/",
+    "evacuate",
+    "BILBERRYPATH_BOOT",
+    "/v1/",
+    "born",
+    "tenant",
+)
 
 
 def list_imports(path):
@@ -45,3 +66,29 @@
                 continue
             used = {name.split(".")[0] for name in list_imports(path)}
             assert not used & FOREIGN, f"{path.name} imports {used & FOREIGN}"
+
+
+class TestPlatform:
+    """The users' platform is known in one folder only."""
+
+    def list_other_modules(self):
+        folder = PACKAGE / "platform"
+        paths = PACKAGE.rglob("*.py")
+        return [path for path in paths if folder not in path.parents]
+
+    def test_nothing_imports_the_adapter(self):
+        for path in self.list_other_modules():
+            for name in list_imports(path):
+                adapter = name and name.startswith("bilberrypath.platform")
+                assert not adapter, f"{path.name} imports {name}"
+
+    @pytest.mark.parametrize("word", WIRE_NAMES)
+    def test_no_name_of_the_wire_is_used_elsewhere(self, word):
+        for path in self.list_other_modules():
+            text = path.read_text().lower()
+            assert word.lower() not in text, f"{path.name} says {word}"
+
+    def test_the_adapter_stays_small(self):
+        paths = (PACKAGE / "platform").glob("*.py")
+        lines = sum(len(path.read_text().splitlines()) for path in paths)
+        assert lines <= 900
