Agents of a partial list stay known; a cold upstream without a stated rate is used

Cause 1: a balancer that had just started answered heartbeats with the few agents it knew; an agent took that for the whole service and searched a flow among too few.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -398,7 +398,7 @@
         if not self.presence.take_flow_ack(message, sender, now):
             return []
         if message.agents is not None:
-            if self.placement.use_agents(message.agents, self.me):
+            if self.placement.use_agents(message.agents, self.me, now):
                 self.agents_changed_at = now
             self.presence.agents_digest = digest_agents(message.agents)
         balancer = f"{sender[0]}:{sender[1]}"
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -385,7 +385,7 @@
             self.routes.revision,
             table.get(member.node_id) or member,
             self.members.list_homes(member.node_id, member.data_centre),
-            None if same else agents,
+            agents if self.fleet.is_joined and not same else None,
         )
 
     def _learn_of(
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -72,19 +72,24 @@
     rng: Random
     peer_by_id: dict[NodeId, PeerAgent] = Factory(dict)
 
-    def use_agents(self, agents: tuple[Member, ...], me: NodeId) -> bool:
-        """Take over the agents of the service; return whether one came or went."""
+    def use_agents(self, agents: tuple[Member, ...], me: NodeId, now: Seconds) -> bool:
+        """Take over the agents of the service; return whether one came or went.
+
+        A balancer that has just started may not know all of them: one that
+        was heard of late stays.
+        """
         before = set(self.peer_by_id)
         found = {member.node_id: member for member in agents if member.node_id != me}
         for node_id in before - set(found):
-            del self.peer_by_id[node_id]
+            if now - self.peer_by_id[node_id].heard_at > REPORT_LIMIT:
+                del self.peer_by_id[node_id]
         for node_id, member in found.items():
             peer = self.peer_by_id.get(node_id)
             if peer is None:
                 self.peer_by_id[node_id] = PeerAgent(member)
             else:
                 peer.member = member
-        return before != set(found)
+        return before != set(self.peer_by_id)
 
     def choose_less_busy(
         self,
--- a/bilberrypath/coordination/upstream_watch.py
+++ b/bilberrypath/coordination/upstream_watch.py
@@ -122,7 +122,11 @@
     def find_unable(
         self, cold_rate: float, flow_count: int, max_flows: int, now: Seconds
     ) -> Unable | None:
-        """Return why an open can't be taken now, or None."""
+        """Return why an open can't be taken now, or None.
+
+        ``cold_rate`` is what the upstream bears a second in cold start; 0
+        means that no rate is stated.
+        """
         report = self.report
         if report is None or self._is_absent(now):
             return Unable.ABSENT
@@ -148,6 +152,8 @@
         return now - max(self._reported_at, self._heard_at) > limit
 
     def _is_cold_budget_spent(self, cold_rate: float, now: Seconds) -> bool:
+        if cold_rate <= 0:
+            return False
         while self._cold_opens and now - self._cold_opens[0] > COLD_WINDOW:
             self._cold_opens.popleft()
         return len(self._cold_opens) >= int(cold_rate) + COLD_SPARE
--- /dev/null
+++ b/tests/coordination/test_flow_world.py
@@ -0,0 +1,284 @@
+"""Whole flows through balancers and agents, in virtual time."""
+
+import pytest
+
+from bilberrypath.coordination.upstream_watch import COLD_SPARE
+from bilberrypath.state.routes import FlowRoute, Target
+from tests.support.flow_world import (
+    ADDRESS,
+    find_holder,
+    make_table,
+    make_world,
+)
+
+
+def open_flows(world, count):
+    clients = [world.make_client() for _ in range(count)]
+    for client in clients:
+        client.open()
+        world.run(0.02)
+    return clients
+
+
+def count_foreign(world):
+    return sum(sum(u.foreign.values()) for u in world.upstream_by_host.values())
+
+
+class TestOpens:
+    def test_an_open_is_accepted_and_answered(self):
+        world = make_world()
+        (client,) = open_flows(world, 1)
+        client.ask()
+        world.run(0.1)
+        assert client.opened
+        assert client.answers == 1
+        assert client.resets == 0
+
+    def test_copies_through_any_balancer_meet_one_upstream(self):
+        world = make_world(agents=7, balancers=3)
+        for _ in range(50):
+            client = world.make_client()
+            for host in ("10.1.0.1", "10.1.0.2", "10.1.0.3"):
+                client.open(host)
+                world.run(0.003)
+        world.run(0.1)
+        holders = [u.flows for u in world.upstream_by_host.values()]
+        assert sum(len(flows) for flows in holders) == 50
+
+    def test_opens_are_spread(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 200)
+        counts = [len(u.flows) for u in world.upstream_by_host.values()]
+        assert sum(counts) == len(clients)
+        assert max(counts) <= 2 * 200 / 4
+
+    def test_a_dead_home_costs_less_than_a_clients_copy(self):
+        world = make_world(agents=4)
+        world.kill("10.2.0.1")
+        clients = [world.make_client() for _ in range(40)]
+        for client in clients:
+            client.open()
+        world.run(0.15)
+        assert all(client.opened for client in clients)
+
+    def test_a_silent_upstream_costs_less_than_a_clients_copy(self):
+        world = make_world(agents=4)
+        world.upstream_by_host["10.2.0.1"].is_silent = True
+        clients = [world.make_client() for _ in range(40)]
+        for client in clients:
+            client.open()
+        world.run(0.15)
+        assert all(client.opened for client in clients)
+
+    def test_no_route_is_told_at_once(self):
+        world = make_world()
+        client = world.make_client(("198.18.0.9", 443))
+        client.open()
+        world.run(0.01)
+        assert client.resets == 1
+
+    def test_nobody_able_is_told_at_once(self):
+        world = make_world(agents=2)
+        for upstream in world.upstream_by_host.values():
+            upstream.draining = True
+        world.run(2.0)
+        client = world.make_client()
+        client.open()
+        world.run(0.05)
+        assert client.resets == 1
+        assert not client.opened
+
+
+class TestGate:
+    def test_a_draining_upstream_gets_no_open_at_once(self):
+        world = make_world(agents=3)
+        upstream = world.upstream_by_host["10.2.0.1"]
+        upstream.draining = True
+        upstream.report()
+        before = len(upstream.opens)
+        clients = open_flows(world, 30)
+        assert len(upstream.opens) == before
+        assert all(client.opened for client in clients)
+
+    def test_a_data_centre_that_is_out_gets_no_open(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 30)
+        world.set_routes(make_table(2, out=("a",)))
+        world.run(1.0)
+        upstream = world.upstream_by_host["10.2.0.1"]
+        before = len(upstream.opens)
+        later = open_flows(world, 30)
+        assert len(upstream.opens) == before
+        assert all(client.opened for client in later)
+        for client in clients:
+            client.ask()
+        world.run(0.2)
+        assert all(client.answers == 1 for client in clients)
+
+    def test_a_dropped_route_takes_no_open(self):
+        world = make_world()
+        other = FlowRoute(("198.18.0.2", 443), (Target("board", 1),))
+        world.set_routes(make_table(2, routes=(other,)))
+        world.run(1.0)
+        client = world.make_client()
+        client.open()
+        world.run(0.1)
+        assert client.resets == 1
+        assert not client.opened
+
+    def test_a_stale_balancer_is_corrected_by_the_agent(self):
+        world = make_world()
+        other = FlowRoute(("198.18.0.2", 443), (Target("board", 1),))
+        newer = make_table(2, routes=(other,))
+        for host, node in world.node_by_host.items():
+            if host.startswith("10.2."):
+                node.routes.offer(newer)
+        client = world.make_client()
+        client.open()
+        world.run(0.002)
+        world.run(0.1)
+        assert not client.opened
+        assert find_holder(world, client.flow) is None
+
+    @pytest.mark.parametrize("rate", [1.0, 8.0])
+    def test_a_cold_upstream_gets_what_it_bears(self, rate):
+        world = make_world(agents=1)
+        upstream = world.upstream_by_host["10.2.0.1"]
+        world.set_routes(make_table(2, cold_opens=rate))
+        upstream.restart()
+        upstream.cold_for = 3.0
+        world.run(1.5)
+        upstream.opens.clear()
+        for _ in range(100):
+            world.make_client().open()
+            world.run(0.02)
+        for start, _ in upstream.opens:
+            within = [at for at, _ in upstream.opens if start <= at < start + 1.0]
+            assert len(within) <= rate + COLD_SPARE
+
+    def test_a_cold_upstream_without_a_stated_rate_is_used(self):
+        world = make_world(agents=1)
+        upstream = world.upstream_by_host["10.2.0.1"]
+        upstream.restart()
+        upstream.cold_for = 3.0
+        world.run(1.5)
+        clients = open_flows(world, 30)
+        assert all(client.opened for client in clients)
+
+
+class TestAffinity:
+    def test_a_new_balancer_finds_established_flows(self):
+        world = make_world(agents=7)
+        clients = open_flows(world, 60)
+        world.add_balancer("10.1.0.9", "c", ["10.1.0.1"])
+        world.run(1.0)
+        for client in clients:
+            client.ask("10.1.0.9")
+        world.run(0.3)
+        assert [client.answers for client in clients] == [1] * 60
+        assert count_foreign(world) == 0
+
+    def test_new_agents_do_not_move_flows(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 60)
+        for n in range(4):
+            world.add_agent(f"10.2.1.{n + 1}", seeds=["10.1.0.1"])
+        world.run(2.0)
+        world.kill("10.1.0.1")
+        world.add_balancer("10.1.0.1", "a", ["10.1.0.2"])
+        world.run(1.0)
+        for client in clients:
+            client.ask("10.1.0.1")
+        world.run(0.3)
+        assert [client.answers for client in clients] == [1] * 60
+        assert all(client.resets == 0 for client in clients)
+
+    def test_a_restarted_agent_regains_its_flows(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        world.kill("10.2.0.2")
+        world.run(0.5)
+        world.add_agent(
+            "10.2.0.2", data_centre="b", seeds=["10.1.0.1"], knows_all=False
+        )
+        world.run(2.0)
+        for client in clients:
+            client.ask()
+        world.run(0.3)
+        assert [client.answers for client in clients] == [1] * 40
+        assert all(client.resets == 0 for client in clients)
+
+    def test_all_processes_restart_and_flows_go_on(self):
+        world = make_world(agents=5, balancers=2)
+        clients = open_flows(world, 40)
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        world.run(0.5)
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for host in hosts:
+            if host not in balancers:
+                world.add_agent(host, seeds=balancers, knows_all=False)
+        world.run(3.0)
+        for client in clients:
+            client.ask()
+        world.run(0.5)
+        assert [client.answers for client in clients] == [1] * 40
+        assert all(client.resets == 0 for client in clients)
+
+    def test_a_restarted_upstream_resets_its_flows_at_once(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 30)
+        host = "10.2.0.1"
+        lost = [c for c in clients if find_holder(world, c.flow) == host]
+        upstream = world.upstream_by_host[host]
+        upstream.restart()
+        upstream.report()
+        world.run(0.1)
+        assert lost
+        assert all(client.resets == 1 for client in lost)
+        kept = [client for client in clients if client not in lost]
+        assert all(client.resets == 0 for client in kept)
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_lost_messages_break_no_flow(self, seed):
+        world = make_world(agents=5, balancers=3, seed=seed, loss=0.05)
+        clients = open_flows(world, 40)
+        world.run(2.0)
+        opened = [client for client in clients if client.opened]
+        world.kill("10.1.0.1")
+        world.add_balancer("10.1.0.1", "a", ["10.1.0.2"])
+        world.run(1.0)
+        for _ in range(6):
+            for client in opened:
+                if not client.answers:
+                    client.ask()
+            world.run(0.4)
+        assert len(opened) >= 36
+        assert all(client.answers for client in opened)
+        assert all(client.resets == 0 for client in opened)
+
+
+class TestPlatformAway:
+    def test_routes_come_from_peers_while_the_store_is_away(self):
+        world = make_world()
+        world.store_is_away = True
+        node = world.add_balancer("10.1.0.9", "a", ["10.1.0.1"])
+        world.run(1.0)
+        assert node.is_ready
+        assert node.routes.revision == 1
+
+    def test_revisions_never_fall(self):
+        world = make_world()
+        world.set_routes(make_table(5))
+        world.run(1.0)
+        world.set_routes(make_table(3))
+        world.run(1.0)
+        revisions = {node.routes.revision for node in world.node_by_host.values()}
+        assert revisions == {5}
+
+
+def test_addresses_are_as_the_routes_say():
+    assert make_table().index()[ADDRESS].allows("board")
--- /dev/null
+++ b/tests/support/flow_world.py
@@ -0,0 +1,417 @@
+"""A model of the datagram service in virtual time, around the real cores.
+
+Balancers and agents are the product's cores; clients, upstreams, links and the
+fabric are small models of what the platform's pages say of them. The same
+seed gives the same run.
+"""
+
+import heapq
+import struct
+from collections import Counter
+from random import Random
+
+from attrs import Factory, define, field
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination import flow_events as fev
+from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
+from bilberrypath.coordination.flow_balancer import FlowBalancer
+from bilberrypath.platform.packet_head import ACK, BOUNCED, FIN, RST, SYN, PacketHeads
+from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_messages import to_address
+from bilberrypath.protocol.flow_packet import END_LENGTH, pack_end, pack_flow
+from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
+
+HEAD = struct.Struct("!H6s6sIIB3sII")
+PEER_PORT = 7600
+REPORT_PERIOD = 1.0
+FLOW_LIFETIME = 60.0
+LINK_DELAY = 0.0005
+START_DELAY = 0.3
+ADDRESS = ("198.18.0.1", 443)
+
+
+def write_packet(flow, flags, sequence=0, acknowledged=0, data=b"", back=False):
+    """Return a datagram of a flow, from its client or back to it."""
+    client, address = flow[:END_LENGTH], flow[END_LENGTH:]
+    ends = (address, client) if back else (client, address)
+    head = HEAD.pack(len(data), *ends, 0, 7, flags, b"\0\0\0", sequence, acknowledged)
+    return head + data
+
+
+@define(eq=False)
+class ModelUpstream:
+    """A server: it holds flows, answers data, and hands back what is not its own."""
+
+    world: "FlowWorld"
+    name: str
+    host: str
+    service: str
+    data_centre: str
+    started_at: int = 1
+    sequence: int = 0
+    slots: int = 3
+    work: float = 0.03
+    cold_for: float = 0.0
+    draining: bool = False
+    is_up: bool = True
+    is_silent: bool = False
+    flows: dict = Factory(dict)
+    opens: list = Factory(list)
+    foreign: Counter = Factory(Counter)
+
+    def receive(self, datagram):
+        if not self.is_up or self.is_silent:
+            return
+        packet = self.world.codec.read_from_client(datagram)
+        if packet.opens:
+            self._accept(packet)
+        elif packet.flow not in self.flows:
+            self.foreign[packet.flow] += 1
+            bounced = bytearray(datagram)
+            bounced[22] |= BOUNCED
+            self._send(bytes(bounced))
+        elif packet.data_length:
+            self.world.after(self.work, lambda: self._answer(packet))
+
+    def restart(self):
+        """Begin anew, with nothing of before."""
+        self.flows.clear()
+        self.started_at += 1000
+        self.sequence = 0
+        self.is_up = True
+        self.is_silent = False
+        self.draining = False
+
+    def report(self):
+        if not self.is_up or self.is_silent:
+            return
+        self.sequence += 1
+        event = fev.UpstreamReport(
+            self.name,
+            self.started_at,
+            self.sequence,
+            self.service,
+            (self.host, 8080),
+            self.data_centre,
+            self.slots,
+            self.draining,
+            self.cold_for,
+        )
+        self.world.feed(self.host, event)
+
+    def _accept(self, packet):
+        if packet.flow not in self.flows:
+            self.flows[packet.flow] = self.world.now
+            self.opens.append((self.world.now, packet.flow))
+        self._send(write_packet(packet.flow, SYN | ACK, 100, 1, back=True))
+
+    def _answer(self, packet):
+        if self.is_up and packet.flow in self.flows:
+            self._send(write_packet(packet.flow, ACK, 101, 2, b"answer", back=True))
+
+    def _send(self, datagram):
+        node = self.world.node_by_host.get(self.host)
+        if node is not None:
+            now = self.world.now
+            effects = node.take_upstream_packet(datagram, now)
+            self.world.perform(self.host, effects)
+
+
+@define(eq=False)
+class ModelClient:
+    """One flow of a client, and what came back on it."""
+
+    world: "FlowWorld"
+    flow: bytes
+    opened: bool = False
+    answers: int = 0
+    resets: int = 0
+
+    def open(self, through=None):
+        self._send(write_packet(self.flow, SYN, 1), through)
+
+    def ask(self, through=None):
+        self._send(write_packet(self.flow, ACK, 2, 101, b"request"), through)
+
+    def close(self, through=None):
+        self._send(write_packet(self.flow, ACK | FIN, 3, 102), through)
+
+    def take(self, datagram):
+        packet = self.world.codec.read_from_upstream(datagram)
+        self.opened |= packet.accepts_open
+        self.resets += packet.resets
+        self.answers += bool(packet.data_length)
+
+    def _send(self, datagram, through):
+        self.world.send_packet(datagram, through)
+
+
+@define(eq=False)
+class FlowWorld:
+    """Nodes by host, the events to come, and everything that was counted."""
+
+    seed: int = 1
+    loss: float = 0.0
+    now: float = 0.0
+    rng: Random = field(init=False)
+    codec: PacketHeads = Factory(PacketHeads)
+    node_by_host: dict = Factory(dict)
+    upstream_by_host: dict = Factory(dict)
+    client_by_flow: dict = Factory(dict)
+    table: RouteTable = Factory(RouteTable)
+    store_is_away: bool = False
+    cut: set = Factory(set)
+    counts: Counter = Factory(Counter)
+    decisions: list = Factory(list)
+    _events: list = Factory(list)
+    _next: int = 0
+    _wake_at_by_host: dict = Factory(dict)
+    _ports: int = 40000
+
+    def __attrs_post_init__(self):
+        self.rng = Random(self.seed)
+
+    # Building
+
+    def add_balancer(self, host, data_centre="a", seeds=()):
+        me = Member(
+            f"{host}:{PEER_PORT}",
+            Role.BALANCER,
+            data_centre,
+            "",
+            self._incarnation(),
+            1,
+            Status.SERVING,
+        )
+        seeds = tuple((seed, PEER_PORT) for seed in seeds)
+        rng = Random(self.rng.random())
+        node = FlowBalancer(me, seeds, self.codec, rng, self.now)
+        self._start(host, node)
+        return node
+
+    def add_agent(
+        self, host, service="board", data_centre="a", seeds=(), knows_all=True
+    ):
+        me = Member(
+            f"{host}:{PEER_PORT}",
+            Role.AGENT,
+            data_centre,
+            service,
+            self._incarnation(),
+            1,
+            Status.DRAINING,
+        )
+        setup = FlowAgentSetup(
+            me,
+            tuple((seed, PEER_PORT) for seed in seeds),
+            (host, 8080),
+            REPORT_PERIOD,
+            FLOW_LIFETIME,
+            knows_all,
+        )
+        node = FlowAgent(setup, self.codec, Random(self.rng.random()), self.now)
+        self._start(host, node)
+        if host not in self.upstream_by_host:
+            upstream = ModelUpstream(self, f"u-{host}", host, service, data_centre)
+            self.upstream_by_host[host] = upstream
+            self._report_forever(upstream)
+        return node
+
+    def kill(self, host):
+        self.node_by_host.pop(host, None)
+
+    def set_routes(self, table):
+        """Have the operator change the configuration."""
+        self.table = table
+
+    def make_client(self, address=ADDRESS):
+        self._ports += 1
+        flow = pack_flow(("100.64.0.1", self._ports), address)
+        client = self.client_by_flow[flow] = ModelClient(self, flow)
+        return client
+
+    # Time
+
+    def after(self, delay, act):
+        self._next += 1
+        heapq.heappush(self._events, (self.now + delay, self._next, act))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, act = heapq.heappop(self._events)
+            act()
+        self.now = end
+
+    # What happens
+
+    def feed(self, host, event):
+        node = self.node_by_host.get(host)
+        if node is not None:
+            self.perform(host, node.handle(event, self.now))
+
+    def send_packet(self, datagram, through=None):
+        hosts = sorted(
+            host
+            for host, node in self.node_by_host.items()
+            if isinstance(node, FlowBalancer)
+        )
+        host = through or self.rng.choice(hosts)
+
+        def arrive():
+            node = self.node_by_host.get(host)
+            if node is not None:
+                self.perform(host, node.take_packet(datagram, self.now))
+
+        self.after(LINK_DELAY, arrive)
+
+    def perform(self, host, effects):
+        for effect in effects:
+            self._perform(host, effect)
+        self._set_wake(host)
+
+    def _perform(self, host, effect):
+        if isinstance(effect, fx.SendControl):
+            self._send(host, effect)
+        elif isinstance(effect, ffx.SendToUpstream):
+            self.after(0, lambda: self.upstream_by_host[host].receive(effect.datagram))
+        elif isinstance(effect, ffx.SendToClient):
+            client = self.client_by_flow.get(effect.flow)
+            if client is not None:
+                self.after(LINK_DELAY, lambda: client.take(effect.datagram))
+        elif isinstance(effect, ffx.PullRoutes):
+            self._pull_routes(host, effect.peer)
+        elif isinstance(effect, fx.PullTable):
+            self._pull_table(host, effect)
+        elif isinstance(effect, fx.Count):
+            self.counts[effect.event, effect.reason] += 1
+        elif isinstance(effect, ffx.Decided):
+            self.decisions.append((effect.event, effect.flow, effect.fields))
+
+    def _send(self, host, effect):
+        to = effect.to[0]
+        if (host, to) in self.cut or self.rng.random() < self.loss:
+            return
+        body = msg.encode_message(effect.message)
+
+        def arrive():
+            node = self.node_by_host.get(to)
+            if node is None:
+                return
+            message = msg.decode_message(body)
+            sender = (host, PEER_PORT)
+            if isinstance(message, msg.Carry):
+                effects = node.take_carry(message, sender, self.now)
+            else:
+                effects = node.handle(ev.ControlReceived(sender, message), self.now)
+            self.perform(to, effects)
+
+        self.after(LINK_DELAY, arrive)
+
+    def _pull_routes(self, host, peer):
+        def answer():
+            node = self.node_by_host.get(to_address(peer)[0])
+            if node is None or (host, to_address(peer)[0]) in self.cut:
+                self.feed(host, fev.RoutesPullFailed(peer))
+            else:
+                self.feed(host, fev.RoutesPulled(peer, node.routes.table))
+
+        self.after(4 * LINK_DELAY, answer)
+
+    def _pull_table(self, host, effect):
+        def answer():
+            node = self.node_by_host.get(effect.peer[0])
+            if not isinstance(node, FlowBalancer):
+                self.feed(host, ev.PullFailed(effect.peer))
+                return
+            members = node.members.table.list_differing(effect.digests)
+            self.feed(host, ev.TablePulled(effect.peer, tuple(members)))
+
+        self.after(4 * LINK_DELAY, answer)
+
+    def _start(self, host, node):
+        self.node_by_host[host] = node
+
+        def tick():
+            if self.node_by_host.get(host) is not node:
+                return
+            self.feed(host, ev.Tick())
+            if isinstance(node, FlowBalancer):
+                self._read_store(host, node)
+            self.after(ev.TICK_PERIOD, tick)
+
+        self.after(self.rng.uniform(0, ev.TICK_PERIOD), tick)
+
+    def _read_store(self, host, node):
+        newer = self.table.revision > node.routes.revision
+        if newer and node.reads_store and not self.store_is_away:
+            self.feed(host, fev.RoutesRead(self.table))
+
+    def _report_forever(self, upstream):
+        upstream.report()
+        self.after(REPORT_PERIOD, lambda: self._report_forever(upstream))
+
+    def _set_wake(self, host):
+        node = self.node_by_host.get(host)
+        wake_at = None if node is None else node.next_wake()
+        if wake_at is None or self._wake_at_by_host.get(host) == wake_at:
+            return
+        self._wake_at_by_host[host] = wake_at
+
+        def wake():
+            self._wake_at_by_host.pop(host, None)
+            if self.node_by_host.get(host) is node:
+                self.perform(host, node.wake(self.now))
+
+        self.after(max(0.0, wake_at - self.now), wake)
+
+    def _incarnation(self):
+        return 1000 + round(self.now * 1000)
+
+
+def make_table(revision=1, service="board", out=(), routes=None, cold_opens=0.0):
+    """Return a table with one route, or with those given."""
+    if routes is None:
+        routes = (FlowRoute(ADDRESS, (Target(service, 1),)),)
+    limits = tuple(
+        UpstreamLimits(name, 2000, cold_opens) for name in (service, "photo")
+    )
+    return RouteTable(revision, revision, routes, limits, out)
+
+
+def make_world(agents=4, balancers=2, seed=1, loss=0.0):
+    """Return a world that serves one service in three data centres."""
+    world = FlowWorld(seed, loss)
+    world.set_routes(make_table())
+    hosts = [f"10.1.0.{n + 1}" for n in range(balancers)]
+    for n, host in enumerate(hosts):
+        world.add_balancer(host, "abc"[n % 3], hosts)
+    for n in range(agents):
+        world.add_agent(f"10.2.0.{n + 1}", data_centre="abc"[n % 3], seeds=hosts)
+    world.run(4.0)
+    return world
+
+
+def find_holder(world, flow):
+    """Return the host whose upstream holds a flow, or None."""
+    for host, upstream in world.upstream_by_host.items():
+        if upstream.is_up and flow in upstream.flows:
+            return host
+    return None
+
+
+__all__ = [
+    "ADDRESS",
+    "FIN",
+    "RST",
+    "FlowWorld",
+    "find_holder",
+    "make_table",
+    "make_world",
+    "pack_end",
+    "write_packet",
+]
