--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,72 @@
+import json
+
+import pytest
+
+from bilberrypath.platform.documents import DocumentError, change_table
+from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "prefix": "/8443/",
+            "type": "idempotent",
+            "timeoutMs": 1000,
+            "split": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+        },
+        {"name": "r-2", "host": "198.18.0.2", "prefix": "/80/", "service": "wuno96b"},
+    ],
+    "services": [
+        {"name": "huvo11a", "maxConns": 2000, "coldStartS": 2.0, "coldPerS": 4.5},
+    ],
+    "limits": {"maxHeaderBytes": 1, "idleTimeoutMs": 12000},
+}
+
+
+def apply_config(config, table=None):
+    value = json.dumps(config).encode()
+    return change_table(table or RouteTable(), 12, "op/config", value)
+
+
+class TestConfig:
+    def test_is_mapped_to_our_names(self):
+        table = apply_config(CONFIG)
+        split = (Target("huvo11a", 90), Target("wuno96b", 10))
+        assert table.revision == 12
+        assert table.version == 7
+        assert table.routes == (
+            FlowRoute(("198.18.0.1", 8443), split),
+            FlowRoute(("198.18.0.2", 80), (Target("wuno96b", 1),)),
+        )
+        assert table.limits == (UpstreamLimits("huvo11a", 2000, 4.5),)
+        assert table.idle_timeout == 12.0
+
+    def test_keeps_what_is_out(self):
+        table = RouteTable(3, out=("wc-a",))
+        assert apply_config(CONFIG, table).out == ("wc-a",)
+
+    @pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"version": "x"}'])
+    def test_that_can_not_be_read_is_an_error(self, value):
+        with pytest.raises(DocumentError, match="op/config is not a configuration"):
+            change_table(RouteTable(), 1, "op/config", value)
+
+
+class TestDataCentres:
+    def test_are_taken_out_and_back(self):
+        table = change_table(RouteTable(), 4, "op/evacuate/wc-b", b"{}")
+        assert table.out == ("wc-b",)
+        table = change_table(table, 5, "op/evacuate/wc-a", b"{}")
+        assert table.out == ("wc-a", "wc-b")
+        table = change_table(table, 6, "op/evacuate/wc-b", None)
+        assert table.out == ("wc-a",)
+        assert table.revision == 6
+
+    def test_other_keys_change_nothing_else(self):
+        table = RouteTable(1, 2, out=("wc-a",))
+        changed = change_table(table, 9, "op/other", b"x")
+        assert changed == RouteTable(9, 2, out=("wc-a",))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,114 @@
+import asyncio
+
+import pytest
+
+from bilberrypath.platform import store as store_module
+from bilberrypath.platform.store import PlatformRoutes
+from bilberrypath.state.routes import RouteTable
+from bilberrypath.transport.flow_balancer_daemon import RoutesUnavailable
+from tests.platform.test_documents import CONFIG
+from tests.standins.platform_store import PlatformStore
+
+
+@pytest.fixture
+async def store(monkeypatch):
+    monkeypatch.setattr(store_module, "WATCH_WAIT", 0.2)
+    monkeypatch.setattr(store_module, "WATCH_SLACK", 0.2)
+    monkeypatch.setattr(store_module, "READ_TIMEOUT", 0.3)
+    stand_in = PlatformStore()
+    stand_in.address = await stand_in.start()
+    yield stand_in
+    stand_in.close()
+
+
+@pytest.fixture
+def source(store):
+    return PlatformRoutes(store.address)
+
+
+class TestFollowing:
+    async def test_reads_all_first(self, store, source):
+        store.put("op/config", CONFIG)
+        store.put("op/evacuate/wc-a", {})
+        table = await source.follow(RouteTable())
+        assert table.version == 7
+        assert table.out == ("wc-a",)
+        assert table.revision == store.revision
+
+    async def test_nothing_is_in_force_before_the_first_configuration(
+        self, store, source
+    ):
+        assert await source.follow(RouteTable()) is None
+
+    async def test_waits_for_changes(self, store, source):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        following = asyncio.create_task(source.follow(table))
+        await asyncio.sleep(0.02)
+        store.put("op/config", CONFIG | {"version": 9})
+        table = await following
+        assert table.version == 9
+        store.put("op/evacuate/wc-a", {})
+        table = await source.follow(table)
+        assert table.out == ("wc-a",)
+        store.remove("op/evacuate/wc-a")
+        table = await source.follow(table)
+        assert table.out == ()
+        assert table.revision == store.revision
+
+    async def test_none_when_nothing_comes(self, store, source):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        assert await source.follow(table) is None
+
+    async def test_reads_all_again_when_history_is_gone(self, store, source):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        store.put("op/config", CONFIG | {"version": 8})
+        store.compact()
+        table = await source.follow(table)
+        assert table.version == 8
+
+    async def test_one_connection_serves_all_calls(self, store, source):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        for _ in range(3):
+            await source.follow(table)
+        assert store.connections == 1
+
+    async def test_more_than_one_page(self, store, source):
+        store.put("op/config", CONFIG)
+        for number in range(600):
+            store.put(f"op/evacuate/z-{number:03}", {})
+        table = await source.follow(RouteTable())
+        assert len(table.out) == 600
+
+
+class TestTrouble:
+    @pytest.mark.parametrize("mode", ["busy", "many", "silent", "reset", "garbage"])
+    async def test_is_told_and_passes(self, store, source, mode):
+        store.put("op/config", CONFIG)
+        store.mode = mode
+        with pytest.raises(RoutesUnavailable):
+            await source.follow(RouteTable())
+        store.mode = ""
+        assert (await source.follow(RouteTable())).version == 7
+
+    async def test_a_watch_that_fell_silent_is_given_up(self, store, source):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        store.mode = "silent"
+        with pytest.raises(RoutesUnavailable):
+            await source.follow(table)
+        store.mode = ""
+        store.put("op/config", CONFIG | {"version": 8})
+        assert (await source.follow(table)).version == 8
+
+    async def test_a_configuration_that_can_not_be_read_changes_nothing(
+        self, store, source
+    ):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        store.put("op/config", b"nonsense")
+        with pytest.raises(RoutesUnavailable, match="not a configuration"):
+            await source.follow(table)
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,131 @@
+"""The platform's metadata store, as its page describes it, in memory."""
+
+import asyncio
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+PAGE = 500
+
+
+class PlatformStore:
+    """Keys with revisions, ranges by page, and watches with a history.
+
+    ``mode`` makes it misbehave: "busy" answers 503, "many" 429, "silent" never
+    answers, "reset" breaks connections off, "garbage" answers nonsense.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.kept_from = 0
+        self.mode = ""
+        self.calls = []
+        self.connections = 0
+        self._changed = asyncio.Event()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()
+
+    def close(self):
+        self._server.close()
+
+    def put(self, key, value):
+        self.revision += 1
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self._add(item)
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self._add({"key": key, "revision": self.revision, "deleted": True})
+
+    def compact(self):
+        self.history.clear()
+        self.kept_from = self.revision
+
+    def _add(self, event):
+        self.history.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+    async def _serve_one(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        target = head.split(b" ", 2)[1].decode()
+        self.calls.append(target)
+        if self.mode == "reset":
+            writer.transport.abort()
+            return False
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        status, body = await self._answer(target)
+        data = json.dumps(body).encode()
+        if self.mode == "garbage":
+            data = b"?" + data
+        line = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+        writer.write(line.encode() + data)
+        await writer.drain()
+        return True
+
+    async def _answer(self, target):
+        if self.mode in ("busy", "many"):
+            return (503 if self.mode == "busy" else 429), {}
+        parts = urlsplit(target)
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        if parts.path == "/v1/kv-range":
+            return 200, self._range(query)
+        if parts.path == "/v1/kv-watch":
+            return await self._watch(query)
+        return 404, {}
+
+    def _range(self, query):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["prefix"]) and key > query.get("after", "")
+        )
+        page = [self.items[key] for key in keys[:PAGE]]
+        more = len(keys) > PAGE
+        return {"items": page, "hasMore": more, "currentRev": self.revision}
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.kept_from:
+                return 410, {}
+            events = [
+                event
+                for event in self.history
+                if event["revision"] > after
+                and event["key"].startswith(query["prefix"])
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return 200, {"events": events, "currentRev": self.revision}
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
