--- /dev/null
+++ b/tests/coordination/test_flow_search.py
@@ -0,0 +1,66 @@
+import pytest
+
+from bilberrypath.coordination.flow_search import (
+    MAX_WAITING,
+    Found,
+    Nowhere,
+    Searches,
+    TryNext,
+)
+from bilberrypath.platform.packet_head import ACK, PacketHeads
+from bilberrypath.protocol.flow_messages import Carry, Holds
+from bilberrypath.protocol.flow_packet import pack_flow
+from tests.support.flow_world import write_packet
+
+FLOW = pack_flow(("100.64.0.7", 40001), ("198.18.0.1", 443))
+PACKET = PacketHeads().read_from_client(write_packet(FLOW, ACK))
+CARRY = Carry(1, "board", "b:1", True, "", (), 0, True, PACKET.datagram)
+
+
+@pytest.fixture
+def searches():
+    searches = Searches()
+    searches.begin(CARRY, PACKET, ("me:1",), ["x:1", "y:1"])
+    return searches
+
+
+def answer(searches, agent, holder="", unsure=False):
+    return searches.take_answer(Holds(FLOW, holder, unsure), agent)
+
+
+class TestAnswers:
+    def test_the_first_that_knows_settles_it(self, searches):
+        assert answer(searches, "y:1", "y:1") == Found("y:1")
+
+    def test_a_holder_that_was_tried_does_not_count(self, searches):
+        assert answer(searches, "x:1", "me:1") is None
+        assert answer(searches, "y:1") == Nowhere(certain=True)
+
+    def test_all_deny_it(self, searches):
+        assert answer(searches, "x:1") is None
+        assert answer(searches, "y:1") == Nowhere(certain=True)
+
+    def test_who_can_not_tell_is_tried(self, searches):
+        assert answer(searches, "y:1", unsure=True) is None
+        assert answer(searches, "x:1") == TryNext("y:1")
+
+    def test_a_missing_answer_leaves_it_uncertain(self, searches):
+        answer(searches, "x:1")
+        assert searches.conclude(FLOW) == Nowhere(certain=False)
+
+    def test_doubled_and_foreign_answers_do_not_count(self, searches):
+        answer(searches, "x:1")
+        assert answer(searches, "x:1") is None
+        assert answer(searches, "z:1") is None
+        assert searches.get(FLOW).waiting == {"y:1"}
+
+
+class TestPackets:
+    def test_wait_up_to_a_bound(self, searches):
+        search = searches.get(FLOW)
+        kept = [search.keep(CARRY, PACKET) for _ in range(MAX_WAITING)]
+        assert kept == [True] * (MAX_WAITING - 1) + [False]
+
+    def test_are_returned_at_the_end(self, searches):
+        assert searches.end(FLOW).carries == [(CARRY, PACKET)]
+        assert searches.get(FLOW) is None
--- /dev/null
+++ b/tests/coordination/test_held_flows.py
@@ -0,0 +1,85 @@
+import pytest
+
+from bilberrypath.coordination.held_flows import BUSY_LIMIT, LINGER, HeldFlows
+from bilberrypath.platform.packet_head import ACK, FIN, RST, SYN, PacketHeads
+from bilberrypath.protocol.flow_packet import pack_flow
+from tests.support.flow_world import write_packet
+
+CODEC = PacketHeads()
+FLOW = pack_flow(("100.64.0.7", 40001), ("198.18.0.1", 443))
+
+
+def from_client(flags, data=b"", acknowledged=0):
+    return CODEC.read_from_client(write_packet(FLOW, flags, 1, acknowledged, data))
+
+
+def from_upstream(flags, data=b""):
+    return CODEC.read_from_upstream(write_packet(FLOW, flags, 1, 1, data, back=True))
+
+
+@pytest.fixture
+def flows():
+    return HeldFlows()
+
+
+@pytest.fixture
+def held(flows):
+    return flows.add(from_client(SYN), confirmed=True, now=0.0)
+
+
+class TestLoad:
+    def test_a_flow_is_busy_from_request_to_answer(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"request"), 1.0)
+        assert flows.busy_count == 1
+        flows.note_client(held, from_client(ACK, b"more"), 1.1)
+        assert flows.busy_count == 1
+        flows.note_upstream(held, from_upstream(ACK), 1.2)
+        assert flows.busy_count == 1
+        flows.note_upstream(held, from_upstream(ACK, b"answer"), 1.3)
+        assert flows.busy_count == 0
+
+    def test_a_removed_flow_is_not_busy(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"request"), 1.0)
+        flows.remove(FLOW, 1.1)
+        assert flows.busy_count == 0
+        assert len(flows) == 0
+
+    def test_the_mean_follows(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"request"), 1.0)
+        assert flows.compute_mean_busy(1.0) == 0.0
+        assert 0.6 < flows.compute_mean_busy(2.0) < 0.7
+        assert flows.compute_mean_busy(9.0) > 0.99
+
+    def test_a_request_without_answer_is_not_busy_for_ever(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"request"), 1.0)
+        flows.sweep(60.0, 1.0 + BUSY_LIMIT + 0.1)
+        assert flows.busy_count == 0
+
+
+class TestEnds:
+    def test_both_ends_close(self, flows, held):
+        flows.note_client(held, from_client(ACK | FIN), 1.0)
+        assert not held.is_ended
+        flows.note_upstream(held, from_upstream(ACK | FIN), 1.1)
+        assert held.is_ended
+
+    def test_a_reset_of_the_upstream_ends_it(self, flows, held):
+        flows.note_upstream(held, from_upstream(RST), 1.0)
+        assert held.is_ended
+
+    def test_an_ended_flow_lingers_for_late_packets(self, flows, held):
+        flows.note_upstream(held, from_upstream(RST), 1.0)
+        flows.sweep(60.0, 1.0 + LINGER - 0.1)
+        assert flows.get(FLOW) is held
+        flows.sweep(60.0, 1.0 + LINGER + 0.1)
+        assert flows.get(FLOW) is None
+
+    def test_an_idle_flow_is_forgotten_after_its_limit(self, flows, held):
+        flows.sweep(15.0, 14.9)
+        assert flows.get(FLOW) is held
+        flows.sweep(15.0, 15.1)
+        assert flows.get(FLOW) is None
+
+    def test_the_last_acknowledgement_is_kept_for_a_reset(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"x", acknowledged=4711), 1.0)
+        assert held.acknowledged == 4711
--- /dev/null
+++ b/tests/coordination/test_open_placement.py
@@ -0,0 +1,120 @@
+from random import Random
+
+import pytest
+
+from bilberrypath.coordination.open_placement import (
+    MARGIN,
+    REPORT_LIMIT,
+    OpenPlacement,
+    OwnLoad,
+)
+from bilberrypath.protocol.flow_messages import LoadReport
+from bilberrypath.state.members import Doubt, Member, Role, Status
+
+ME = "10.0.0.1:7600"
+
+
+def make_member(number, status=Status.SERVING, data_centre="a"):
+    return Member(
+        f"10.0.0.{number}:7600", Role.AGENT, data_centre, "board", 1, 1, status
+    )
+
+
+def make_report(pressure, takes_opens=True):
+    return LoadReport(1, "board", takes_opens, pressure, 10)
+
+
+@pytest.fixture
+def placement():
+    placement = OpenPlacement(Random(1))
+    placement.use_agents(tuple(make_member(n) for n in range(1, 5)), ME, 0.0)
+    return placement
+
+
+def tell(placement, pressures, now=0.0):
+    for number, pressure in pressures.items():
+        peer = placement.peer_by_id[f"10.0.0.{number}:7600"]
+        peer.take_report(make_report(pressure), now)
+
+
+class TestAgents:
+    def test_does_not_count_itself(self, placement):
+        assert ME not in placement.peer_by_id
+        assert len(placement.peer_by_id) == 3
+
+    def test_tells_whether_one_came_or_went(self, placement):
+        agents = tuple(make_member(n) for n in range(1, 5))
+        assert not placement.use_agents(agents, ME, 1.0)
+        assert placement.use_agents(agents[:-1], ME, 1.0)
+
+    def test_keeps_one_that_was_heard_of_late(self, placement):
+        tell(placement, {2: 0.1}, now=5.0)
+        placement.use_agents((make_member(3),), ME, 6.0)
+        assert set(placement.peer_by_id) == {"10.0.0.2:7600", "10.0.0.3:7600"}
+        placement.use_agents((make_member(3),), ME, 6.0 + REPORT_LIMIT)
+        assert set(placement.peer_by_id) == {"10.0.0.3:7600"}
+
+
+class TestLessBusy:
+    def choose(self, placement, pressure, busy=0, **rules):
+        own = OwnLoad(busy, 3, pressure)
+        passed_over = rules.get("passed_over", ())
+        return placement.choose_less_busy(own, passed_over, rules.get("out", ()), 0.1)
+
+    def test_stays_while_no_worse(self, placement):
+        tell(placement, {2: 0.3, 3: 0.3, 4: 0.3})
+        assert self.choose(placement, 0.3 + MARGIN - 0.01) is None
+
+    def test_moves_for_a_clear_gain(self, placement):
+        tell(placement, {2: 0.5, 3: 0.1, 4: 0.5})
+        assert self.choose(placement, 0.6) == "10.0.0.3:7600"
+
+    def test_moves_for_any_gain_when_full(self, placement):
+        tell(placement, {2: 0.9, 3: 0.85, 4: 0.9})
+        assert self.choose(placement, 0.9, busy=3) == "10.0.0.3:7600"
+
+    def test_counts_what_was_just_sent(self, placement):
+        tell(placement, {2: 0.1, 3: 0.1, 4: 0.1})
+        chosen = [self.choose(placement, 0.6) for _ in range(3)]
+        assert len(set(chosen)) == 3
+
+    def test_old_reports_say_nothing(self, placement):
+        tell(placement, {2: 0.0, 3: 0.0, 4: 0.0}, now=-REPORT_LIMIT)
+        assert self.choose(placement, 0.9) is None
+
+
+class TestAny:
+    def test_passes_over_who_can_not_take_it(self, placement):
+        agents = (
+            make_member(2, Status.DRAINING),
+            make_member(3, data_centre="b"),
+            make_member(4),
+        )
+        placement.use_agents(agents, ME, 0.0)
+        chosen = {placement.choose_any((), ("b",), 0.0) for _ in range(10)}
+        assert chosen == {"10.0.0.4:7600"}
+
+    def test_passes_over_who_says_so(self, placement):
+        placement.peer_by_id["10.0.0.2:7600"].take_report(
+            make_report(0.0, takes_opens=False), 0.0
+        )
+        chosen = {placement.choose_any((), (), 0.1) for _ in range(20)}
+        assert chosen == {"10.0.0.3:7600", "10.0.0.4:7600"}
+
+    def test_none_when_nobody_is_left(self, placement):
+        everyone = tuple(placement.peer_by_id)
+        assert placement.choose_any(everyone, (), 0.0) is None
+
+    def test_a_removed_member_is_not_chosen(self, placement):
+        removed = Member(
+            "10.0.0.2:7600",
+            Role.AGENT,
+            "a",
+            "board",
+            1,
+            1,
+            Status.SERVING,
+            Doubt.REMOVED,
+        )
+        placement.use_agents((removed,), ME, 0.0)
+        assert placement.choose_any((), (), 0.0) is None
--- /dev/null
+++ b/tests/coordination/test_upstream_watch.py
@@ -0,0 +1,139 @@
+import pytest
+
+from bilberrypath.coordination.flow_events import UpstreamReport
+from bilberrypath.coordination.upstream_watch import (
+    COLD_SPARE,
+    FIRST_REST,
+    LATE_OPENS_TO_LOSE,
+    SILENCE_TO_LOSE,
+    ReportKind,
+    Unable,
+    UpstreamWatch,
+)
+
+PERIOD = 1.0
+
+
+def make_report(**changes):
+    values = {
+        "upstream_id": "u-1",
+        "started_at": 1000,
+        "sequence": 1,
+        "service": "board",
+        "address": ("10.0.0.1", 80),
+        "data_centre": "a",
+        "slots": 3,
+        "draining": False,
+        "cold_for": 0.0,
+    }
+    return UpstreamReport(**(values | changes))
+
+
+@pytest.fixture
+def watch():
+    watch = UpstreamWatch(PERIOD)
+    watch.take_report(make_report(), 0.0)
+    return watch
+
+
+def find_unable(watch, now, rate=0.0, flows=0):
+    return watch.find_unable(rate, flows, 2000, now)
+
+
+class TestReports:
+    @pytest.mark.parametrize(
+        ("changes", "kind"),
+        [
+            ({"sequence": 2}, ReportKind.NEWS),
+            ({}, ReportKind.REPEATED),
+            ({"sequence": 0}, ReportKind.OUTDATED),
+            ({"started_at": 2000}, ReportKind.NEW_START),
+            ({"started_at": 500, "sequence": 9}, ReportKind.OUTDATED),
+            ({"upstream_id": "u-2"}, ReportKind.NEW_START),
+        ],
+    )
+    def test_are_put_in_order(self, watch, changes, kind):
+        assert watch.take_report(make_report(**changes), 0.5) is kind
+
+    def test_an_outdated_one_changes_nothing(self, watch):
+        watch.take_report(make_report(sequence=5, draining=True), 0.5)
+        watch.take_report(make_report(sequence=4), 0.6)
+        assert find_unable(watch, 0.7) is Unable.DRAINING
+
+    def test_one_from_before_a_restart_changes_nothing(self, watch):
+        watch.take_report(make_report(started_at=3000), 0.5)
+        watch.take_report(make_report(sequence=99, draining=True), 0.6)
+        assert find_unable(watch, 0.7) is None
+
+    def test_none_for_long_means_absent(self, watch):
+        assert find_unable(watch, 3.4) is None
+        assert find_unable(watch, 3.6) is Unable.ABSENT
+        assert watch.note_absent(3.6)
+        assert not watch.note_absent(3.7)
+
+    def test_an_own_pause_is_no_silence(self, watch):
+        watch.pardon(5.0)
+        assert not watch.note_absent(5.0)
+
+
+class TestAbility:
+    def test_before_the_first_report(self):
+        assert find_unable(UpstreamWatch(PERIOD), 0.0) is Unable.ABSENT
+
+    def test_full_of_flows(self, watch):
+        assert find_unable(watch, 0.1, flows=2000) is Unable.FULL
+
+    def test_a_late_open_gives_a_rest(self, watch):
+        watch.note_late_open(0.1)
+        assert find_unable(watch, 0.1 + FIRST_REST / 2) is Unable.RESTING
+        assert find_unable(watch, 0.1 + FIRST_REST) is None
+
+    def test_a_packet_ends_the_rest(self, watch):
+        watch.note_late_open(0.1)
+        watch.note_heard(0.12)
+        assert find_unable(watch, 0.13) is None
+
+    def test_several_late_opens_and_silence_lose_it(self, watch):
+        times = [SILENCE_TO_LOSE * n for n in range(1, LATE_OPENS_TO_LOSE + 1)]
+        lost = [watch.note_late_open(at) for at in times]
+        assert lost == [False] * (LATE_OPENS_TO_LOSE - 1) + [True]
+        assert find_unable(watch, times[-1] + 2.0) is Unable.LOST
+
+    def test_late_opens_of_one_moment_do_not_lose_it(self, watch):
+        assert not any(watch.note_late_open(0.1) for _ in range(10))
+
+    def test_a_report_regains_it(self, watch):
+        assert watch.note_refused()
+        watch.take_report(make_report(sequence=2), 1.0)
+        assert find_unable(watch, 1.1) is None
+
+
+class TestColdStart:
+    @pytest.fixture
+    def cold(self, watch):
+        watch.take_report(make_report(started_at=2000, cold_for=2.0), 1.0)
+        return watch
+
+    @pytest.mark.parametrize("rate", [1.0, 7.5])
+    def test_takes_what_it_bears_in_any_second(self, cold, rate):
+        taken = []
+        now = 1.0
+        while now < 2.9:
+            if find_unable(cold, now, rate) is None:
+                cold.note_open(now)
+                taken.append(now)
+            now += 0.01
+        for start in taken:
+            within = [at for at in taken if start <= at < start + 1.0]
+            assert len(within) <= int(rate) + COLD_SPARE
+
+    def test_ends_when_it_said(self, cold):
+        for _ in range(20):
+            cold.note_open(2.5)
+        assert find_unable(cold, 2.9, 2.0) is Unable.COLD
+        assert find_unable(cold, 3.1, 2.0) is None
+
+    def test_without_a_stated_rate_has_no_limit(self, cold):
+        for _ in range(100):
+            cold.note_open(1.1)
+        assert find_unable(cold, 1.2, 0.0) is None
