--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -93,6 +93,7 @@
         self.agents_changed_at = now
         self._started_at = now
         self._knows_all = setup.knows_all
+        self._had_report = False
         self._next_report_at = now
         self._last_tick_at = now
 
@@ -111,6 +112,11 @@
         """Whether opens can be judged."""
         return self.routes.revision > 0
 
+    @property
+    def awaits_first_report(self) -> bool:
+        """Whether this process has not heard of its upstream yet."""
+        return not self._had_report
+
     def knows_all_flows(self, now: Seconds) -> bool:
         """Return whether the upstream has no flow that is unknown here."""
         return self._knows_all or now - self._started_at > self.setup.flow_lifetime
@@ -297,15 +303,17 @@
     def _(self, event: fev.UpstreamReport, now: Seconds) -> list[FlowEffect]:
         if event.address != self.setup.upstream:
             return [fx.Count("report_dropped", "wrong_address")]
-        first = self.watch.report is None
+        first = not self._had_report
+        self._had_report = True
         kind = self.watch.take_report(event, now)
         effects: list[FlowEffect] = []
         if kind is ReportKind.NEW_START:
             effects += self._take_new_start(event, first, now)
         if event.service != self.service and kind is not ReportKind.OUTDATED:
             effects += self._change_service(event.service)
-        counted = fx.Count("upstream_report", kind.value)
-        return [*effects, counted, *self.refresh_status("report", now)]
+        effects.append(fx.Count("upstream_report", kind.value))
+        effects += self.refresh_status("report", now)
+        return effects + self.opener.retry_waiting(now)
 
     @handle.register(fev.UpstreamLeft)
     def _(self, event: fev.UpstreamLeft, now: Seconds) -> list[FlowEffect]:
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -28,7 +28,8 @@
 PASS_TIMEOUT: Seconds = 0.025  # several round trips between data centres
 ACCEPT_TIMEOUT: Seconds = 0.04  # an upstream accepts within a ms; a slow one in 40
 ROUTES_TIMEOUT: Seconds = 0.1  # half of a client's first wait for its open
-MAX_WAITING = 256  # opens that wait for a newer table of routes
+REPORT_TIMEOUT: Seconds = 0.5  # an upstream reports at once when it may
+MAX_WAITING = 256  # opens that wait for a table of routes or for a report
 
 
 @frozen
@@ -63,20 +64,18 @@
         self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
         """Return what to do with an open, once the table of routes is as new."""
-        behind = carry.revision > self.agent.routes.revision
-        if behind and len(self._waiting_by_flow) < MAX_WAITING:
+        if carry.revision > self.agent.routes.revision:
             opening = Opening(carry, packet, sender, now)
-            self._waiting_by_flow[packet.flow] = opening
-            self.agent.deadlines.set(("routes", packet.flow), now + ROUTES_TIMEOUT)
-            return [fx.Count("open_waits", "routes_behind")]
+            if self._wait(opening, now + ROUTES_TIMEOUT):
+                return self._tell_waiting(opening, "routes_behind")
         return self._judge(carry, packet, sender, now)
 
     def retry_waiting(self, now: Seconds) -> list[FlowEffect]:
-        """Place the opens that waited for a newer table of routes."""
+        """Place the opens that waited for a table of routes or for a report."""
         waiting, self._waiting_by_flow = self._waiting_by_flow, {}
         effects: list[FlowEffect] = []
         for flow, opening in waiting.items():
-            self.agent.deadlines.clear(("routes", flow))
+            self.agent.deadlines.clear(("wait", flow))
             effects += self.place(opening.carry, opening.packet, opening.sender, now)
         return effects
 
@@ -100,13 +99,28 @@
 
     def take_deadline(self, kind: str, flow: bytes, now: Seconds) -> list[FlowEffect]:
         """Act on an open that nobody answered in time."""
-        if kind == "routes":
+        if kind == "wait":
             waiting = self._waiting_by_flow.pop(flow)
             return self._judge(waiting.carry, waiting.packet, waiting.sender, now)
         if kind == "pass":
             return self._pass_again(self._passing_by_flow.pop(flow), now)
         return self._give_up_opening(self._opening_by_flow.pop(flow), now)
 
+    def _wait(self, opening: Opening, until: Seconds) -> bool:
+        """Keep an open for a while; return whether there was room."""
+        if len(self._waiting_by_flow) >= MAX_WAITING:
+            return False
+        flow = opening.packet.flow
+        self._waiting_by_flow[flow] = opening
+        self.agent.deadlines.set(("wait", flow), until)
+        return True
+
+    def _tell_waiting(self, opening: Opening, reason: str) -> list[FlowEffect]:
+        """Tell who handed an open here that it is kept, not lost."""
+        flow = opening.packet.flow
+        told = self.agent.tell_place(opening.carry, flow, self.agent.me, opening.sender)
+        return [*told, fx.Count("open_waits", reason)]
+
     def _judge(
         self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
@@ -201,8 +215,27 @@
         other = agent.placement.choose_any(passed_over, out, now)
         if other is not None:
             return self._pass_on(carry, packet, other, reason, now)
+        if agent.awaits_first_report:
+            return self._await_report(carry, packet, now)
         return self._refuse(carry, packet, reason)
 
+    def _await_report(
+        self, carry: Carry, packet: FlowPacket, now: Seconds
+    ) -> list[FlowEffect]:
+        """Keep an open until the upstream reports, soon after our own start.
+
+        Nobody is known to take it, but nobody was heard yet either; if no
+        report comes, the client's next copy is judged anew.
+        """
+        tried = tuple(node for node in carry.tried if node != self.agent.me)
+        carry = msgspec.structs.replace(carry, tried=tried)
+        waiting = msgspec.structs.replace(carry, waited=True)
+        opening = Opening(waiting, packet, "", now)
+        if not carry.waited and self._wait(opening, now + REPORT_TIMEOUT):
+            return self._tell_waiting(opening, "no_report")
+        told = self.agent.tell_place(carry, packet.flow, "")
+        return [fx.Count("open_dropped", "no_report"), *told]
+
     def _refuse(
         self, carry: Carry, packet: FlowPacket, reason: str
     ) -> list[FlowEffect]:
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -26,7 +26,8 @@
     the flow, empty until the first agent has it. ``tried`` are agents that
     can't have or take the flow, and ``hops`` counts the agents that passed the
     packet on. A flow that none of the service's agents has is reset only where
-    ``may_reset`` says that no other service can have it.
+    ``may_reset`` says that no other service can have it. An open that
+    ``waited`` for an upstream's report does not wait again.
     """
 
     revision: int
@@ -38,6 +39,7 @@
     hops: int
     may_reset: bool
     datagram: bytes
+    waited: bool = False
 
 
 class Placed(Struct, tag=21):
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -282,3 +282,55 @@
 
 def test_addresses_are_as_the_routes_say():
     assert make_table().index()[ADDRESS].allows("board")
+
+
+class TestAfterAStart:
+    def restart_all(self, world, silence):
+        """Power off everything; upstreams report only after ``silence``."""
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        for upstream in world.upstream_by_host.values():
+            upstream.restart()
+            upstream.is_up = False
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for host in hosts:
+            if host not in balancers:
+                world.add_agent(host, seeds=balancers, knows_all=False)
+
+        def come_back(upstream):
+            upstream.is_up = True
+            upstream.report()
+
+        for upstream in world.upstream_by_host.values():
+            world.after(silence, lambda u=upstream: come_back(u))
+
+    def test_opens_wait_for_the_first_reports(self):
+        world = make_world(agents=3)
+        self.restart_all(world, silence=1.0)
+        world.run(0.9)
+        clients = [world.make_client() for _ in range(20)]
+        for client in clients:
+            client.open()
+        world.run(0.15)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.opened for client in clients)
+        held = sum(len(u.flows) for u in world.upstream_by_host.values())
+        assert held == 20
+
+    def test_an_open_does_not_wait_for_ever(self):
+        world = make_world(agents=3)
+        self.restart_all(world, silence=30.0)
+        world.run(2.0)
+        client = world.make_client()
+        client.open()
+        world.run(2.0)
+        assert not client.opened
+        waiting = [
+            node.opener._waiting_by_flow
+            for host, node in world.node_by_host.items()
+            if host.startswith("10.2.")
+        ]
+        assert not any(waiting)
