--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -465,7 +465,8 @@
             self.routes.revision,
             self.service,
             self.find_unable(now) is None,
-            round(self.flows.compute_mean_busy(now) / max(1, slots), 3),
+            round(self.flows.compute_pressure(slots, now), 3),
+            slots,
             len(self.flows),
         )
         return [fx.SendControl(to_address(node_id), message) for node_id in peers]
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -175,7 +175,7 @@
         report = agent.watch.report
         slots = report.slots if report is not None else 1
         busy = agent.flows.busy_count
-        pressure = agent.flows.compute_mean_busy(now) / max(1, slots)
+        pressure = agent.flows.compute_pressure(slots, now)
         passed_over = {sender, *carry.tried, *agent.silent.since_by_id}
         out = agent.routes.table.out
         own = OwnLoad(busy, slots, pressure)
@@ -213,11 +213,14 @@
         out = agent.routes.table.out
         passed_over = {*tried, *agent.silent.since_by_id}
         other = agent.placement.choose_any(passed_over, out, now)
-        if other is not None:
-            return self._pass_on(carry, packet, other, reason, now)
-        if agent.awaits_first_report:
+        awaits = agent.awaits_first_report and not carry.waited
+        if other is None and agent.awaits_first_report:
+            return self._await_report(carry, packet, now)
+        if other is None:
+            return self._refuse(carry, packet, reason)
+        if awaits and agent.placement.is_crowded(other, now):
             return self._await_report(carry, packet, now)
-        return self._refuse(carry, packet, reason)
+        return self._pass_on(carry, packet, other, reason, now)
 
     def _await_report(
         self, carry: Carry, packet: FlowPacket, now: Seconds
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -109,6 +109,15 @@
         self._move_mean(now)
         return self._mean_busy
 
+    def compute_pressure(self, slots: int, now: Seconds) -> float:
+        """Return busy flows over slots, half of it now and half the mean of late.
+
+        The mean alone is blind for a second after a start; the number of this
+        moment alone swings with each request.
+        """
+        busy = self.busy_count + self.compute_mean_busy(now)
+        return busy / 2 / max(1, slots)
+
     def sweep(self, idle_limit: Seconds, now: Seconds) -> None:
         """Drop some of the flows that ended or were idle for too long."""
         if not self._sweep:
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -21,7 +21,7 @@
 
 DRAWN = 3  # agents compared for an open
 MARGIN = 0.15  # of the slots; a smaller gain is not worth the way
-SENT_WEIGHT = 0.3  # of a slot; an open runs about a third of a report's period
+CROWDED = 1.0  # running requests over slots; above it requests queue
 REPORT_LIMIT: Seconds = 2.0  # older reports say nothing of the load
 MAX_HOPS = 3  # passes from agent to agent before the load no longer counts
 
@@ -53,7 +53,7 @@
         """Return the pressure that is to be expected, 1 where nothing is known."""
         if self.report is None or now - self.heard_at > REPORT_LIMIT:
             return 1.0
-        return self.report.pressure + SENT_WEIGHT * self.sent_since
+        return self.report.pressure + self.sent_since / max(1, self.report.slots)
 
 
 @frozen
@@ -118,6 +118,10 @@
         best = self._draw_best(passed_over, out, now)
         return None if best is None else self._send_to(best)
 
+    def is_crowded(self, node_id: NodeId, now: Seconds) -> bool:
+        """Return whether requests queue at an agent, as far as is known."""
+        return self.peer_by_id[node_id].rate_pressure(now) > CROWDED
+
     def _send_to(self, peer: PeerAgent) -> NodeId:
         peer.sent_since += 1
         return peer.member.node_id
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -70,14 +70,15 @@
 class LoadReport(Struct, tag=24):
     """An agent's word of its load to the other agents of its service.
 
-    ``pressure`` is the mean of running requests over slots of late;
-    ``takes_opens`` is false while the agent would refuse an open.
+    ``pressure`` is running requests over ``slots``, half of it now and half the
+    mean of late; ``takes_opens`` is false while the agent would refuse an open.
     """
 
     revision: int
     service: str
     takes_opens: bool
     pressure: float
+    slots: int
     flow_count: int
 
 
--- a/tests/coordination/test_held_flows.py
+++ b/tests/coordination/test_held_flows.py
@@ -50,6 +50,12 @@
         assert 0.6 < flows.compute_mean_busy(2.0) < 0.7
         assert flows.compute_mean_busy(9.0) > 0.99
 
+    def test_the_pressure_sees_a_burst_at_once(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"request"), 1.0)
+        assert flows.compute_pressure(1, 1.0) == 0.5
+        assert flows.compute_pressure(1, 9.0) > 0.99
+        assert flows.compute_pressure(2, 1.0) == 0.25
+
     def test_a_request_without_answer_is_not_busy_for_ever(self, flows, held):
         flows.note_client(held, from_client(ACK, b"request"), 1.0)
         flows.sweep(60.0, 1.0 + BUSY_LIMIT + 0.1)
