Flows that ended in a restart of everything are reset a second after it

Agents now announce themselves at each tick at first, so that the list is whole within 0.3 s, and wait 1 s after its last change.

--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -27,7 +27,7 @@
     from bilberrypath.types import NodeId, Seconds
 
 SEARCH_TIMEOUT: Seconds = 0.05  # several round trips; a client copies after 200 ms
-SETTLE_TIME: Seconds = 3.0  # in which a new agent is known to all of its service
+SETTLE_TIME: Seconds = 1.0  # agents that start together differ by less than half
 MAX_GUESSES = 4096  # flows; a refused packet comes back within a ms
 
 
--- a/bilberrypath/coordination/flow_presence.py
+++ b/bilberrypath/coordination/flow_presence.py
@@ -15,12 +15,28 @@
     from bilberrypath.types import Address, Revision, Seconds
 
 
+EAGER_TIME: Seconds = 3.0  # processes that start together are all up within it
+
+
 @define
 class FlowPresence(Presence):
-    """Send heartbeats that name the table of routes and the agents known."""
+    """Send heartbeats that name the table of routes and the agents known.
+
+    Just after the start they are sent at each tick, so that agents that start
+    together know of each other soon.
+    """
 
     table_revision: Revision = 0
     agents_digest: int = 0
+    _eager_until: Seconds | None = None
+
+    def tick(self, load: int, running: int, now: Seconds) -> list[Effect]:
+        """Return the heartbeats that are due."""
+        if self._eager_until is None:
+            self._eager_until = now + EAGER_TIME
+        if now < self._eager_until:
+            self._next_at = min(self._next_at, now)
+        return super().tick(load, running, now)
 
     def send_heartbeats(self, load: int, running: int, now: Seconds) -> list[Effect]:
         """Return a heartbeat to each home, or to seeds while none is known."""
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -334,3 +334,35 @@
             if host.startswith("10.2.")
         ]
         assert not any(waiting)
+
+    def test_flows_of_before_are_reset_soon(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 20)
+        self.restart_all(world, silence=0.3)
+        world.run(1.8)
+        for client in clients:
+            client.ask()
+        world.run(0.1)
+        assert all(client.resets == 1 for client in clients)
+
+    def test_late_agents_are_waited_for(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 20)
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for number, host in enumerate(hosts[len(balancers) :]):
+            world.add_agent(host, seeds=balancers, knows_all=False)
+            world.run(0.15)
+            for client in clients:
+                client.ask()
+            assert number < 5
+        world.run(0.5)
+        for client in clients:
+            client.ask()
+        world.run(0.5)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.answers for client in clients)
