--- a/bilberrypath/platform/__main__.py
+++ b/bilberrypath/platform/__main__.py
@@ -1,4 +1,8 @@
-"""Start a process on the platform: ``python3 -m bilberrypath.platform ROLE``."""
+"""Start a process on the platform: ``python3 -m bilberrypath.platform ROLE``.
+
+Each role imports only its own modules: what a process imports is most of the
+time that it takes to start, in which its flows wait.
+"""
 
 from __future__ import annotations
 
@@ -7,16 +11,9 @@
 import sys
 from functools import partial
 
-from bilberrypath.flow_settings import (
-    load_flow_agent_settings,
-    load_flow_balancer_settings,
-)
 from bilberrypath.platform.packet_head import PacketHeads
-from bilberrypath.platform.store import PlatformRoutes
 from bilberrypath.platform.upstream_reports import answer_ready, answer_report
 from bilberrypath.settings_reader import SettingsError
-from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
-from bilberrypath.transport.flow_balancer_daemon import FlowBalancerDaemon
 from bilberrypath.transport.http_server import HttpServer
 
 SETTINGS_VARIABLE = "BILBERRYPATH_BOOT"
@@ -24,6 +21,10 @@
 
 async def run_balancer(path: str) -> None:
     """Run a balancer until it is asked to end."""
+    from bilberrypath.flow_settings import load_flow_balancer_settings
+    from bilberrypath.platform.store import PlatformRoutes
+    from bilberrypath.transport.flow_balancer_daemon import FlowBalancerDaemon
+
     settings = load_flow_balancer_settings(path)
     daemon = FlowBalancerDaemon(
         settings,
@@ -38,6 +39,9 @@
 
 async def run_agent(path: str) -> None:
     """Run an agent until it is asked to end."""
+    from bilberrypath.flow_settings import load_flow_agent_settings
+    from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
+
     settings = load_flow_agent_settings(path)
     daemon = FlowAgentDaemon(
         settings, PacketHeads(), lambda: load_flow_agent_settings(path)
