--- a/bilberrypath/transport/line_log.py
+++ b/bilberrypath/transport/line_log.py
@@ -22,6 +22,7 @@
 LINES_PER_KIND = 40  # a second; a balancer places about 30 opens a second today
 MAX_WAITING = 2000  # lines, about 500 KB
 STANDARD_OUTPUT = 1
+CLOSE_LIMIT: Seconds = 0.3  # a small part of the time that a process has to end
 
 
 @define
@@ -52,12 +53,18 @@
 
 
 class LineLog:
-    """Render lines at once, and write them in the background."""
+    """Render lines at once, and write them in the background.
 
-    def __init__(self, node: str, role: str) -> None:
+    ``output`` is the descriptor that they are written to.
+    """
+
+    def __init__(self, node: str, role: str, output: int = STANDARD_OUTPUT) -> None:
+        self._output = output
         self._budget = LineBudget()
         self._waiting: deque[str] = deque(maxlen=MAX_WAITING)
         self._batches: queue.Queue[list[str]] = queue.Queue(maxsize=1)
+        self._idle = threading.Event()
+        self._idle.set()
         self._logger = structlog.wrap_logger(
             _Buffer(self._waiting, self._budget),
             processors=[
@@ -82,18 +89,20 @@
             return
         batch = list(self._waiting)
         self._waiting.clear()
+        self._idle.clear()
         self._batches.put_nowait(batch)
 
     def close(self) -> None:
-        """Write what waits, at the end of the process."""
+        """Write what waits, at the end of the process, if somebody takes it."""
         self.flush()
-        self._batches.join()
+        self._idle.wait(CLOSE_LIMIT)
 
     def _write_forever(self) -> None:
         while True:
             batch = self._batches.get()
-            _write_all(("\n".join(batch) + "\n").encode())
-            self._batches.task_done()
+            _write_all(self._output, ("\n".join(batch) + "\n").encode())
+            if self._batches.empty():
+                self._idle.set()
 
 
 class _Buffer:
@@ -110,10 +119,10 @@
         self._waiting.append(line)
 
 
-def _write_all(data: bytes) -> None:
-    """Write to standard output, or lose the lines if nobody takes them."""
+def _write_all(output: int, data: bytes) -> None:
+    """Write all of the data, or lose it if nobody takes it."""
     while data:
         try:
-            data = data[os.write(STANDARD_OUTPUT, data) :]
+            data = data[os.write(output, data) :]
         except OSError:
             return
--- /dev/null
+++ b/tests/transport/test_line_log.py
@@ -0,0 +1,94 @@
+import json
+import os
+import threading
+import time
+
+import pytest
+
+from bilberrypath.transport import line_log
+from bilberrypath.transport.line_log import LINES_PER_KIND, MAX_WAITING, LineLog
+
+
+@pytest.fixture
+def written():
+    """Lines that reach the output, taken by a thread until it is closed."""
+    read_end, write_end = os.pipe()
+    lines = []
+
+    def take():
+        with os.fdopen(read_end) as taken:
+            lines.extend(json.loads(line) for line in taken)
+
+    thread = threading.Thread(target=take, daemon=True)
+    thread.start()
+
+    def read():
+        os.close(write_end)
+        thread.join(5.0)
+        return lines
+
+    read.output = write_end
+    return read
+
+
+class TestLines:
+    def test_are_json_with_their_fields(self, written):
+        log = LineLog("10.0.0.1:7600", "agent", written.output)
+        log.write("open_accepted", 0.0, flow="a>b", busy=2)
+        log.close()
+        (line,) = written()
+        assert line["event"] == "open_accepted"
+        assert line["flow"] == "a>b"
+        assert line["busy"] == 2
+        assert line["node"] == "10.0.0.1:7600"
+        assert line["timestamp"].endswith("Z")
+
+    def test_of_one_kind_are_bounded_and_what_is_left_out_is_told(self, written):
+        log = LineLog("n", "agent", written.output)
+        for _ in range(LINES_PER_KIND + 7):
+            log.write("open_accepted", 0.5)
+        log.write("flow_reset", 0.5)
+        log.close()
+        lines = written()
+        kinds = [line["event"] for line in lines]
+        assert kinds.count("open_accepted") == LINES_PER_KIND
+        assert kinds.count("flow_reset") == 1
+        (dropped,) = [line for line in lines if line["event"] == "lines_dropped"]
+        assert dropped["open_accepted"] == 7
+
+    def test_the_next_second_has_a_budget_of_its_own(self, written):
+        log = LineLog("n", "agent", written.output)
+        for now in (0.0, 1.0):
+            for _ in range(LINES_PER_KIND):
+                log.write("open_accepted", now)
+        log.close()
+        assert len(written()) == 2 * LINES_PER_KIND
+
+    def test_the_oldest_go_first_when_nobody_takes_them(self, written):
+        log = LineLog("n", "agent", written.output)
+        for number in range(MAX_WAITING + 5):
+            log.write(f"kind-{number}", 0.0)
+        log.close()
+        lines = written()
+        assert lines[0]["event"] != "kind-0"
+        (dropped,) = [line for line in lines if line["event"] == "lines_dropped"]
+        assert dropped["oldest"] >= 5
+
+    def test_a_closed_output_does_no_harm(self):
+        log = LineLog("n", "agent", -1)
+        log.write("started", 0.0)
+        log.close()
+
+    def test_nobody_takes_the_lines_and_the_process_ends_all_the_same(
+        self,
+    ):
+        read_end, write_end = os.pipe()
+        log = LineLog("n", "agent", write_end)
+        for number in range(MAX_WAITING):
+            log.write(f"kind-{number}", 0.0, padding="x" * 100)
+        started_at = time.monotonic()
+        log.close()
+        log.write("later", 0.0)
+        log.flush()
+        assert time.monotonic() - started_at < 10 * line_log.CLOSE_LIMIT
+        os.close(read_end)
