A search asks once: agents that can't tell are tried in one chain

Load reports now go to eight agents at a time; an upstream that began with its agent has no flows of before.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -48,9 +48,10 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 REPORT_PERIOD: Seconds = 0.3  # a few running times of a request
-REPORTS_PER_SECOND = 60  # sent at most; about 0.3% of a core
+REPORT_FANOUT = 8  # agents told each time; others hear within a few periods
 IDLE_SLACK: Seconds = 5.0  # a flow is kept longer than its ends keep it
 PAUSE_LIMIT: Seconds = 1.0  # five ticks; this process stood still
+START_GAP = 1000  # ms; a process takes longer to end, start and accept an open
 UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
 
 
@@ -80,6 +81,7 @@
     ) -> None:
         self.setup = setup
         self.codec = codec
+        self.rng = rng
         self.routes = RouteKeeper()
         self.presence = FlowPresence(setup.me, setup.seeds, rng)
         self.watch = UpstreamWatch(setup.report_period)
@@ -432,7 +434,11 @@
     def _take_new_start(
         self, report: fev.UpstreamReport, first: bool, now: Seconds
     ) -> list[FlowEffect]:
-        """Note an upstream that this process did not know in this start."""
+        """Note an upstream that this process did not know in this start.
+
+        One that began well before this process may have flows that a former
+        process opened.
+        """
         fields = {
             "upstream": report.upstream_id,
             "service": report.service,
@@ -441,7 +447,8 @@
             "cold_for": report.cold_for,
         }
         effects: list[FlowEffect] = [fx.Changed("upstream_started", fields)]
-        if first and report.sequence > 1 and not self._knows_all:
+        began_before = report.started_at < self.setup.me.incarnation - START_GAP
+        if first and report.sequence > 1 and began_before and not self._knows_all:
             return effects
         self._knows_all = True
         return effects + self._lose_flows("upstream_restarted", now)
@@ -456,9 +463,9 @@
         return [fx.Changed("upstream_service", fields)]
 
     def _report_load(self, now: Seconds) -> list[FlowEffect]:
-        peers = self.placement.peer_by_id
-        period = max(REPORT_PERIOD, len(peers) / REPORTS_PER_SECOND)
-        self._next_report_at = now + period
+        peers = list(self.placement.peer_by_id)
+        told = self.rng.sample(peers, min(REPORT_FANOUT, len(peers)))
+        self._next_report_at = now + REPORT_PERIOD
         report = self.watch.report
         slots = report.slots if report is not None else 1
         message = msg.LoadReport(
@@ -469,7 +476,7 @@
             slots,
             len(self.flows),
         )
-        return [fx.SendControl(to_address(node_id), message) for node_id in peers]
+        return [fx.SendControl(to_address(node_id), message) for node_id in told]
 
     def _pardon_own_pause(self, now: Seconds) -> None:
         gap, self._last_tick_at = now - self._last_tick_at, now
--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -15,7 +15,7 @@
     Search,
     SearchEnd,
     Searches,
-    TryNext,
+    TryEach,
 )
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import Carry, to_address
@@ -38,6 +38,7 @@
     agent: FlowAgent = field(repr=False)
     searches: Searches = Factory(Searches)
     _guess_by_flow: dict[bytes, Carry] = Factory(dict)
+    _denied_at_by_flow: dict[bytes, float] = Factory(dict)
 
     def keep(self, carry: Carry, packet: FlowPacket) -> bool:
         """Return whether a packet now waits for the search of its flow."""
@@ -47,8 +48,46 @@
     def find(self, carry: Carry, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
         """Try the own upstream if it may have the flow, else ask the others."""
         agent = self.agent
-        if agent.me in carry.tried or agent.knows_all_flows(now):
-            return self._ask(carry, packet, now)
+        if carry.hops == 0 and self._was_denied(packet.flow, now):
+            told = agent.tell_place(carry, packet.flow, "")
+            return [*told, fx.Count("packet_dropped", "denied_before")]
+        if agent.me not in carry.tried and not agent.knows_all_flows(now):
+            return self._guess(carry, packet, now)
+        if carry.chained:
+            return self._try_next(carry, packet, now)
+        return self._ask(carry, packet, now)
+
+    def take_refused(
+        self, packet: FlowPacket, was_confirmed: bool, now: Seconds
+    ) -> list[FlowEffect]:
+        """Go on with a packet whose flow the upstream does not have."""
+        agent = self.agent
+        carry = self._guess_by_flow.pop(packet.flow, None)
+        if self.searches.get(packet.flow) is not None:
+            return []
+        if carry is not None:
+            count = fx.Count("flow_refused", "wrong_guess")
+            return [count, *self._try_next(carry, packet, now)]
+        if not was_confirmed:
+            return [fx.Count("flow_refused", "known")]
+        carry = Carry(
+            agent.routes.revision,
+            agent.service,
+            origin="",
+            seeks=False,
+            home="",
+            tried=(),
+            hops=0,
+            may_reset=True,
+            datagram=packet.datagram,
+        )
+        return [fx.Count("flow_refused", "lost"), *self._ask(carry, packet, now)]
+
+    def _guess(
+        self, carry: Carry, packet: FlowPacket, now: Seconds
+    ) -> list[FlowEffect]:
+        """Hand a packet to the own upstream, which may have its flow."""
+        agent = self.agent
         held = agent.flows.add(packet, confirmed=False, now=now)
         agent.flows.note_client(held, packet, now)
         self._note_guess(packet.flow, carry)
@@ -58,31 +97,25 @@
             fx.Count("flow_adopted", "guess"),
         ]
 
-    def take_refused(
-        self, packet: FlowPacket, was_confirmed: bool, now: Seconds
+    def _try_next(
+        self, carry: Carry, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
-        """Go on with a packet whose flow the upstream does not have."""
+        """Hand a packet to the next agent whose upstream may have its flow.
+
+        Without a search before, the others are asked first. After the last
+        of them nobody has the flow.
+        """
         agent = self.agent
-        if self.searches.get(packet.flow) is not None:
-            return []
-        carry = self._guess_by_flow.pop(packet.flow, None)
-        if carry is None:
-            carry = Carry(
-                agent.routes.revision,
-                agent.service,
-                "",
-                False,
-                "",
-                (),
-                0,
-                True,
-                packet.datagram,
-            )
-        reason = "flow_lost" if was_confirmed else "wrong_guess"
-        return [
-            fx.Count("flow_refused", reason),
-            *self._ask(carry, packet, now),
-        ]
+        tried = tuple(dict.fromkeys((*carry.tried, agent.me)))
+        carry = msgspec.structs.replace(carry, tried=tried)
+        if carry.unsure:
+            to, *rest = carry.unsure
+            passed = msgspec.structs.replace(carry, unsure=tuple(rest))
+            return agent.pass_to(to, passed, packet)
+        if carry.chained:
+            search = Search([(carry, packet)], tried, set())
+            return self._give_up(packet.flow, search, Nowhere(certain=True), now)
+        return self._ask(carry, packet, now)
 
     def answer(self, flow: bytes, now: Seconds) -> msg.Holds:
         """Return what this agent knows of a flow."""
@@ -111,6 +144,27 @@
             effects += self.agent.silent.note_late(node_id, now)
         return effects + self._end(flow, self.searches.conclude(flow), now)
 
+    def _note_denied(self, flow: bytes, now: Seconds) -> None:
+        self._denied_at_by_flow[flow] = now
+        if len(self._denied_at_by_flow) > MAX_GUESSES:
+            del self._denied_at_by_flow[next(iter(self._denied_at_by_flow))]
+
+    def _was_denied(self, flow: bytes, now: Seconds) -> bool:
+        """Return whether asking again would bring nothing new.
+
+        A flow that nobody had is asked for again when the agents have
+        settled, or after the time that a new agent needs to be known.
+        """
+        denied_at = self._denied_at_by_flow.get(flow)
+        if denied_at is None:
+            return False
+        changed_at = self.agent.agents_changed_at
+        settled_at = changed_at + SETTLE_TIME
+        if now - denied_at < SETTLE_TIME and not denied_at <= settled_at < now:
+            return changed_at <= denied_at
+        del self._denied_at_by_flow[flow]
+        return False
+
     def _note_guess(self, flow: bytes, carry: Carry) -> None:
         """Keep who asked, until the upstream hands the packet back."""
         self._guess_by_flow[flow] = carry
@@ -136,10 +190,26 @@
         if isinstance(end, Found):
             self.agent.redirects.note(flow, end.holder, now)
             return self._hand_over(search, end.holder, "found")
-        if isinstance(end, TryNext):
-            return self._hand_over(search, end.agent, "try_next")
+        if isinstance(end, TryEach):
+            return self._hand_to_each(search, end)
         return self._give_up(flow, search, end, now)
 
+    def _hand_to_each(self, search: Search, end: TryEach) -> list[FlowEffect]:
+        """Have one packet tried by the agents that can't tell; drop the others.
+
+        Each agent's upstream would hand each packet back, so that one is
+        enough; the client sends the others again.
+        """
+        carry, packet = search.carries[0]
+        passed = msgspec.structs.replace(
+            carry,
+            unsure=end.agents[1:],
+            chained=True,
+            may_reset=carry.may_reset and end.complete,
+        )
+        kept = Search([(passed, packet)], search.tried, set())
+        return self._hand_over(kept, end.agents[0], "try_each")
+
     def _hand_over(self, search: Search, to: NodeId, reason: str) -> list[FlowEffect]:
         effects: list[FlowEffect] = [fx.Count("flow_search", reason)]
         for carry, packet in search.carries:
@@ -160,6 +230,7 @@
         may_reset = all(kept.may_reset for kept, _ in search.carries)
         if end.certain and settled and may_reset and not packet.resets:
             return [*told, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
+        self._note_denied(flow, now)
         fields = {
             "certain": end.certain,
             "settled": settled,
--- a/bilberrypath/coordination/flow_search.py
+++ b/bilberrypath/coordination/flow_search.py
@@ -31,10 +31,14 @@
 
 
 @frozen
-class TryNext:
-    """An agent can't tell; its upstream may have the flow."""
+class TryEach:
+    """Some agents can't tell; one of their upstreams may have the flow.
 
-    agent: NodeId
+    ``complete`` says that every other agent has answered.
+    """
+
+    agents: tuple[NodeId, ...]
+    complete: bool
 
 
 @frozen
@@ -44,7 +48,7 @@
     certain: bool
 
 
-SearchEnd = Found | TryNext | Nowhere
+SearchEnd = Found | TryEach | Nowhere
 
 
 @define
@@ -104,7 +108,7 @@
         """Return how a search ends with the answers that came."""
         search = self.search_by_flow[flow]
         if search.unsure:
-            return TryNext(min(search.unsure))
+            return TryEach(tuple(sorted(search.unsure)), not search.waiting)
         return Nowhere(certain=not search.waiting)
 
     def end(self, flow: bytes) -> Search:
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -22,6 +22,7 @@
 DRAWN = 3  # agents compared for an open
 MARGIN = 0.15  # of the slots; a smaller gain is not worth the way
 CROWDED = 1.0  # running requests over slots; above it requests queue
+FRESH: Seconds = 0.7  # two periods of reports
 REPORT_LIMIT: Seconds = 2.0  # older reports say nothing of the load
 MAX_HOPS = 3  # passes from agent to agent before the load no longer counts
 
@@ -139,5 +140,7 @@
             and peer.member.data_centre not in out
             and peer.takes_opens(now)
         ]
-        drawn = self.rng.sample(able, min(DRAWN, len(able)))
+        fresh = [peer for peer in able if now - peer.heard_at <= FRESH]
+        among = fresh if len(fresh) >= DRAWN else able
+        drawn = self.rng.sample(among, min(DRAWN, len(among)))
         return min(drawn, key=lambda peer: peer.rate_pressure(now), default=None)
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -27,7 +27,9 @@
     can't have or take the flow, and ``hops`` counts the agents that passed the
     packet on. A flow that none of the service's agents has is reset only where
     ``may_reset`` says that no other service can have it. An open that
-    ``waited`` for an upstream's report does not wait again.
+    ``waited`` for an upstream's report does not wait again. ``chained`` says
+    that a search has ended with agents that can't tell; ``unsure`` are those
+    that are still to try their upstream.
     """
 
     revision: int
@@ -40,6 +42,8 @@
     may_reset: bool
     datagram: bytes
     waited: bool = False
+    chained: bool = False
+    unsure: tuple[str, ...] = ()
 
 
 class Placed(Struct, tag=21):
--- a/tests/coordination/test_flow_search.py
+++ b/tests/coordination/test_flow_search.py
@@ -5,7 +5,7 @@
     Found,
     Nowhere,
     Searches,
-    TryNext,
+    TryEach,
 )
 from bilberrypath.platform.packet_head import ACK, PacketHeads
 from bilberrypath.protocol.flow_messages import Carry, Holds
@@ -42,7 +42,15 @@
 
     def test_who_can_not_tell_is_tried(self, searches):
         assert answer(searches, "y:1", unsure=True) is None
-        assert answer(searches, "x:1") == TryNext("y:1")
+        assert answer(searches, "x:1") == TryEach(("y:1",), complete=True)
+
+    def test_all_who_can_not_tell_are_tried_in_one_order(self, searches):
+        answer(searches, "y:1", unsure=True)
+        assert answer(searches, "x:1", unsure=True) == TryEach(("x:1", "y:1"), True)
+
+    def test_a_missing_answer_is_told_to_those_who_try(self, searches):
+        answer(searches, "y:1", unsure=True)
+        assert searches.conclude(FLOW) == TryEach(("y:1",), complete=False)
 
     def test_a_missing_answer_leaves_it_uncertain(self, searches):
         answer(searches, "x:1")
--- a/tests/coordination/test_open_placement.py
+++ b/tests/coordination/test_open_placement.py
@@ -78,6 +78,13 @@
         chosen = [self.choose(placement, 0.6) for _ in range(3)]
         assert len(set(chosen)) == 3
 
+    def test_prefers_those_that_were_heard_of_late(self, placement):
+        agents = tuple(make_member(n) for n in range(1, 20))
+        placement.use_agents(agents, ME, 0.0)
+        tell(placement, {n: 0.1 for n in range(2, 6)})
+        chosen = {self.choose(placement, 0.9) for _ in range(4)}
+        assert chosen <= {f"10.0.0.{n}:7600" for n in range(2, 6)}
+
     def test_old_reports_say_nothing(self, placement):
         tell(placement, {2: 0.0, 3: 0.0, 4: 0.0}, now=-REPORT_LIMIT)
         assert self.choose(placement, 0.9) is None
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -51,7 +51,7 @@
     host: str
     service: str
     data_centre: str
-    started_at: int = 1
+    started_at: int = -5000
     sequence: int = 0
     slots: int = 3
     work: float = 0.03
@@ -80,7 +80,7 @@
     def restart(self):
         """Begin anew, with nothing of before."""
         self.flows.clear()
-        self.started_at += 1000
+        self.started_at = 1000 + round(self.world.now * 1000)
         self.sequence = 0
         self.is_up = True
         self.is_silent = False
