--- a/bilberrypath/cli.py
+++ b/bilberrypath/cli.py
@@ -25,6 +25,7 @@
     StoreUnavailable,
     UnknownYet,
 )
+from bilberrypath.flow_cli import flow, process
 from bilberrypath.operator_client import (
     NoteRefused,
     OperatorClient,
@@ -443,6 +444,7 @@
             "status": status,
         },
         "call": call,
+        "flow": {"status": process, "find": flow},
     }
     try:
         code = defopt.run(
--- a/bilberrypath/settings.py
+++ b/bilberrypath/settings.py
@@ -10,6 +10,10 @@
 
 from attrs import frozen
 
+from bilberrypath.flow_settings import (
+    load_flow_agent_settings,
+    load_flow_balancer_settings,
+)
 from bilberrypath.protocol.token import KEY_LENGTH
 from bilberrypath.settings_reader import (
     Fault,
@@ -164,6 +168,8 @@
     loaders = {
         "agent": load_agent_settings,
         "balancer": load_balancer_settings,
+        "flow_agent": load_flow_agent_settings,
+        "flow_balancer": load_flow_balancer_settings,
         "operator": load_operator_settings,
     }
     sections = open_settings(path).parser.sections()
@@ -174,11 +180,8 @@
             except SettingsError as error:
                 return error.faults
             return []
-    return [
-        Fault(
-            "", "", ", ".join(sections), "a section [agent], [balancer] or [operator]"
-        )
-    ]
+    expected = f"a section {', '.join(f'[{name}]' for name in sorted(loaders))}"
+    return [Fault("", "", ", ".join(sections), expected)]
 
 
 def _read_node(reader: Reader) -> NodeSettings:
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -66,7 +66,7 @@
         try:
             while await self._serve_one(reader, writer):
                 pass
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         writer.close()
 
--- /dev/null
+++ b/tests/support/flow_processes.py
@@ -0,0 +1,402 @@
+"""Real daemons of datagram flows on loopback, with stand-ins around them.
+
+The stand-ins (store, upstreams, fabric, clients) live in the test's process;
+each balancer and agent is a process of its own, started and ended by its id.
+"""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+from attrs import Factory, define, field
+
+from bilberrypath.platform.packet_head import ACK, BOUNCED, RST, SYN, PacketHeads
+from bilberrypath.protocol.flow_packet import pack_flow, unpack_end
+from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
+from tests.standins.platform_store import PlatformStore
+from tests.support.flow_world import write_packet
+
+PEER_PORT, READY_PORT, PACKET_PORT, METRICS_PORT = 7720, 7721, 7722, 7723
+APP_PORT, OUTBOUND_PORT, REPORT_PORT = 7724, 7725, 7726
+REPORT_PERIOD = 0.5
+FLOW_LIFETIME = 20
+ROOT = Path(__file__).parents[2]
+ADDRESS = ("198.18.0.1", 443)
+SERVICE = "board"
+
+NODE_INI = """[node]
+peer_address = {host}:7720
+data_centre = {data_centre}
+seeds = {seeds}
+ready_address = {host}:7721
+client_port = 7722
+metrics_address = {host}:7723
+"""
+BALANCER_INI = """[flow_balancer]
+packet_address = {host}:7722
+[store]
+address = {store}
+"""
+AGENT_INI = """[flow_agent]
+service = {service}
+upstream = {host}:7724
+outbound = {host}:7725
+report_address = {host}:7726
+report_period = 500
+flow_lifetime = 20
+first_start = {first}
+"""
+
+
+def make_config(version, routes=None, cold=0.0):
+    """Return the operator's document with one route, or with those given."""
+    if routes is None:
+        routes = [{"host": ADDRESS[0], "prefix": "/443/", "service": SERVICE}]
+    services = [{"name": SERVICE, "maxConns": 2000, "coldPerS": cold}]
+    limits = {"idleTimeoutMs": 15000}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+    }
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, take):
+        self._take = take
+
+    def datagram_received(self, data, addr):
+        self._take(data)
+
+
+async def bind_udp(address, take):
+    """Return a UDP transport that hands what it gets to ``take``."""
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: _Receiver(take), local_addr=address
+    )
+    return transport
+
+
+@define(eq=False)
+class StandInUpstream:
+    """A server as PROTOCOL describes it: flows, slots of work, reports."""
+
+    host: str
+    data_centre: str
+    work: float = 0.02
+    draining: bool = False
+    is_silent: bool = False
+    starts: int = 0
+    started_at: int = 0
+    sequence: int = 0
+    flows: set = Factory(set)
+    opens: list = Factory(list)
+    foreign: Counter = Factory(Counter)
+    acked_draining_at: float | None = None
+    _transport: asyncio.DatagramTransport | None = None
+    _reporting: asyncio.Task | None = None
+    _codec: PacketHeads = Factory(PacketHeads)
+    _starting: asyncio.Lock = Factory(asyncio.Lock)
+
+    async def start(self):
+        """Begin anew, holding nothing; one that is up already is left alone."""
+        async with self._starting:
+            if not self.is_up:
+                await self._start()
+
+    async def _start(self):
+        await asyncio.sleep(0.02)  # the loop closes the former socket meanwhile
+        self.starts += 1
+        self.started_at = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.flows.clear()
+        self.draining = False
+        self.acked_draining_at = None
+        self.is_silent = False
+        self._transport = await bind_udp((self.host, APP_PORT), self._receive)
+        self._reporting = asyncio.create_task(self._report_forever())
+
+    def stop(self):
+        """Crash: the port closes and nothing more is said."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+            self._reporting.cancel()
+        self.flows.clear()
+
+    @property
+    def is_up(self):
+        return self._transport is not None
+
+    def _receive(self, datagram):
+        packet = self._codec.read_from_client(datagram)
+        if packet is None or self.is_silent:
+            return
+        if packet.opens:
+            if packet.flow not in self.flows:
+                self.flows.add(packet.flow)
+                self.opens.append((time.monotonic(), packet.flow))
+            self._send(write_packet(packet.flow, SYN | ACK, 100, 1, back=True))
+        elif packet.flow not in self.flows:
+            self.foreign[packet.flow] += 1
+            bounced = bytearray(datagram)
+            bounced[22] |= BOUNCED
+            self._send(bytes(bounced))
+        elif packet.data_length:
+            starts = self.starts
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.work, self._answer, packet.flow, datagram, starts)
+
+    def _answer(self, flow, datagram, starts):
+        if self.is_up and starts == self.starts and not self.is_silent:
+            data = datagram[34:]
+            self._send(write_packet(flow, ACK, 101, 2, data, back=True))
+
+    def _send(self, datagram):
+        if self._transport is not None:
+            self._transport.sendto(datagram, (self.host, OUTBOUND_PORT))
+
+    async def _report_forever(self):
+        client = HttpClient((self.host, REPORT_PORT))
+        while True:
+            if not self.is_silent:
+                await self._report(client)
+            await asyncio.sleep(REPORT_PERIOD)
+
+    async def _report(self, client):
+        self.sequence += 1
+        draining = self.draining
+        state = "draining" if draining else "ready"
+        body = (
+            f'{{"service":"{SERVICE}","address":"{self.host}:{APP_PORT}",'
+            f'"zone":"{self.data_centre}","slots":3,"state":"{state}",'
+            f'"coldRemainingMs":0,"seq":{self.sequence},"born":{self.started_at}}}'
+        )
+        path = f"/v1/instances/u-{self.host}-{self.starts}"
+        try:
+            response = await client.call("PUT", path, 1.0, body.encode())
+        except HttpCallFailed:
+            return
+        if response.status == 200 and draining and self.acked_draining_at is None:
+            self.acked_draining_at = time.monotonic()
+
+
+@define(eq=False)
+class StandInClient:
+    """One flow of a client that copies and retransmits as PROTOCOL says."""
+
+    fabric: "Fabric"
+    flow: bytes
+    opened: bool = False
+    answers: list = Factory(list)
+    resets: int = 0
+    _changed: asyncio.Event = Factory(asyncio.Event)
+
+    async def open(self, copies=(0.0, 0.2, 0.4)):
+        """Send the open and its copies; return whether it was accepted."""
+        for pause in copies:
+            if await self._wait(lambda: self.opened or self.resets, pause):
+                break
+            self.fabric.send(write_packet(self.flow, SYN, 1))
+        await self._wait(lambda: self.opened or self.resets, 0.8)
+        return self.opened and not self.resets
+
+    async def ask(self, data=b"request", tries=6):
+        """Send a request until it is answered; return whether it was."""
+        before = len(self.answers)
+        pause = 0.2
+        for _ in range(tries):
+            self.fabric.send(write_packet(self.flow, ACK, 2, 101, data))
+            if await self._wait(
+                lambda: len(self.answers) > before or self.resets, pause
+            ):
+                break
+            pause = min(1.6, pause * 2)
+        return len(self.answers) > before
+
+    def take(self, packet):
+        self.opened |= packet.accepts_open
+        self.resets += packet.resets
+        if packet.data_length:
+            self.answers.append(packet.datagram[34:])
+        self._changed.set()
+
+    async def _wait(self, is_met, timeout):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while not is_met():
+                    self._changed.clear()
+                    await self._changed.wait()
+        return is_met()
+
+
+@define(eq=False)
+class Fabric:
+    """Hand each packet of a client to any balancer in rotation."""
+
+    host: str
+    rng: object
+    balancers: list = Factory(list)
+    client_by_flow: dict = Factory(dict)
+    loss: float = 0.0
+    _port: int = 20000
+    _transport: asyncio.DatagramTransport | None = None
+    _codec: PacketHeads = Factory(PacketHeads)
+
+    async def start(self):
+        self._transport = await bind_udp((self.host, PACKET_PORT), self._receive)
+
+    def close(self):
+        self._transport.close()
+
+    def make_client(self, address=ADDRESS):
+        self._port += 1
+        flow = pack_flow((self.host, self._port), address)
+        client = self.client_by_flow[flow] = StandInClient(self, flow)
+        return client
+
+    def send(self, datagram):
+        if self.balancers and self.rng.random() >= self.loss:
+            host = self.rng.choice(self.balancers)
+            self._transport.sendto(datagram, (host, PACKET_PORT))
+
+    def _receive(self, datagram):
+        packet = self._codec.read_from_upstream(datagram)
+        client = None if packet is None else self.client_by_flow.get(packet.flow)
+        if client is not None:
+            client.take(packet)
+
+
+@define(eq=False)
+class FlowDeployment:
+    """Balancers and agents as processes, in one network of loopback addresses.
+
+    ``network`` is the second number of the addresses, so that deployments that
+    run at the same time do not meet.
+    """
+
+    network: int
+    folder: Path
+    rng: object
+    balancer_count: int = 2
+    agent_count: int = 3
+    store: PlatformStore = field(init=False)
+    fabric: Fabric = field(init=False)
+    upstream_by_host: dict = Factory(dict)
+    process_by_host: dict = Factory(dict)
+    data_centre_by_host: dict = Factory(dict)
+    store_address: str = ""
+
+    @property
+    def balancers(self):
+        return [f"127.{self.network}.0.{n + 1}" for n in range(self.balancer_count)]
+
+    @property
+    def agents(self):
+        return [f"127.{self.network}.1.{n + 1}" for n in range(self.agent_count)]
+
+    async def start(self):
+        """Start all, and wait until the whole answers."""
+        self.store = PlatformStore()
+        host, port = await self.store.start()
+        self.store_address = self.store_address or f"{host}:{port}"
+        self.store.put("op/config", make_config(1))
+        self.fabric = Fabric(f"127.{self.network}.9.1", self.rng)
+        await self.fabric.start()
+        for number, host in enumerate([*self.balancers, *self.agents]):
+            self.data_centre_by_host[host] = "abc"[number % 3]
+        for host in self.agents:
+            upstream = StandInUpstream(host, self.data_centre_by_host[host])
+            self.upstream_by_host[host] = upstream
+            await upstream.start()
+        for host in [*self.balancers, *self.agents]:
+            await self.launch(host, first=True)
+        self.fabric.balancers = self.balancers
+        await self.wait_until_served()
+
+    async def launch(self, host, first=False):
+        """Start the process of a machine."""
+        role = "balancer" if host in self.balancers else "agent"
+        values = {
+            "host": host,
+            "data_centre": self.data_centre_by_host[host],
+            "seeds": ",".join(self.balancers[:3]),
+            "store": self.store_address,
+            "service": SERVICE,
+            "first": str(first).lower(),
+        }
+        own = BALANCER_INI if role == "balancer" else AGENT_INI
+        path = self.folder / f"{host}.ini"
+        path.write_text((NODE_INI + own).format(**values))
+        log = open(self.folder / f"{host}.log", "ab")
+        self.process_by_host[host] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bilberrypath.platform",
+            role,
+            cwd=ROOT,
+            env={**os.environ, "BILBERRYPATH_BOOT": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def end(self, host, number=signal.SIGKILL):
+        """End the process of a machine and wait until it is gone."""
+        process = self.process_by_host.pop(host)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
+        return await process.wait()
+
+    def signal(self, host, number):
+        """Send a signal to the process of a machine."""
+        self.process_by_host[host].send_signal(number)
+
+    async def wait_until_served(self, timeout=20.0):
+        """Wait until opens are accepted by every upstream that is up."""
+        async with asyncio.timeout(timeout):
+            served = set()
+            up = {h for h, u in self.upstream_by_host.items() if u.is_up}
+            while served != up:
+                client = self.fabric.make_client()
+                await client.open(copies=(0.0,))
+                served = {h for h in up if self.upstream_by_host[h].opens}
+
+    async def close(self):
+        """End all processes, by their ids."""
+        for host in list(self.process_by_host):
+            with contextlib.suppress(ProcessLookupError):
+                self.process_by_host[host].send_signal(signal.SIGCONT)
+            await self.end(host)
+        for upstream in self.upstream_by_host.values():
+            upstream.stop()
+        self.fabric.close()
+        self.store.close()
+
+    def find_holder(self, flow):
+        """Return the host whose upstream has a flow, or None."""
+        for host, upstream in self.upstream_by_host.items():
+            if flow in upstream.flows:
+                return host
+        return None
+
+
+def is_port_free(host, port):
+    """Return whether a UDP port can be bound."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+__all__ = ["RST", "FlowDeployment", "StandInUpstream", "make_config", "unpack_end"]
