An open is not passed round: agents that passed it on keep it when it returns

Cause: with load reports of a moment ago three agents each took the next for idle; the open came back to the first, which followed its own redirect, round and round until 25 ms had passed, and it was placed twice.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -173,6 +173,8 @@
 
     def _may_ask(self, holder: NodeId, sender: NodeId, carry: msg.Carry) -> bool:
         known = holder in self.placement.peer_by_id
+        if self.me in carry.passed:
+            return False
         return known and holder not in (sender, self.me) and holder not in carry.tried
 
     def pass_to(
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -132,6 +132,8 @@
             return self._pass_unable(carry, packet, unable, now)
         other = self._find_less_busy(carry, sender, now)
         if other is not None:
+            passed = (*carry.passed, self.agent.me)
+            carry = msgspec.structs.replace(carry, passed=passed)
             return self._pass_on(carry, packet, other, "load", now)
         return self._accept(carry, packet, sender, now)
 
@@ -169,14 +171,19 @@
     def _find_less_busy(
         self, carry: Carry, sender: NodeId, now: Seconds
     ) -> NodeId | None:
-        if carry.hops >= MAX_HOPS:
-            return None
         agent = self.agent
+        if carry.hops >= MAX_HOPS or agent.me in carry.passed:
+            return None
         report = agent.watch.report
         slots = report.slots if report is not None else 1
         busy = agent.flows.busy_count
         pressure = agent.flows.compute_pressure(slots, now)
-        passed_over = {sender, *carry.tried, *agent.silent.since_by_id}
+        passed_over = {
+            sender,
+            *carry.tried,
+            *carry.passed,
+            *agent.silent.since_by_id,
+        }
         out = agent.routes.table.out
         own = OwnLoad(busy, slots, pressure)
         return agent.placement.choose_less_busy(own, passed_over, out, now)
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -29,7 +29,8 @@
     ``may_reset`` says that no other service can have it. An open that
     ``waited`` for an upstream's report does not wait again. ``chained`` says
     that a search has ended with agents that can't tell; ``unsure`` are those
-    that are still to try their upstream.
+    that are still to try their upstream. ``passed`` are the agents that passed
+    an open on for their load.
     """
 
     revision: int
@@ -44,6 +45,7 @@
     waited: bool = False
     chained: bool = False
     unsure: tuple[str, ...] = ()
+    passed: tuple[str, ...] = ()
 
 
 class Placed(Struct, tag=21):
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
+from bilberrypath.protocol.flow_messages import LoadReport
 from bilberrypath.state.routes import FlowRoute, Target
 from tests.support.flow_world import (
     ADDRESS,
@@ -366,3 +367,31 @@
         world.run(0.5)
         assert all(client.resets == 0 for client in clients)
         assert all(client.answers for client in clients)
+
+
+class TestPassing:
+    def mislead(self, world):
+        """Have each of three busy agents take the next one for idle."""
+        hosts = [f"10.2.0.{n}" for n in (1, 2, 3)]
+        for number, host in enumerate(hosts):
+            node = world.node_by_host[host]
+            node.flows.busy_count = 3
+            for other in hosts:
+                peer = node.placement.peer_by_id.get(f"{other}:7600")
+                if peer is not None:
+                    idle = other == hosts[(number + 1) % 3]
+                    pressure = 0.0 if idle else 5.0
+                    report = LoadReport(1, "board", True, pressure, 3, 0)
+                    peer.take_report(report, world.now)
+
+    def test_an_open_does_not_go_round(self):
+        world = make_world(agents=3)
+        for _ in range(10):
+            self.mislead(world)
+            client = world.make_client()
+            client.open()
+            world.run(0.015)
+            assert client.opened
+        world.run(0.2)
+        held = sum(len(u.flows) for u in world.upstream_by_host.values())
+        assert held == 10
