Opens stay near their client while no worse; redirects to vanished agents end

The home now adds a fifth of the slots to the pressure of far agents, itself among them. Ruled out: ranking homes by data centre, since copies of an open through balancers of two data centres would meet two upstreams (a test of the model shows it). Cause 2: agents told each other of a holder that none of them could reach, so that its flows were never reset.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -164,16 +164,20 @@
         if self.finder.keep(carry, packet):
             return []
         holder = self.redirects.find(packet.flow, now)
-        if holder is not None and self._may_ask(holder, sender, carry):
+        if holder is not None and self._may_ask(holder, sender, carry, now):
+            self.silent.expect(holder, now)
             return self.pass_to(holder, carry, packet)
         self.redirects.forget(packet.flow)
         if packet.opens:
             return self.opener.place(carry, packet, sender, now)
         return self.finder.find(carry, packet, now)
 
-    def _may_ask(self, holder: NodeId, sender: NodeId, carry: msg.Carry) -> bool:
+    def _may_ask(
+        self, holder: NodeId, sender: NodeId, carry: msg.Carry, now: Seconds
+    ) -> bool:
+        """Return whether a redirect is still to be followed."""
         known = holder in self.placement.peer_by_id
-        if self.me in carry.passed:
+        if self.me in carry.passed or self.silent.is_gone(holder, now):
             return False
         return known and holder not in (sender, self.me) and holder not in carry.tried
 
@@ -299,7 +303,7 @@
 
     @handle.register(ev.ControlReceived)
     def _(self, event: ev.ControlReceived, now: Seconds) -> list[FlowEffect]:
-        if self.silent.since_by_id:
+        if self.silent.awaits:
             self.silent.note_heard(f"{event.sender[0]}:{event.sender[1]}")
         return self._take_message(event.message, event.sender, now)
 
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -232,13 +232,14 @@
         message = msg.Carry(
             self.routes.revision,
             service,
-            self.members.me.node_id,
-            seeks,
-            "",
-            (),
-            0,
-            may_reset,
-            packet.datagram,
+            origin=self.members.me.node_id,
+            seeks=seeks,
+            home="",
+            tried=(),
+            hops=0,
+            may_reset=may_reset,
+            datagram=packet.datagram,
+            near=self.members.me.data_centre,
         )
         return fx.SendControl(to_address(to), message)
 
@@ -251,7 +252,7 @@
 
     @handle.register(ev.ControlReceived)
     def _(self, event: ev.ControlReceived, now: Seconds) -> list[FlowEffect]:
-        if self.silent.since_by_id:
+        if self.silent.awaits:
             self.silent.note_heard(f"{event.sender[0]}:{event.sender[1]}")
         effects = self._take_message(event.message, event.sender, now)
         self._forget_changed()
--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -124,14 +124,20 @@
         if agent.flows.get(flow) is not None:
             return msg.Holds(flow, agent.me, False)
         holder = agent.redirects.find(flow, now)
-        if holder is not None and holder in agent.placement.peer_by_id:
+        known = holder is not None and holder in agent.placement.peer_by_id
+        if known and not agent.silent.is_gone(holder, now):
             return msg.Holds(flow, holder, False)
         return msg.Holds(flow, "", not agent.knows_all_flows(now))
 
     def take_answer(
         self, answer: msg.Holds, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
-        """Take in another agent's answer."""
+        """Take in another agent's answer.
+
+        What it heard of a holder that does not answer here counts for nothing.
+        """
+        if self.agent.silent.is_gone(answer.holder, now):
+            answer = msg.Holds(answer.flow, "", answer.unsure)
         end = self.searches.take_answer(answer, sender)
         return [] if end is None else self._end(answer.flow, end, now)
 
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -14,7 +14,7 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
-from bilberrypath.coordination.open_placement import MAX_HOPS, OwnLoad
+from bilberrypath.coordination.open_placement import MAX_HOPS, OpenRules, OwnLoad
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import to_address
 
@@ -178,15 +178,17 @@
         slots = report.slots if report is not None else 1
         busy = agent.flows.busy_count
         pressure = agent.flows.compute_pressure(slots, now)
-        passed_over = {
-            sender,
-            *carry.tried,
-            *carry.passed,
-            *agent.silent.since_by_id,
-        }
-        out = agent.routes.table.out
-        own = OwnLoad(busy, slots, pressure)
-        return agent.placement.choose_less_busy(own, passed_over, out, now)
+        own = OwnLoad(busy, slots, pressure, agent.setup.me.data_centre)
+        rules = self._make_rules(carry, sender, *carry.passed)
+        return agent.placement.choose_less_busy(own, rules, now)
+
+    def _make_rules(self, carry: Carry, *passed_over: NodeId) -> OpenRules:
+        agent = self.agent
+        return OpenRules(
+            carry.near,
+            {*passed_over, *carry.tried, *agent.silent.since_by_id},
+            agent.routes.table.out,
+        )
 
     def _accept(
         self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
@@ -217,9 +219,7 @@
         agent = self.agent
         tried = (*carry.tried, agent.me)
         carry = msgspec.structs.replace(carry, tried=tried)
-        out = agent.routes.table.out
-        passed_over = {*tried, *agent.silent.since_by_id}
-        other = agent.placement.choose_any(passed_over, out, now)
+        other = agent.placement.choose_any(self._make_rules(carry), now)
         awaits = agent.awaits_first_report and not carry.waited
         if other is None and agent.awaits_first_report:
             return self._await_report(carry, packet, now)
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -21,6 +21,7 @@
 
 DRAWN = 3  # agents compared for an open
 MARGIN = 0.15  # of the slots; a smaller gain is not worth the way
+FAR = 0.2  # of the slots; what a way between data centres has to gain
 CROWDED = 1.0  # running requests over slots; above it requests queue
 FRESH: Seconds = 0.7  # two periods of reports
 REPORT_LIMIT: Seconds = 2.0  # older reports say nothing of the load
@@ -59,11 +60,30 @@
 
 @frozen
 class OwnLoad:
-    """The load of the agent that decides: busy flows, slots, mean pressure."""
+    """The load of the agent that decides: busy flows, slots, pressure."""
 
     busy: int
     slots: int
     pressure: float
+    data_centre: DataCentreName
+
+
+@frozen
+class OpenRules:
+    """Where an open should go: ``near`` its client, not to those named."""
+
+    near: DataCentreName
+    passed_over: Container[NodeId]
+    out: Container[DataCentreName]
+
+
+def rate_distance(data_centre: DataCentreName, near: DataCentreName) -> float:
+    """Return what is added to the pressure of an agent for its distance.
+
+    A flow that stays in its client's data centre outlives a cut between data
+    centres, and its bytes cost less.
+    """
+    return 0.0 if near in ("", data_centre) else FAR
 
 
 @define
@@ -93,30 +113,22 @@
         return before != set(self.peer_by_id)
 
     def choose_less_busy(
-        self,
-        own: OwnLoad,
-        passed_over: Container[NodeId],
-        out: Container[DataCentreName],
-        now: Seconds,
+        self, own: OwnLoad, rules: OpenRules, now: Seconds
     ) -> NodeId | None:
-        """Return an agent that is clearly less busy than this one, or None."""
-        best = self._draw_best(passed_over, out, now)
+        """Return an agent that is clearly better than this one, or None."""
+        best = self._draw_best(rules, now)
         if best is None:
             return None
-        gain = own.pressure - best.rate_pressure(now)
+        mine = own.pressure + rate_distance(own.data_centre, rules.near)
+        gain = mine - _rate(best, rules, now)
         is_full = own.busy >= own.slots
         if gain > MARGIN or (is_full and gain > 0):
             return self._send_to(best)
         return None
 
-    def choose_any(
-        self,
-        passed_over: Container[NodeId],
-        out: Container[DataCentreName],
-        now: Seconds,
-    ) -> NodeId | None:
+    def choose_any(self, rules: OpenRules, now: Seconds) -> NodeId | None:
         """Return the best agent for an open that can't be taken here, or None."""
-        best = self._draw_best(passed_over, out, now)
+        best = self._draw_best(rules, now)
         return None if best is None else self._send_to(best)
 
     def is_crowded(self, node_id: NodeId, now: Seconds) -> bool:
@@ -127,20 +139,25 @@
         peer.sent_since += 1
         return peer.member.node_id
 
-    def _draw_best(
-        self,
-        passed_over: Container[NodeId],
-        out: Container[DataCentreName],
-        now: Seconds,
-    ) -> PeerAgent | None:
+    def _draw_best(self, rules: OpenRules, now: Seconds) -> PeerAgent | None:
+        """Return the best of a few drawn anywhere and a few drawn near."""
         able = [
             peer
             for node_id, peer in self.peer_by_id.items()
-            if node_id not in passed_over
-            and peer.member.data_centre not in out
+            if node_id not in rules.passed_over
+            and peer.member.data_centre not in rules.out
             and peer.takes_opens(now)
         ]
         fresh = [peer for peer in able if now - peer.heard_at <= FRESH]
         among = fresh if len(fresh) >= DRAWN else able
-        drawn = self.rng.sample(among, min(DRAWN, len(among)))
-        return min(drawn, key=lambda peer: peer.rate_pressure(now), default=None)
+        near = [peer for peer in among if peer.member.data_centre == rules.near]
+        drawn = self._draw(among, DRAWN) + self._draw(near, DRAWN)
+        return min(drawn, key=lambda peer: _rate(peer, rules, now), default=None)
+
+    def _draw(self, peers: list[PeerAgent], count: int) -> list[PeerAgent]:
+        return self.rng.sample(peers, min(count, len(peers)))
+
+
+def _rate(peer: PeerAgent, rules: OpenRules, now: Seconds) -> float:
+    distance = rate_distance(peer.member.data_centre, rules.near)
+    return peer.rate_pressure(now) + distance
--- a/bilberrypath/coordination/silent_peers.py
+++ b/bilberrypath/coordination/silent_peers.py
@@ -13,6 +13,7 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.types import NodeId, Seconds
 
+ANSWER_TIMEOUT: Seconds = 0.2  # a hundred round trips between data centres
 GONE_AFTER: Seconds = 1.5  # seven pings unanswered
 FORGET_AFTER: Seconds = 30.0  # far beyond the time in which members are removed
 
@@ -22,10 +23,20 @@
     """Keep who did not answer in time, and ask them whether they live."""
 
     since_by_id: dict[NodeId, float] = Factory(dict)
+    _owed_since_by_id: dict[NodeId, float] = Factory(dict)
 
     def __contains__(self, node_id: NodeId) -> bool:
         return node_id in self.since_by_id
 
+    @property
+    def awaits(self) -> bool:
+        """Whether it matters who is heard."""
+        return bool(self.since_by_id or self._owed_since_by_id)
+
+    def expect(self, node_id: NodeId, now: Seconds) -> None:
+        """Record that a process owes a word, from the first time on."""
+        self._owed_since_by_id.setdefault(node_id, now)
+
     def is_gone(self, node_id: NodeId, now: Seconds) -> bool:
         """Return whether a process did not answer for so long that it is gone.
 
@@ -44,9 +55,14 @@
     def note_heard(self, node_id: NodeId) -> None:
         """Count on a process again."""
         self.since_by_id.pop(node_id, None)
+        self._owed_since_by_id.pop(node_id, None)
 
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Return the pings that are due."""
+        for node_id, since in list(self._owed_since_by_id.items()):
+            if now - since > ANSWER_TIMEOUT:
+                del self._owed_since_by_id[node_id]
+                self.since_by_id.setdefault(node_id, now)
         for node_id, since in list(self.since_by_id.items()):
             if now - since > FORGET_AFTER:
                 del self.since_by_id[node_id]
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -30,7 +30,8 @@
     ``waited`` for an upstream's report does not wait again. ``chained`` says
     that a search has ended with agents that can't tell; ``unsure`` are those
     that are still to try their upstream. ``passed`` are the agents that passed
-    an open on for their load.
+    an open on for their load. ``near`` is the data centre of the balancer, and
+    so of the client.
     """
 
     revision: int
@@ -46,6 +47,7 @@
     chained: bool = False
     unsure: tuple[str, ...] = ()
     passed: tuple[str, ...] = ()
+    near: str = ""
 
 
 class Placed(Struct, tag=21):
--- a/tests/coordination/test_open_placement.py
+++ b/tests/coordination/test_open_placement.py
@@ -3,9 +3,11 @@
 import pytest
 
 from bilberrypath.coordination.open_placement import (
+    FAR,
     MARGIN,
     REPORT_LIMIT,
     OpenPlacement,
+    OpenRules,
     OwnLoad,
 )
 from bilberrypath.protocol.flow_messages import LoadReport
@@ -57,9 +59,9 @@
 
 class TestLessBusy:
     def choose(self, placement, pressure, busy=0, **rules):
-        own = OwnLoad(busy, 3, pressure)
-        passed_over = rules.get("passed_over", ())
-        return placement.choose_less_busy(own, passed_over, rules.get("out", ()), 0.1)
+        own = OwnLoad(busy, 3, pressure, rules.get("own", "a"))
+        open_rules = OpenRules(rules.get("near", "a"), (), ())
+        return placement.choose_less_busy(own, open_rules, 0.1)
 
     def test_stays_while_no_worse(self, placement):
         tell(placement, {2: 0.3, 3: 0.3, 4: 0.3})
@@ -85,6 +87,21 @@
         chosen = {self.choose(placement, 0.9) for _ in range(4)}
         assert chosen <= {f"10.0.0.{n}:7600" for n in range(2, 6)}
 
+    def test_goes_to_the_clients_data_centre_while_no_worse(self, placement):
+        agents = (make_member(2, data_centre="b"), make_member(3))
+        placement.use_agents(agents, ME, 0.0)
+        tell(placement, {2: 0.3, 3: 0.3})
+        assert self.choose(placement, 0.3, near="b") == "10.0.0.2:7600"
+        tell(placement, {2: 0.3 + FAR, 3: 0.3})
+        assert self.choose(placement, 0.3, near="b") is None
+
+    def test_leaves_the_clients_data_centre_for_a_clear_gain(self, placement):
+        placement.use_agents((make_member(2, data_centre="b"),), ME, 0.0)
+        tell(placement, {2: 0.3})
+        assert self.choose(placement, 0.3 + FAR) is None
+        tell(placement, {2: 0.3})
+        assert self.choose(placement, 0.3 + FAR + MARGIN + 0.01) == "10.0.0.2:7600"
+
     def test_old_reports_say_nothing(self, placement):
         tell(placement, {2: 0.0, 3: 0.0, 4: 0.0}, now=-REPORT_LIMIT)
         assert self.choose(placement, 0.9) is None
@@ -98,19 +115,21 @@
             make_member(4),
         )
         placement.use_agents(agents, ME, 0.0)
-        chosen = {placement.choose_any((), ("b",), 0.0) for _ in range(10)}
+        chosen = {
+            placement.choose_any(OpenRules("a", (), ("b",)), 0.0) for _ in range(10)
+        }
         assert chosen == {"10.0.0.4:7600"}
 
     def test_passes_over_who_says_so(self, placement):
         placement.peer_by_id["10.0.0.2:7600"].take_report(
             make_report(0.0, takes_opens=False), 0.0
         )
-        chosen = {placement.choose_any((), (), 0.1) for _ in range(20)}
+        chosen = {placement.choose_any(OpenRules("a", (), ()), 0.1) for _ in range(20)}
         assert chosen == {"10.0.0.3:7600", "10.0.0.4:7600"}
 
     def test_none_when_nobody_is_left(self, placement):
         everyone = tuple(placement.peer_by_id)
-        assert placement.choose_any(everyone, (), 0.0) is None
+        assert placement.choose_any(OpenRules("a", everyone, ()), 0.0) is None
 
     def test_a_removed_member_is_not_chosen(self, placement):
         removed = Member(
@@ -124,4 +143,4 @@
             Doubt.REMOVED,
         )
         placement.use_agents((removed,), ME, 0.0)
-        assert placement.choose_any((), (), 0.0) is None
+        assert placement.choose_any(OpenRules("a", (), ()), 0.0) is None
