--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -21,6 +21,7 @@
 LINGER: Seconds = 5.0  # an ended flow's late packets come within three 1.6 s intervals
 BUSY_LIMIT: Seconds = 10.0  # a request without answer for so long was given up
 SWEEP_COUNT = 256  # flows looked at each tick
+FLOW_LOAD = 0.02  # busy flows for each open one: 40 ms of work each two seconds
 
 
 @define(slots=True)
@@ -28,7 +29,8 @@
     """One flow of the upstream.
 
     ``confirmed`` is false while only our own guess says that the upstream has
-    the flow. ``acknowledged`` is the client's last, for a reset.
+    the flow. ``acknowledged`` is the client's last, for a reset. ``counts`` is
+    true until the flow has ended.
     """
 
     seen_at: Seconds
@@ -38,6 +40,7 @@
     busy_since: Seconds | None = None
     client_closed: bool = False
     upstream_closed: bool = False
+    counts: bool = True
 
     @property
     def is_ended(self) -> bool:
@@ -51,6 +54,7 @@
 
     flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
     busy_count: int = 0
+    live_count: int = 0
     _mean_busy: float = 0.0
     _mean_at: Seconds = float("-inf")
     _sweep: list[bytes] = Factory(list)
@@ -69,7 +73,9 @@
         """Begin to hold a flow."""
         held = HeldFlow(now, packet.acknowledged, confirmed=confirmed)
         held.is_open = not packet.opens
+        self.remove(packet.flow, now)
         self.flow_by_key[packet.flow] = held
+        self.live_count += 1
         return held
 
     def remove(self, flow: bytes, now: Seconds) -> HeldFlow | None:
@@ -77,6 +83,7 @@
         held = self.flow_by_key.pop(flow, None)
         if held is not None:
             self._end_busy(held, now)
+            self._stop_counting(held)
         return held
 
     def note_client(self, held: HeldFlow, packet: FlowPacket, now: Seconds) -> None:
@@ -86,6 +93,7 @@
             held.acknowledged = packet.acknowledged
         if packet.closes or packet.resets:
             held.client_closed = True
+            self._stop_counting(held)
         if packet.data_length and held.busy_since is None:
             self._move_mean(now)
             held.busy_since = now
@@ -103,6 +111,8 @@
             held.upstream_closed = True
         if packet.resets:
             held.client_closed = held.upstream_closed = True
+        if held.upstream_closed:
+            self._stop_counting(held)
 
     def compute_mean_busy(self, now: Seconds) -> float:
         """Return the mean number of busy flows of late."""
@@ -113,10 +123,11 @@
         """Return busy flows over slots, half of it now and half the mean of late.
 
         The mean alone is blind for a second after a start; the number of this
-        moment alone swings with each request.
+        moment alone swings with each request. Flows that were just opened have
+        not shown their load yet: each counts for a little in any case.
         """
-        busy = self.busy_count + self.compute_mean_busy(now)
-        return busy / 2 / max(1, slots)
+        busy = (self.busy_count + self.compute_mean_busy(now)) / 2
+        return max(busy, FLOW_LOAD * self.live_count) / max(1, slots)
 
     def sweep(self, idle_limit: Seconds, now: Seconds) -> None:
         """Drop some of the flows that ended or were idle for too long."""
@@ -133,6 +144,11 @@
             if now - held.seen_at > limit:
                 self.remove(flow, now)
 
+    def _stop_counting(self, held: HeldFlow) -> None:
+        if held.counts:
+            held.counts = False
+            self.live_count -= 1
+
     def _end_busy(self, held: HeldFlow, now: Seconds) -> None:
         if held.busy_since is None:
             return
--- a/tests/coordination/test_held_flows.py
+++ b/tests/coordination/test_held_flows.py
@@ -1,6 +1,11 @@
 import pytest
 
-from bilberrypath.coordination.held_flows import BUSY_LIMIT, LINGER, HeldFlows
+from bilberrypath.coordination.held_flows import (
+    BUSY_LIMIT,
+    FLOW_LOAD,
+    LINGER,
+    HeldFlows,
+)
 from bilberrypath.platform.packet_head import ACK, FIN, RST, SYN, PacketHeads
 from bilberrypath.protocol.flow_packet import pack_flow
 from tests.support.flow_world import write_packet
@@ -56,6 +61,19 @@
         assert flows.compute_pressure(2, 1.0) == 0.25
         assert flows.compute_pressure(1, 9.0) > 0.99
 
+    def test_open_flows_weigh_before_they_are_used(self, flows, held):
+        other = pack_flow(("100.64.0.8", 1), ("198.18.0.1", 443))
+        packet = CODEC.read_from_client(write_packet(other, SYN, 1))
+        flows.add(packet, confirmed=True, now=0.0)
+        assert flows.live_count == 2
+        assert flows.compute_pressure(1, 1.0) == 2 * FLOW_LOAD
+        flows.note_client(held, from_client(ACK | FIN), 1.0)
+        assert flows.live_count == 1
+        flows.remove(FLOW, 1.1)
+        assert flows.live_count == 1
+        flows.remove(other, 1.2)
+        assert flows.live_count == 0
+
     def test_a_request_without_answer_is_not_busy_for_ever(self, flows, held):
         flows.note_client(held, from_client(ACK, b"request"), 1.0)
         flows.sweep(60.0, 1.0 + BUSY_LIMIT + 0.1)
