--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -27,11 +27,7 @@
 from bilberrypath.coordination.open_placement import OpenPlacement
 from bilberrypath.coordination.route_keeper import RouteKeeper
 from bilberrypath.coordination.silent_peers import SilentPeers
-from bilberrypath.coordination.upstream_watch import (
-    ReportKind,
-    Unable,
-    UpstreamWatch,
-)
+from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import to_address
 from bilberrypath.state.flow_agents import digest_agents
@@ -51,8 +47,6 @@
 REPORT_FANOUT = 8  # agents told each time; others hear within a few periods
 IDLE_SLACK: Seconds = 5.0  # a flow is kept longer than its ends keep it
 PAUSE_LIMIT: Seconds = 1.0  # five ticks; this process stood still
-START_GAP = 1000  # ms; a process takes longer to end, start and accept an open
-UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
 
 
 @frozen
@@ -84,18 +78,15 @@
         self.rng = rng
         self.routes = RouteKeeper()
         self.presence = FlowPresence(setup.me, setup.seeds, rng)
-        self.watch = UpstreamWatch(setup.report_period)
         self.flows = HeldFlows()
         self.redirects = FlowPlaces()
         self.silent = SilentPeers()
         self.placement = OpenPlacement(rng)
         self.deadlines: Deadlines[tuple[str, bytes]] = Deadlines()
+        self.upstream = UpstreamKeeper(self, now)
         self.opener = FlowOpener(self)
         self.finder = FlowFinder(self)
         self.agents_changed_at = now
-        self._started_at = now
-        self._knows_all = setup.knows_all
-        self._had_report = False
         self._next_report_at = now
         self._last_tick_at = now
 
@@ -114,15 +105,6 @@
         """Whether opens can be judged."""
         return self.routes.revision > 0
 
-    @property
-    def awaits_first_report(self) -> bool:
-        """Whether this process has not heard of its upstream yet."""
-        return not self._had_report
-
-    def knows_all_flows(self, now: Seconds) -> bool:
-        """Return whether the upstream has no flow that is unknown here."""
-        return self._knows_all or now - self._started_at > self.setup.flow_lifetime
-
     def next_wake(self) -> Seconds | None:
         """Return when :meth:`wake` is to be called, or None."""
         return self.deadlines.next_at()
@@ -212,7 +194,7 @@
         packet = self.codec.read_from_upstream(datagram)
         if packet is None:
             return [fx.Count("packet_dropped", "not_a_packet")]
-        effects = self._note_heard(now)
+        effects = self.upstream.note_heard(now)
         if packet.refused:
             return effects + self._take_refused(packet, now)
         held = self.flows.get(packet.flow)
@@ -249,53 +231,6 @@
             ffx.Decided("flow_reset", flow, {"reason": reason}),
         ]
 
-    # Upstream
-
-    def _note_heard(self, now: Seconds) -> list[FlowEffect]:
-        was_lost = self.watch.is_lost
-        self.watch.note_heard(now)
-        return self.refresh_status("heard", now) if was_lost else []
-
-    def _lose_flows(self, reason: str, now: Seconds) -> list[FlowEffect]:
-        """Reset the flows of an upstream that no longer holds them."""
-        effects: list[FlowEffect] = []
-        for flow, held in self.flows:
-            self.flows.remove(flow, now)
-            if not held.is_ended:
-                effects += self.reset(flow, held.acknowledged, reason)
-        return effects
-
-    def lose_upstream(self, reason: str, now: Seconds) -> list[FlowEffect]:
-        """Give up the flows of an upstream that is proven gone."""
-        effects = [fx.Changed("upstream_lost", {"reason": reason})]
-        effects += self._lose_flows("upstream_lost", now)
-        return effects + self.refresh_status(reason, now)
-
-    def find_unable(self, now: Seconds) -> Unable | None:
-        """Return why the upstream may not take an open now, or None."""
-        limits = self.routes.limits_by_service.get(self.service)
-        if limits is None:
-            return Unable.ABSENT
-        return self.watch.find_unable(
-            limits.cold_opens, len(self.flows), limits.max_flows, now
-        )
-
-    def refresh_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
-        """Announce whether the upstream takes work, if that changed."""
-        unable = self.watch.find_unable(0.0, 0, 1, now)
-        status = Status.DRAINING if unable in UNABLE_TO_SERVE else Status.SERVING
-        if self.presence.me.status in (status, Status.LEFT):
-            return []
-        self.presence.announce(status)
-        fields = {"status": status.name.lower(), "reason": reason}
-        return [
-            fx.Changed("serving", fields),
-            *self.presence.send_heartbeats(0, 0, now),
-            *self._report_load(now),
-        ]
-
-    # Events
-
     @singledispatchmethod
     def handle(self, event: Event, now: Seconds) -> list[FlowEffect]:
         """Take one event at a time and return what is to be done."""
@@ -309,34 +244,15 @@
 
     @handle.register(fev.UpstreamReport)
     def _(self, event: fev.UpstreamReport, now: Seconds) -> list[FlowEffect]:
-        if event.address != self.setup.upstream:
-            return [fx.Count("report_dropped", "wrong_address")]
-        first = not self._had_report
-        self._had_report = True
-        kind = self.watch.take_report(event, now)
-        effects: list[FlowEffect] = []
-        if kind is ReportKind.NEW_START:
-            effects += self._take_new_start(event, first, now)
-        if event.service != self.service and kind is not ReportKind.OUTDATED:
-            effects += self._change_service(event.service)
-        effects.append(fx.Count("upstream_report", kind.value))
-        effects += self.refresh_status("report", now)
-        return effects + self.opener.retry_waiting(now)
+        return self.upstream.take_report(event, now)
 
     @handle.register(fev.UpstreamLeft)
     def _(self, event: fev.UpstreamLeft, now: Seconds) -> list[FlowEffect]:
-        report = self.watch.report
-        if report is None or report.upstream_id != event.upstream_id:
-            return [fx.Count("report_dropped", "other_upstream")]
-        self.watch.forget()
-        self._knows_all = True
-        return self.lose_upstream("left", now)
+        return self.upstream.take_end(event, now)
 
     @handle.register(fev.UpstreamUnreachable)
     def _(self, event: fev.UpstreamUnreachable, now: Seconds) -> list[FlowEffect]:
-        if self.watch.report is None or not self.watch.note_refused():
-            return []
-        return self.lose_upstream("nothing_listens", now)
+        return self.upstream.take_unreachable(now)
 
     @handle.register(fev.RoutesPulled)
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
@@ -351,7 +267,7 @@
 
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
-        alive = self.watch.report is not None and not self.watch.is_lost
+        alive = self.upstream.is_alive
         self.presence.announce(Status.DRAINING if alive else Status.LEFT)
         return self.presence.send_heartbeats(0, 0, now)
 
@@ -360,14 +276,12 @@
         self._pardon_own_pause(now)
         effects: list[FlowEffect] = list(self.presence.tick(0, 0, now))
         effects += self.silent.tick(now)
-        if self.watch.note_absent(now):
-            effects += self.lose_upstream("absent", now)
-        effects += self.refresh_status("tick", now)
+        effects += self.upstream.tick(now)
         idle_limit = self.routes.table.idle_timeout + IDLE_SLACK
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
         if now >= self._next_report_at:
-            effects += self._report_load(now)
+            effects += self.report_load(now)
         return effects
 
     # Messages
@@ -437,47 +351,16 @@
 
     # Shared
 
-    def _take_new_start(
-        self, report: fev.UpstreamReport, first: bool, now: Seconds
-    ) -> list[FlowEffect]:
-        """Note an upstream that this process did not know in this start.
-
-        One that began well before this process may have flows that a former
-        process opened.
-        """
-        fields = {
-            "upstream": report.upstream_id,
-            "service": report.service,
-            "slots": report.slots,
-            "draining": report.draining,
-            "cold_for": report.cold_for,
-        }
-        effects: list[FlowEffect] = [fx.Changed("upstream_started", fields)]
-        began_before = report.started_at < self.setup.me.incarnation - START_GAP
-        if first and report.sequence > 1 and began_before and not self._knows_all:
-            return effects
-        self._knows_all = True
-        return effects + self._lose_flows("upstream_restarted", now)
-
-    def _change_service(self, service: str) -> list[FlowEffect]:
-        before = self.presence.me
-        self.presence.me = msgspec.structs.replace(
-            before, service=service, version=before.version + 1
-        )
-        self.placement.peer_by_id.clear()
-        fields = {"service": service, "before": before.service}
-        return [fx.Changed("upstream_service", fields)]
-
-    def _report_load(self, now: Seconds) -> list[FlowEffect]:
+    def report_load(self, now: Seconds) -> list[FlowEffect]:
+        """Tell some of the other agents how busy the upstream is."""
         peers = list(self.placement.peer_by_id)
         told = self.rng.sample(peers, min(REPORT_FANOUT, len(peers)))
         self._next_report_at = now + REPORT_PERIOD
-        report = self.watch.report
-        slots = report.slots if report is not None else 1
+        slots = self.upstream.slots
         message = msg.LoadReport(
             self.routes.revision,
             self.service,
-            self.find_unable(now) is None,
+            self.upstream.find_unable(now) is None,
             round(self.flows.compute_pressure(slots, now), 3),
             slots,
             len(self.flows),
@@ -487,5 +370,5 @@
     def _pardon_own_pause(self, now: Seconds) -> None:
         gap, self._last_tick_at = now - self._last_tick_at, now
         if gap > PAUSE_LIMIT:
-            self.watch.pardon(gap)
+            self.upstream.watch.pardon(gap)
             self.deadlines.shift(gap)
--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -52,7 +52,7 @@
         if carry.hops == 0 and self._was_denied(packet.flow, now):
             told = agent.tell_place(carry, packet.flow, "")
             return [*told, fx.Count("packet_dropped", "denied_before")]
-        if agent.me not in carry.tried and not agent.knows_all_flows(now):
+        if agent.me not in carry.tried and not agent.upstream.knows_all_flows(now):
             return self._guess(carry, packet, now)
         if carry.chained:
             return self._try_next(carry, packet, now)
@@ -127,7 +127,7 @@
         known = holder is not None and holder in agent.placement.peer_by_id
         if known and not agent.silent.is_gone(holder, now):
             return msg.Holds(flow, holder, False)
-        return msg.Holds(flow, "", not agent.knows_all_flows(now))
+        return msg.Holds(flow, "", not agent.upstream.knows_all_flows(now))
 
     def take_answer(
         self, answer: msg.Holds, sender: NodeId, now: Seconds
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -165,7 +165,7 @@
         agent = self.agent
         if agent.setup.me.data_centre in agent.routes.table.out:
             return "data_centre_out"
-        unable = agent.find_unable(now)
+        unable = agent.upstream.find_unable(now)
         return None if unable is None else unable.value
 
     def _find_less_busy(
@@ -174,8 +174,7 @@
         agent = self.agent
         if carry.hops >= MAX_HOPS or agent.me in carry.passed:
             return None
-        report = agent.watch.report
-        slots = report.slots if report is not None else 1
+        slots = agent.upstream.slots
         busy = agent.flows.busy_count
         pressure = agent.flows.compute_pressure(slots, now)
         own = OwnLoad(busy, slots, pressure, agent.setup.me.data_centre)
@@ -197,7 +196,7 @@
         flow = packet.flow
         held = agent.flows.add(packet, confirmed=True, now=now)
         agent.flows.note_client(held, packet, now)
-        agent.watch.note_open(now)
+        agent.upstream.watch.note_open(now)
         self._opening_by_flow[flow] = Opening(carry, packet, sender, now)
         agent.deadlines.set(("open", flow), now + ACCEPT_TIMEOUT)
         fields = {
@@ -220,8 +219,8 @@
         tried = (*carry.tried, agent.me)
         carry = msgspec.structs.replace(carry, tried=tried)
         other = agent.placement.choose_any(self._make_rules(carry), now)
-        awaits = agent.awaits_first_report and not carry.waited
-        if other is None and agent.awaits_first_report:
+        awaits = agent.upstream.awaits_first_report and not carry.waited
+        if other is None and agent.upstream.awaits_first_report:
             return self._await_report(carry, packet, now)
         if other is None:
             return self._refuse(carry, packet, reason)
@@ -290,8 +289,8 @@
         agent = self.agent
         agent.flows.remove(opening.packet.flow, now)
         effects: list[FlowEffect] = [fx.Count("upstream_silent", "open")]
-        if agent.watch.note_late_open(now):
-            effects += agent.lose_upstream("silent", now)
+        if agent.upstream.watch.note_late_open(now):
+            effects += agent.upstream.lose("silent", now)
         effects += self._pass_unable(
             opening.carry, opening.packet, "upstream_silent", now
         )
--- /dev/null
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -0,0 +1,176 @@
+"""What an agent believes of its upstream, and what follows for its flows.
+
+Reports and silence are judged by :class:`UpstreamWatch`; here the flows of an
+upstream that no longer holds them are reset, and the others are told whether
+this agent takes opens.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination.upstream_watch import (
+    ReportKind,
+    Unable,
+    UpstreamWatch,
+)
+from bilberrypath.state.members import Status
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamReport
+    from bilberrypath.types import Seconds
+
+START_GAP = 1000  # ms; a process takes longer to end, start and accept an open
+UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
+
+
+class UpstreamKeeper:
+    """Keep one agent's view of its upstream, and act on its changes."""
+
+    def __init__(self, agent: FlowAgent, now: Seconds) -> None:
+        self.agent = agent
+        self.watch = UpstreamWatch(agent.setup.report_period)
+        self._started_at = now
+        self._knows_all = agent.setup.knows_all
+        self._had_report = False
+
+    @property
+    def awaits_first_report(self) -> bool:
+        """Whether this process has not heard of its upstream yet."""
+        return not self._had_report
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the upstream is there, as far as is known."""
+        return self.watch.report is not None and not self.watch.is_lost
+
+    @property
+    def slots(self) -> int:
+        """How many requests the upstream runs at once, 1 while unknown."""
+        report = self.watch.report
+        return 1 if report is None else report.slots
+
+    def knows_all_flows(self, now: Seconds) -> bool:
+        """Return whether the upstream has no flow that is unknown here."""
+        lifetime = self.agent.setup.flow_lifetime
+        return self._knows_all or now - self._started_at > lifetime
+
+    def tick(self, now: Seconds) -> list[FlowEffect]:
+        """Judge the silence of the upstream."""
+        effects: list[FlowEffect] = []
+        if self.watch.note_absent(now):
+            effects += self.lose("absent", now)
+        return effects + self.refresh_status("tick", now)
+
+    def take_report(self, event: UpstreamReport, now: Seconds) -> list[FlowEffect]:
+        """Take in what the upstream said of itself."""
+        if event.address != self.agent.setup.upstream:
+            return [fx.Count("report_dropped", "wrong_address")]
+        first = not self._had_report
+        self._had_report = True
+        kind = self.watch.take_report(event, now)
+        effects: list[FlowEffect] = []
+        if kind is ReportKind.NEW_START:
+            effects += self._take_new_start(event, first, now)
+        if event.service != self.agent.service and kind is not ReportKind.OUTDATED:
+            effects += self._change_service(event.service)
+        effects.append(fx.Count("upstream_report", kind.value))
+        effects += self.refresh_status("report", now)
+        return effects + self.agent.opener.retry_waiting(now)
+
+    def take_end(self, event: UpstreamLeft, now: Seconds) -> list[FlowEffect]:
+        """Take in that the upstream ends."""
+        report = self.watch.report
+        if report is None or report.upstream_id != event.upstream_id:
+            return [fx.Count("report_dropped", "other_upstream")]
+        self.watch.forget()
+        self._knows_all = True
+        return self.lose("left", now)
+
+    def take_unreachable(self, now: Seconds) -> list[FlowEffect]:
+        """Take in that nothing listens where the upstream should."""
+        if self.watch.report is None or not self.watch.note_refused():
+            return []
+        return self.lose("nothing_listens", now)
+
+    def note_heard(self, now: Seconds) -> list[FlowEffect]:
+        """Record that the upstream sent a packet."""
+        was_lost = self.watch.is_lost
+        self.watch.note_heard(now)
+        return self.refresh_status("heard", now) if was_lost else []
+
+    def lose(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Give up the flows of an upstream that is proven gone."""
+        effects = [fx.Changed("upstream_lost", {"reason": reason})]
+        effects += self._lose_flows("upstream_lost", now)
+        return effects + self.refresh_status(reason, now)
+
+    def find_unable(self, now: Seconds) -> Unable | None:
+        """Return why the upstream may not take an open now, or None."""
+        limits = self.agent.routes.limits_by_service.get(self.agent.service)
+        if limits is None:
+            return Unable.ABSENT
+        return self.watch.find_unable(
+            limits.cold_opens, len(self.agent.flows), limits.max_flows, now
+        )
+
+    def refresh_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Announce whether the upstream takes work, if that changed."""
+        unable = self.watch.find_unable(0.0, 0, 1, now)
+        status = Status.DRAINING if unable in UNABLE_TO_SERVE else Status.SERVING
+        if self.agent.presence.me.status in (status, Status.LEFT):
+            return []
+        self.agent.presence.announce(status)
+        fields = {"status": status.name.lower(), "reason": reason}
+        return [
+            fx.Changed("serving", fields),
+            *self.agent.presence.send_heartbeats(0, 0, now),
+            *self.agent.report_load(now),
+        ]
+
+    # Events
+
+    def _lose_flows(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Reset the flows of an upstream that no longer holds them."""
+        effects: list[FlowEffect] = []
+        for flow, held in self.agent.flows:
+            self.agent.flows.remove(flow, now)
+            if not held.is_ended:
+                effects += self.agent.reset(flow, held.acknowledged, reason)
+        return effects
+
+    def _take_new_start(
+        self, report: UpstreamReport, first: bool, now: Seconds
+    ) -> list[FlowEffect]:
+        """Note an upstream that this process did not know in this start.
+
+        One that began well before this process may have flows that a former
+        process opened.
+        """
+        fields = {
+            "upstream": report.upstream_id,
+            "service": report.service,
+            "slots": report.slots,
+            "draining": report.draining,
+            "cold_for": report.cold_for,
+        }
+        effects: list[FlowEffect] = [fx.Changed("upstream_started", fields)]
+        began_before = report.started_at < self.agent.setup.me.incarnation - START_GAP
+        if first and report.sequence > 1 and began_before and not self._knows_all:
+            return effects
+        self._knows_all = True
+        return effects + self._lose_flows("upstream_restarted", now)
+
+    def _change_service(self, service: str) -> list[FlowEffect]:
+        before = self.agent.presence.me
+        self.agent.presence.me = msgspec.structs.replace(
+            before, service=service, version=before.version + 1
+        )
+        self.agent.placement.peer_by_id.clear()
+        fields = {"service": service, "before": before.service}
+        return [fx.Changed("upstream_service", fields)]
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -107,8 +107,8 @@
         core = self.core
         if flow:
             return _describe_flow(core, flow, now)
-        report = core.watch.report
-        unable = core.find_unable(now)
+        report = core.upstream.watch.report
+        unable = core.upstream.find_unable(now)
         values = {
             "node": core.me,
             "role": "agent",
@@ -121,7 +121,7 @@
             "flows": len(core.flows),
             "busy": core.flows.busy_count,
             "redirects": len(core.redirects),
-            "knows_all_flows": core.knows_all_flows(now),
+            "knows_all_flows": core.upstream.knows_all_flows(now),
         }
         lists = {
             "agents": sorted(core.placement.peer_by_id),
