--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -203,7 +203,7 @@
                 return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
             held = self._adopt_from_upstream(packet, now)
         if packet.accepts_open:
-            self.opener.note_accepted(packet.flow, now)
+            effects += self.opener.note_accepted(packet.flow, now)
         self.flows.note_upstream(held, packet, now)
         return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
 
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -10,16 +10,13 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define
-
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination import flow_events as fev
-from bilberrypath.coordination.deadlines import Deadlines
 from bilberrypath.coordination.fleet import PUSH_FANOUT, Fleet, send
 from bilberrypath.coordination.flow_places import FlowPlaces
-from bilberrypath.coordination.flow_ranking import FlowRanking
+from bilberrypath.coordination.flow_seeker import FlowSeeker
 from bilberrypath.coordination.freshness import Freshness
 from bilberrypath.coordination.ranking import is_reader
 from bilberrypath.coordination.route_keeper import RouteKeeper
@@ -37,29 +34,11 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.protocol.flow_packet import FlowPacket, PacketCodec
     from bilberrypath.state.members import Member
-    from bilberrypath.state.routes import FlowRoute
     from bilberrypath.types import Address, NodeId, Seconds, ServiceName
 
-PLACE_TIMEOUT: Seconds = 0.06  # two passes between agents, each with its own timeout
-FIND_TIMEOUT: Seconds = 0.15  # a search among the agents of a service takes 0.06 s
-MAX_TRIES = 4  # agents; a client's next copy begins anew
-MAX_SEEKING = 4096  # flows
 IDLE_SLACK: Seconds = 5.0  # a place outlives the flow's own idle timeout
 
 
-@define
-class Seeking:
-    """A flow whose place was asked for, and the agents asked so far.
-
-    ``others`` are services of the same route that may have the flow too.
-    """
-
-    packet: FlowPacket
-    service: ServiceName
-    others: list[ServiceName]
-    asked: list[NodeId] = Factory(list)
-
-
 class FlowBalancer:
     """Hand packets of clients to agents, and keep members and routes.
 
@@ -90,11 +69,9 @@
         self.members = self.fleet.members
         self.places = FlowPlaces()
         self.silent = SilentPeers()
-        self._codec = codec
-        self._ranking = FlowRanking()
-        self._seeking_by_flow: dict[bytes, Seeking] = {}
-        self._deadlines: Deadlines[bytes] = Deadlines()
-        self._unreachable: frozenset[str] = frozenset()
+        self.codec = codec
+        self.seeker = FlowSeeker(self)
+        self.unreachable: frozenset[str] = frozenset()
 
     @property
     def is_ready(self) -> bool:
@@ -110,118 +87,29 @@
 
     def next_wake(self) -> Seconds | None:
         """Return when :meth:`wake` is to be called, or None."""
-        return self._deadlines.next_at()
+        return self.seeker.deadlines.next_at()
 
     def wake(self, now: Seconds) -> list[FlowEffect]:
         """Ask other agents for the flows whose place nobody told in time."""
-        effects: list[FlowEffect] = []
-        for flow in self._deadlines.take_due(now):
-            effects += self._ask_next(flow, now)
-        return effects
+        return self.seeker.wake(now)
 
     # Packets
 
     def take_packet(self, datagram: bytes, now: Seconds) -> list[FlowEffect]:
         """Return what to do with a datagram of a client."""
-        packet = self._codec.read_from_client(datagram)
+        packet = self.codec.read_from_client(datagram)
         if packet is None:
             return [fx.Count("packet_dropped", "not_a_packet")]
         holder = self.places.find(packet.flow, now)
         if holder is None or self._is_gone(holder):
-            return self._seek(packet, now)
-        return [self._carry(packet, "", holder, False, True)]
+            return self.seeker.seek(packet, now)
+        return [self.carry(packet, "", holder, False, True)]
 
     def _is_gone(self, holder: NodeId) -> bool:
         member = self.members.table.get(holder)
         return member is not None and member.is_gone
 
-    def _seek(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
-        route = self.routes.find_route(packet.flow)
-        if route is None:
-            return self._refuse_unknown(packet)
-        service = route.choose_service(packet.flow)
-        if service is None:
-            return [fx.Count("packet_dropped", "no_target")]
-        seeking = self._seeking_by_flow.get(packet.flow)
-        if seeking is not None:
-            return [self._ask(seeking, packet)]
-        home = self._choose(packet.flow, service, ())
-        if home is None:
-            return [fx.Count("packet_dropped", "no_agent")]
-        others = [] if packet.opens else _list_other_services(route, service)
-        seeking = Seeking(packet, service, others, [home])
-        if len(self._seeking_by_flow) < MAX_SEEKING:
-            self._seeking_by_flow[packet.flow] = seeking
-            self._set_deadline(packet, now)
-        return [self._ask(seeking, packet)]
-
-    def _refuse_unknown(self, packet: FlowPacket) -> list[FlowEffect]:
-        """Reset an open to an address without a route, if that is certain."""
-        if not packet.opens:
-            return [fx.Count("packet_dropped", "no_route")]
-        if not self.is_ready or self.routes.is_behind:
-            return [fx.Count("packet_dropped", "routes_behind")]
-        reset = self._codec.make_reset(packet.flow, packet.acknowledged)
-        return [
-            fx.Count("open_refused", "no_route"),
-            ffx.SendToClient(packet.flow, reset),
-            ffx.Decided(
-                "open_refused",
-                packet.flow,
-                {"reason": "no_route", "revision": self.routes.revision},
-            ),
-        ]
-
-    def _set_deadline(self, packet: FlowPacket, now: Seconds) -> None:
-        timeout = PLACE_TIMEOUT if packet.opens else FIND_TIMEOUT
-        self._deadlines.set(packet.flow, now + timeout)
-
-    def _ask_next(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
-        seeking = self._seeking_by_flow.get(flow)
-        if seeking is None:
-            return []
-        late = seeking.asked[-1]
-        effects = self.silent.note_late(late, now)
-        target = self._choose(flow, seeking.service, seeking.asked)
-        if target is None or len(seeking.asked) >= MAX_TRIES:
-            del self._seeking_by_flow[flow]
-            return [*effects, fx.Count("packet_dropped", "no_answer")]
-        seeking.asked.append(target)
-        self._set_deadline(seeking.packet, now)
-        fields = {"late": late, "to": target, "revision": self.routes.revision}
-        return [
-            *effects,
-            ffx.Decided("asked_next", flow, fields),
-            self._ask(seeking, seeking.packet),
-        ]
-
-    def _choose(
-        self, flow: bytes, service: ServiceName, asked: list[NodeId] | tuple
-    ) -> NodeId | None:
-        passed_over = {*self.silent.since_by_id, *asked}
-        choice = self._ranking.choose(
-            flow, service, self.members.table, passed_over, self._unreachable
-        )
-        return None if choice in asked else choice
-
-    def _ask(self, seeking: Seeking, packet: FlowPacket) -> fx.SendControl:
-        """Hand a packet to the agent that was asked last."""
-        to = seeking.asked[-1]
-        return self._carry(packet, seeking.service, to, True, not seeking.others)
-
-    def _ask_other_service(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
-        """Look for a flow in the next service that its route leads to."""
-        seeking = self._seeking_by_flow[flow]
-        seeking.service = seeking.others.pop()
-        home = self._choose(flow, seeking.service, ())
-        if home is None:
-            del self._seeking_by_flow[flow]
-            return [fx.Count("packet_dropped", "no_agent")]
-        seeking.asked = [home]
-        self._set_deadline(seeking.packet, now)
-        return [self._ask(seeking, seeking.packet)]
-
-    def _carry(
+    def carry(
         self,
         packet: FlowPacket,
         service: ServiceName,
@@ -229,6 +117,7 @@
         seeks: bool,
         may_reset: bool,
     ) -> fx.SendControl:
+        """Return a packet on its way to an agent."""
         message = msg.Carry(
             self.routes.revision,
             service,
@@ -292,7 +181,7 @@
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
         effects: list[FlowEffect] = list(self.members.tick(now))
-        self._unreachable = self.members.beacons.list_unreachable(now)
+        self.unreachable = self.members.beacons.list_unreachable(now)
         peers = self.members.list_peers()
         effects += self.fleet.probe(peers, now)
         effects += self.fleet.seek_seeds(peers, now)
@@ -314,17 +203,11 @@
 
     @_take_message.register(msg.Placed)
     def _(self, message: msg.Placed, sender: Address, now: Seconds) -> list[FlowEffect]:
-        seeking = self._seeking_by_flow.get(message.flow)
-        if seeking is not None:
-            self._deadlines.clear(message.flow)
-            if not message.holder and seeking.others:
-                return self._ask_other_service(message.flow, now)
-            del self._seeking_by_flow[message.flow]
         if message.holder:
             self.places.note(message.flow, message.holder, now)
         else:
             self.places.forget(message.flow)
-        return []
+        return self.seeker.note_placed(message.flow, message.holder, now)
 
     @_take_message.register(msg.FlowHeartbeat)
     def _(
@@ -406,10 +289,5 @@
 
     def _forget_changed(self) -> None:
         if self.members.changed_services:
-            self._ranking.forget(self.members.changed_services)
+            self.seeker.ranking.forget(self.members.changed_services)
             self.members.changed_services.clear()
-
-
-def _list_other_services(route: FlowRoute, service: ServiceName) -> list[ServiceName]:
-    """Return the services that may have flows of a route, but for one."""
-    return [t.service for t in route.targets if t.service != service]
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -84,10 +84,13 @@
         if self._passing_by_flow.pop(flow, None) is not None:
             self.agent.deadlines.clear(("pass", flow))
 
-    def note_accepted(self, flow: bytes, now: Seconds) -> None:
+    def note_accepted(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
         """Record that the upstream accepted an open."""
-        if self._opening_by_flow.pop(flow, None) is not None:
-            self.agent.deadlines.clear(("open", flow))
+        opening = self._opening_by_flow.pop(flow, None)
+        if opening is None:
+            return []
+        self.agent.deadlines.clear(("open", flow))
+        return [ffx.Observe("open", now - opening.since)]
 
     def take_refused(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
         """Pass on an open that the upstream handed back."""
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -94,7 +94,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._look_at_settings)
-        self.write_log("started", zone=self.settings.data_centre)
+        self.write_log("started", data_centre=self.settings.data_centre)
         self.start(self._tick_forever())
         self.start(self._watch_settings())
         await self._stopping.wait()
