--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: test demo lint format prove measure bench capacity generate binary clean
+.PHONY: test demo lint format prove soak measure bench capacity generate binary clean
 
 $(VENV)/stamp: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -26,6 +26,9 @@
 prove: $(VENV)/stamp
 	$(RUN) -m tests.prove
 
+soak: $(VENV)/stamp
+	$(RUN) -m tests.soak --seeds 10
+
 measure: $(VENV)/stamp
 	$(RUN) -m benchmarks.measure
 
@@ -35,6 +38,7 @@
 capacity: $(VENV)/stamp
 	$(RUN) -m benchmarks.capacity
 	$(RUN) -m benchmarks.memory
+	$(RUN) -m benchmarks.flow_capacity
 
 generate: $(VENV)/stamp
 	$(RUN) -m grpc_tools.protoc -Iproto --python_out=bilberrypath/generated \
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -54,7 +54,7 @@
     for index in range(servers):
         core.members.table.merge(make_agent(index, services))
     core.members.epoch += 1
-    core._joined = True
+    core.fleet.is_joined = True
     core.freshness.confirm_started(1e9)
     return core
 
--- /dev/null
+++ b/benchmarks/flow_capacity.py
@@ -0,0 +1,158 @@
+"""Slopes of the datagram service, for docs/CAPACITY.md.
+
+    python -m benchmarks.flow_capacity
+
+Drives the pure cores without a network. Times are of this machine; sizes are
+exact.
+"""
+
+import time
+import tracemalloc
+from random import Random
+
+from bilberrypath.coordination import events as ev
+from bilberrypath.coordination.flow_balancer import FlowBalancer
+from bilberrypath.coordination.flow_places import FlowPlaces
+from bilberrypath.coordination.held_flows import HeldFlows
+from bilberrypath.platform.packet_head import ACK, SYN, PacketHeads
+from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_packet import pack_flow
+from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
+from tests.support.flow_world import make_world, write_packet
+
+CODEC = PacketHeads()
+REPEATS = 20_000
+MICRO = 1e6
+
+
+def make_flow(number):
+    """Return the key of one of many flows."""
+    host = f"100.{64 + (number >> 20)}.{number >> 12 & 255}.{number >> 4 & 255}"
+    return pack_flow((host, 40000 + (number & 15)), ("198.18.0.1", 443))
+
+
+def time_each(act, items):
+    """Return microseconds of processor time for each item."""
+    started_at = time.process_time()
+    for item in items:
+        act(item)
+    return (time.process_time() - started_at) / len(items) * MICRO
+
+
+def measure_memory(count, fill):
+    """Return bytes for each of ``count`` things that ``fill`` makes."""
+    tracemalloc.start()
+    kept = fill(count)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size / count
+
+
+def fill_places(count):
+    places = FlowPlaces()
+    for number in range(count):
+        places.note(make_flow(number), "10.0.0.1:7720", 0.0)
+    return places
+
+
+def fill_flows(count):
+    flows = HeldFlows()
+    for number in range(count):
+        packet = CODEC.read_from_client(write_packet(make_flow(number), SYN, 1))
+        flows.add(packet, confirmed=True, now=0.0)
+    return flows
+
+
+def measure_packets():
+    """Print what a packet costs a balancer and an agent, without the kernel."""
+    world = make_world(agents=4, balancers=1)
+    client = world.make_client()
+    client.open()
+    world.run(0.1)
+    balancer = world.node_by_host["10.1.0.1"]
+    datagram = write_packet(client.flow, ACK, 2, 101, b"x" * 1200)
+    holder = balancer.places.find(client.flow, world.now)
+    agent = world.node_by_host[holder.partition(":")[0]]
+    carried = balancer.take_packet(datagram, world.now)[0].message
+    body = msg.encode_message(carried)
+    items = range(REPEATS)
+    now = world.now
+    sender = ("10.1.0.1", 7600)
+    rows = {
+        "balancer, packet of a known flow": lambda _: msg.encode_message(
+            balancer.take_packet(datagram, now)[0].message
+        ),
+        "agent, packet of its own flow": lambda _: agent.take_carry(
+            msg.decode_message(body), sender, now
+        ),
+        "agent, question about a flow": lambda _: agent.finder.answer(client.flow, now),
+    }
+    for name, act in rows.items():
+        print(f"{name}: {time_each(act, items):.1f} us")
+    print(f"bytes added to a packet between processes: {len(body) - len(datagram)}")
+
+
+def measure_opens():
+    """Print what an open costs a balancer, by the agents of the service."""
+    for count in (4, 40, 400):
+        me = Member("10.1.0.1:7600", Role.BALANCER, "a", "", 1, 1, Status.SERVING)
+        balancer = FlowBalancer(me, (), CODEC, Random(1), 0.0)
+        route = FlowRoute(("198.18.0.1", 443), (Target("board", 1),))
+        balancer.routes.offer(RouteTable(1, 1, (route,)))
+        for number in range(count):
+            node_id = f"10.2.{number >> 8}.{number & 255}:7600"
+            member = Member(node_id, Role.AGENT, "a", "board", 1, 1, Status.SERVING)
+            balancer.members.merge(member, 0.0)
+        balancer.handle(ev.Tick(), 0.1)
+        opens = [write_packet(make_flow(n), SYN, 1) for n in range(2000)]
+        cost = time_each(lambda d, b=balancer: b.take_packet(d, 0.1), opens)
+        print(f"balancer, open among {count} agents: {cost:.1f} us")
+
+
+def measure_sizes():
+    """Print what state and messages take."""
+    for count in (10_000, 30_000):
+        print(
+            f"{count} flows: {measure_memory(count, fill_places):.0f} bytes a place "
+            f"in a balancer, {measure_memory(count, fill_flows):.0f} bytes a flow "
+            "in an agent"
+        )
+    member = Member("10.1.200.10:7720", Role.AGENT, "dc-a", "s", 1 << 40, 3, 0)
+    messages = {
+        "heartbeat": msg.FlowHeartbeat(member, 9999, 1 << 30, 1 << 63),
+        "its answer": msg.FlowHeartbeatAck(
+            9999, 1 << 30, member, ("10.1.200.10:7720",) * 3, None
+        ),
+        "load report": msg.LoadReport(1 << 30, "service", True, 0.333, 3, 500),
+        "question": msg.WhoHolds(make_flow(1)),
+        "answer": msg.Holds(make_flow(1), "10.1.200.10:7720", False),
+        "placed": msg.Placed(make_flow(1), "10.1.200.10:7720"),
+    }
+    for name, message in messages.items():
+        print(f"{name}: {len(msg.encode_message(message))} bytes")
+    table = RouteTable(
+        1 << 30,
+        1 << 20,
+        tuple(
+            FlowRoute((f"198.18.{n >> 8}.{n & 255}", 443), (Target(f"service-{n}", 1),))
+            for n in range(22_000)
+        ),
+        tuple(UpstreamLimits(f"service-{n}", 2000, 0.0) for n in range(22_000)),
+    )
+    started_at = time.process_time()
+    body = msg.encode_message(table)
+    spent = time.process_time() - started_at
+    print(f"table of 22,000 routes: {len(body)} bytes, {spent * 1000:.0f} ms to code")
+
+
+def main():
+    """Print all slopes."""
+    measure_packets()
+    measure_opens()
+    measure_sizes()
+
+
+if __name__ == "__main__":
+    main()
