Reports after the clock was set back; an end without a drain resets nothing

Found by reading: a start that the clock makes look older than the known one was taken for late for ever; an end sent in a former start under the same id would have reset the flows of the present one.

--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from attrs import evolve
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination.upstream_watch import (
@@ -84,10 +85,18 @@
         return effects + self.agent.opener.retry_waiting(now)
 
     def take_end(self, event: UpstreamLeft, now: Seconds) -> list[FlowEffect]:
-        """Take in that the upstream ends."""
+        """Take in that the upstream ends.
+
+        One that did not drain before may have sent this in a former start: it
+        gets no opens until its next report, and keeps its flows.
+        """
         report = self.watch.report
         if report is None or report.upstream_id != event.upstream_id:
             return [fx.Count("report_dropped", "other_upstream")]
+        if not report.draining:
+            self.watch.report = evolve(report, draining=True)
+            count = fx.Count("report_dropped", "end_without_drain")
+            return [count, *self.refresh_status("end_without_drain", now)]
         self.watch.forget()
         self._knows_all = True
         return self.lose("left", now)
@@ -133,8 +142,6 @@
             *self.agent.report_load(now),
         ]
 
-    # Events
-
     def _lose_flows(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Reset the flows of an upstream that no longer holds them.
 
--- a/bilberrypath/coordination/upstream_watch.py
+++ b/bilberrypath/coordination/upstream_watch.py
@@ -18,6 +18,7 @@
     from bilberrypath.types import Seconds
 
 MISSED_REPORTS = 3.5  # report periods without a report after which it is absent
+SILENT_REPORTS = 2.0  # report periods without a report of the known start
 FIRST_REST: Seconds = 0.1  # half of a client's first wait for its open
 LONGEST_REST: Seconds = 1.0  # a recovered upstream is used again after this
 LATE_OPENS_TO_LOSE = 3  # one may be a lost datagram, two an unlucky pair
@@ -62,7 +63,7 @@
 
     def take_report(self, report: UpstreamReport, now: Seconds) -> ReportKind:
         """Take in a report, unless a newer one was taken before."""
-        kind = self._classify(report)
+        kind = self._classify(report, now)
         if kind is ReportKind.OUTDATED:
             return kind
         if kind is ReportKind.NEW_START:
@@ -158,13 +159,19 @@
             self._cold_opens.popleft()
         return len(self._cold_opens) >= int(cold_rate) + COLD_SPARE
 
-    def _classify(self, report: UpstreamReport) -> ReportKind:
+    def _classify(self, report: UpstreamReport, now: Seconds) -> ReportKind:
+        """Put a report in order.
+
+        The time of day may have been set back between two starts: once the
+        known start is silent, one that says it is older is taken for the next.
+        """
         known = self.report
         if known is None:
             return ReportKind.NEW_START
         if report.started_at != known.started_at:
             newer = report.started_at > known.started_at
-            return ReportKind.NEW_START if newer else ReportKind.OUTDATED
+            silent = now - self._reported_at > SILENT_REPORTS * self.report_period
+            return ReportKind.NEW_START if newer or silent else ReportKind.OUTDATED
         if report.upstream_id != known.upstream_id:
             return ReportKind.NEW_START
         if report.sequence < known.sequence:
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -81,6 +81,19 @@
         return self.status is Status.LEFT or self.doubt is Doubt.REMOVED
 
 
+def make_own_record(
+    address: Address,
+    role: Role,
+    data_centre: DataCentreName,
+    service: ServiceName,
+    status: Status,
+    started_at: int,
+) -> Member:
+    """Return the first record of a process, by the time of its start in ms."""
+    node_id = f"{address[0]}:{address[1]}"
+    return Member(node_id, role, data_centre, service, started_at, 1, status)
+
+
 def is_newer(left: Member, right: Member) -> bool:
     """Return whether ``left`` says more recent things than ``right``."""
     return _order(left) > _order(right)
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -38,7 +38,7 @@
 )
 from bilberrypath.protocol.outcome import Outcome, Reason, RefusedNotRun, Unknown
 from bilberrypath.protocol.token import TokenCodec
-from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.control_calls import ControlServer
 from bilberrypath.transport.flow import Flow, RequestStream
 from bilberrypath.transport.metrics import Metrics
@@ -86,15 +86,13 @@
         self.metrics = Metrics()
         self._seal = FrameSeal(node.keys.peer_key)
         self._codec = TokenCodec(node.keys.token_key_by_id, node.keys.active_token_key)
-        host, port = node.peer_address
-        me = Member(
-            f"{host}:{port}",
+        me = make_own_record(
+            node.peer_address,
             Role.AGENT,
             node.data_centre,
             settings.service,
-            time.time_ns() // 1_000_000,
-            1,
             Status.SERVING,
+            time.time_ns() // 1_000_000,
         )
         setup = AgentSetup(me, node.seeds, settings.slots, settings.max_connections)
         self.core = AgentCore(setup, self._codec, Random())
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -19,7 +19,7 @@
 from bilberrypath.protocol.frame import FrameSeal
 from bilberrypath.protocol.packet import PacketHeader, PacketKind, read_header
 from bilberrypath.protocol.token import TokenCodec
-from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.control_calls import (
     CallFailed,
     ControlServer,
@@ -59,14 +59,13 @@
         self._seal = FrameSeal(node.keys.peer_key)
         codec = TokenCodec(node.keys.token_key_by_id, node.keys.active_token_key)
         host, port = node.peer_address
-        me = Member(
-            f"{host}:{port}",
+        me = make_own_record(
+            node.peer_address,
             Role.BALANCER,
             node.data_centre,
             "",
-            time.time_ns() // 1_000_000,
-            1,
             Status.SERVING,
+            time.time_ns() // 1_000_000,
         )
         setup = BalancerSetup(me, node.seeds, node.store.address is not None)
         self.core = BalancerCore(setup, codec, Random(), time.monotonic())
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -9,10 +9,10 @@
 
 from bilberrypath.coordination import flow_events as fev
 from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
-from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
 from bilberrypath.transport.datagrams import ConnectedSocket, DatagramSocket
-from bilberrypath.transport.flow_daemon import FlowDaemon
+from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,15 +38,13 @@
         reload: Callable[[], FlowAgentSettings],
     ) -> None:
         node = settings.node
-        host, port = node.peer_address
-        me = Member(
-            f"{host}:{port}",
+        me = make_own_record(
+            node.peer_address,
             Role.AGENT,
             node.data_centre,
             settings.service,
-            time.time_ns() // 1_000_000,
-            1,
             Status.DRAINING,
+            time.time_ns() // NANOSECONDS,
         )
         setup = FlowAgentSetup(
             me,
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -10,10 +10,10 @@
 from bilberrypath.coordination import flow_events as fev
 from bilberrypath.coordination.flow_balancer import FlowBalancer
 from bilberrypath.protocol.bulk import TableReply
-from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.state.members import Member, Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
 from bilberrypath.transport.datagrams import DatagramSocket
-from bilberrypath.transport.flow_daemon import FlowDaemon
+from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,15 +58,13 @@
         reload: Callable[[], FlowBalancerSettings],
     ) -> None:
         node = settings.node
-        host, port = node.peer_address
-        me = Member(
-            f"{host}:{port}",
+        me = make_own_record(
+            node.peer_address,
             Role.BALANCER,
             node.data_centre,
             "",
-            time.time_ns() // 1_000_000,
-            1,
             Status.SERVING,
+            time.time_ns() // NANOSECONDS,
         )
         core = FlowBalancer(me, node.seeds, codec, Random(), time.monotonic())
         super().__init__(node, core, lambda: reload().node)
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -52,6 +52,7 @@
     from bilberrypath.transport.bulk_calls import Request
     from bilberrypath.types import Address, Seconds
 
+NANOSECONDS = 1_000_000  # in a millisecond
 SETTINGS_PERIOD: Seconds = 2.0  # seeds are at most three seconds behind the fleet
 LEAVE_LIMIT: Seconds = 4.5  # below the six seconds that a process is given to end
 
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bilberrypath.coordination.flow_events import UpstreamLeft
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
 from bilberrypath.platform.packet_head import ACK
 from bilberrypath.protocol.flow_messages import Carry, LoadReport
@@ -370,6 +371,30 @@
         assert all(client.resets == 0 for client in clients)
         assert all(client.answers for client in clients)
 
+    def test_an_end_that_was_not_announced_resets_nothing(self):
+        world = make_world(agents=2)
+        clients = open_flows(world, 10)
+        for host, upstream in world.upstream_by_host.items():
+            world.feed(host, UpstreamLeft(upstream.name))
+        world.run(0.1)
+        assert all(client.resets == 0 for client in clients)
+        world.run(1.5)
+        client = world.make_client()
+        client.open()
+        world.run(0.1)
+        assert client.opened
+
+    def test_an_announced_end_resets_what_is_left(self):
+        world = make_world(agents=2)
+        clients = open_flows(world, 10)
+        upstream = world.upstream_by_host["10.2.0.1"]
+        lost = [c for c in clients if c.flow in upstream.flows]
+        upstream.draining = True
+        upstream.report()
+        world.feed("10.2.0.1", UpstreamLeft(upstream.name))
+        world.run(0.1)
+        assert all(client.resets == 1 for client in lost)
+
 
 class TestPassing:
     def mislead(self, world):
--- a/tests/coordination/test_upstream_watch.py
+++ b/tests/coordination/test_upstream_watch.py
@@ -65,6 +65,11 @@
         watch.take_report(make_report(sequence=99, draining=True), 0.6)
         assert find_unable(watch, 0.7) is None
 
+    def test_a_start_after_the_clock_was_set_back_is_taken_in_time(self, watch):
+        older = make_report(started_at=500)
+        assert watch.take_report(older, 1.0) is ReportKind.OUTDATED
+        assert watch.take_report(older, 2.1) is ReportKind.NEW_START
+
     def test_none_for_long_means_absent(self, watch):
         assert find_unable(watch, 3.4) is None
         assert find_unable(watch, 3.6) is Unable.ABSENT
