--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -58,7 +58,6 @@
         self.metrics = Metrics()
         self._seal = FrameSeal(node.keys.peer_key)
         codec = TokenCodec(node.keys.token_key_by_id, node.keys.active_token_key)
-        host, port = node.peer_address
         me = make_own_record(
             node.peer_address,
             Role.BALANCER,
--- /dev/null
+++ b/tests/coordination/test_planted_faults.py
@@ -0,0 +1,189 @@
+"""Faults planted in the flow decisions: a scenario of the model catches each."""
+
+import pytest
+
+from bilberrypath.coordination.flow_agent import FlowAgent
+from bilberrypath.coordination.flow_balancer import FlowBalancer
+from bilberrypath.coordination.flow_finder import FlowFinder
+from bilberrypath.coordination.flow_opener import FlowOpener
+from bilberrypath.coordination.flow_places import FlowPlaces
+from bilberrypath.coordination.flow_search import Nowhere, Searches
+from bilberrypath.coordination.flow_seeker import FlowSeeker
+from bilberrypath.coordination.own_pauses import OwnPauses
+from bilberrypath.coordination.route_keeper import RouteKeeper
+from bilberrypath.coordination.silent_peers import SilentPeers
+from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
+from bilberrypath.coordination.upstream_watch import Unable, UpstreamWatch
+from tests.coordination import test_flow_world as scenarios
+from tests.coordination import test_route_keeper
+from tests.support.flow_world import make_table
+
+find_unable = UpstreamWatch.find_unable
+offer = RouteKeeper.offer
+
+
+def ignore(reason):
+    """Return a gate that lets one reason pass."""
+
+    def find(watch, cold_rate, flow_count, max_flows, now):
+        unable = find_unable(watch, cold_rate, flow_count, max_flows, now)
+        return None if unable is reason else unable
+
+    return find
+
+
+def give_up_at_once(finder, carry, packet, now):
+    """Take a flow for lost without asking anybody."""
+    search = finder.searches.begin(carry, packet, (), ())
+    return finder._end(packet.flow, Nowhere(certain=True), now) if search else []
+
+
+FAULTS = {
+    "the gate ignores a drain": (
+        UpstreamWatch,
+        "find_unable",
+        ignore(Unable.DRAINING),
+        lambda: scenarios.TestGate().test_a_draining_upstream_gets_no_open_at_once(),
+    ),
+    "the gate ignores cold start": (
+        UpstreamWatch,
+        "find_unable",
+        ignore(Unable.COLD),
+        lambda: scenarios.TestGate().test_a_cold_upstream_gets_what_it_bears(1.0),
+    ),
+    "the gate ignores data centres that are out": (
+        FlowOpener,
+        "_find_unable",
+        lambda opener, now: None,
+        lambda: scenarios.TestGate().test_a_data_centre_that_is_out_gets_no_open(),
+    ),
+    "agents trust balancers with older routes": (
+        FlowOpener,
+        "_check_routes",
+        lambda opener, carry, packet: None,
+        lambda: scenarios.TestGate().test_a_stale_balancer_is_corrected_by_the_agent(),
+    ),
+    "redirects are not kept": (
+        FlowPlaces,
+        "note",
+        lambda places, flow, holder, now: None,
+        lambda: (
+            scenarios.TestOpens().test_copies_through_any_balancer_meet_one_upstream()
+        ),
+    ),
+    "unknown flows are reset without a search": (
+        FlowFinder,
+        "_ask",
+        give_up_at_once,
+        lambda: scenarios.TestAffinity().test_new_agents_do_not_move_flows(),
+    ),
+    "a restarted agent takes its flows for all": (
+        UpstreamKeeper,
+        "knows_all_flows",
+        lambda keeper, now: True,
+        lambda: scenarios.TestAffinity().test_a_restarted_agent_regains_its_flows(),
+    ),
+    "flows of a restarted upstream are kept": (
+        UpstreamKeeper,
+        "_lose_flows",
+        lambda keeper, reason, now: [],
+        lambda: (
+            scenarios.TestAffinity().test_a_restarted_upstream_resets_its_flows_at_once()
+        ),
+    ),
+    "a missing answer counts as a denial": (
+        Searches,
+        "conclude",
+        lambda searches, flow: Nowhere(certain=True),
+        lambda: (
+            scenarios.TestPauses().test_a_frozen_agents_flows_are_not_reset_by_others()
+        ),
+    ),
+    "silent agents are waited for without end": (
+        SilentPeers,
+        "is_gone",
+        lambda silent, node_id, now: False,
+        lambda: (
+            scenarios.TestGoneAgents().test_flows_of_an_agent_that_vanished_are_reset()
+        ),
+    ),
+    "a dead home is asked for ever": (
+        FlowSeeker,
+        "_ask_next",
+        lambda seeker, flow, now: [],
+        lambda: scenarios.TestOpens().test_a_dead_home_costs_less_than_a_clients_copy(),
+    ),
+    "an open that nobody accepts is left": (
+        FlowOpener,
+        "_give_up_opening",
+        lambda opener, opening, now: [],
+        lambda: (
+            scenarios.TestOpens().test_a_silent_upstream_costs_less_than_a_clients_copy()
+        ),
+    ),
+    "opens do not wait for a first report": (
+        UpstreamKeeper,
+        "awaits_first_report",
+        False,
+        lambda: scenarios.TestAfterAStart().test_opens_wait_for_the_first_reports(),
+    ),
+    "opens that waited through a pause are taken": (
+        OwnPauses,
+        "reads_backlog",
+        lambda pauses, now: False,
+        lambda: (
+            scenarios.TestPauses().test_an_agent_that_wakes_takes_no_open_that_waited()
+        ),
+    ),
+    "an older table of routes is taken": (
+        RouteKeeper,
+        "offer",
+        lambda keeper, table: (
+            offer(RouteKeeper(), table) and setattr(keeper, "table", table) or []
+        ),
+        lambda: test_route_keeper.TestTable().test_never_goes_back(_make_keeper(), 4),
+    ),
+    "handed-back packets are not looked at": (
+        FlowAgent,
+        "_take_refused",
+        lambda agent, packet, now: [],
+        lambda: scenarios.TestAffinity().test_all_processes_restart_and_flows_go_on(),
+    ),
+    "unknown addresses are not told": (
+        FlowSeeker,
+        "_refuse_unknown",
+        lambda seeker, packet: [],
+        lambda: scenarios.TestOpens().test_no_route_is_told_at_once(),
+    ),
+    "places are never told": (
+        FlowBalancer,
+        "carry",
+        lambda balancer, packet, service, to, seeks, may_reset: _carry_silently(
+            balancer, packet, service, to
+        ),
+        lambda: scenarios.TestOpens().test_a_dead_home_costs_less_than_a_clients_copy(),
+    ),
+}
+
+
+def _make_keeper():
+    keeper = RouteKeeper()
+    offer(keeper, make_table(5))
+    return keeper
+
+
+carry = FlowBalancer.carry
+
+
+def _carry_silently(balancer, packet, service, to):
+    return carry(balancer, packet, service, to, False, False)
+
+
+class TestPlantedFaults:
+    @pytest.mark.parametrize("name", FAULTS)
+    def test_each_is_caught(self, name, monkeypatch):
+        owner, attribute, planted, scenario = FAULTS[name]
+        scenario()
+        monkeypatch.setattr(owner, attribute, planted)
+        with pytest.raises(AssertionError):
+            scenario()
--- a/tests/coordination/test_route_keeper.py
+++ b/tests/coordination/test_route_keeper.py
@@ -23,6 +23,7 @@
     def test_never_goes_back(self, keeper, revision):
         assert keeper.offer(make_table(revision, service="photo")) == []
         assert keeper.limits_by_service.keys() >= {"board"}
+        assert keeper.revision == 5
 
     def test_a_newer_one_is_taken(self, keeper):
         assert keeper.offer(make_table(6))
