--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -86,7 +86,7 @@
         self.upstream = UpstreamKeeper(self, now)
         self.opener = FlowOpener(self)
         self.finder = FlowFinder(self)
-        self.agents_changed_at = now
+        self.agents_changed_at = float("inf")  # no list of agents was heard yet
         self._next_report_at = now
         self.pauses = OwnPauses(now)
 
@@ -333,7 +333,8 @@
         if not self.presence.take_flow_ack(message, sender, now):
             return []
         if message.agents is not None:
-            if self.placement.use_agents(message.agents, self.me, now):
+            changed = self.placement.use_agents(message.agents, self.me, now)
+            if changed or self.agents_changed_at > now:
                 self.agents_changed_at = now
             self.presence.agents_digest = digest_agents(message.agents)
         balancer = f"{sender[0]}:{sender[1]}"
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -349,6 +349,21 @@
         world.run(0.1)
         assert all(client.resets == 1 for client in clients)
 
+    def test_an_agent_that_heard_no_list_of_agents_resets_nothing(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 20)
+        world.kill("10.2.0.1")
+        world.add_agent("10.2.0.1", seeds=[], knows_all=False)
+        world.run(2.0)
+        node = world.node_by_host["10.2.0.1"]
+        for client in clients:
+            datagram = write_packet(client.flow, ACK, 2, 101, b"x")
+            carry = Carry(1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram)
+            effects = node.take_carry(carry, ("10.1.0.1", 7600), world.now)
+            world.perform("10.2.0.1", effects)
+        world.run(0.2)
+        assert all(client.resets == 0 for client in clients)
+
     def test_late_agents_are_waited_for(self):
         world = make_world(agents=5)
         clients = open_flows(world, 20)
