--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -377,4 +377,5 @@
         gap = self.pauses.note(now)
         if gap:
             self.upstream.watch.pardon(gap)
+            self.silent.pardon(gap)
             self.deadlines.shift(gap)
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -185,7 +185,7 @@
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
-        self.pauses.note(now)
+        self.silent.pardon(self.pauses.note(now))
         effects: list[FlowEffect] = list(self.members.tick(now))
         self.unreachable = self.members.beacons.list_unreachable(now)
         peers = self.members.list_peers()
--- a/bilberrypath/coordination/silent_peers.py
+++ b/bilberrypath/coordination/silent_peers.py
@@ -57,6 +57,12 @@
         self.since_by_id.pop(node_id, None)
         self._owed_since_by_id.pop(node_id, None)
 
+    def pardon(self, gap: Seconds) -> None:
+        """Give every process the time that this one stood still."""
+        for times in (self.since_by_id, self._owed_since_by_id):
+            for node_id in times:
+                times[node_id] += gap
+
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Return the pings that are due."""
         for node_id, since in list(self._owed_since_by_id.items()):
--- /dev/null
+++ b/tests/coordination/test_silent_peers.py
@@ -0,0 +1,45 @@
+import pytest
+
+from bilberrypath.coordination.silent_peers import (
+    ANSWER_TIMEOUT,
+    GONE_AFTER,
+    SilentPeers,
+)
+
+PEER = "10.0.0.2:7600"
+
+
+@pytest.fixture
+def silent():
+    silent = SilentPeers()
+    silent.note_late(PEER, 1.0)
+    return silent
+
+
+class TestSilence:
+    def test_is_asked_about_at_each_tick(self, silent):
+        assert len(silent.tick(1.2)) == 1
+        silent.note_heard(PEER)
+        assert silent.tick(1.4) == []
+
+    def test_for_long_means_gone(self, silent):
+        assert not silent.is_gone(PEER, 1.0 + GONE_AFTER - 0.1)
+        assert silent.is_gone(PEER, 1.0 + GONE_AFTER)
+
+    def test_an_own_pause_does_not_count(self, silent):
+        silent.pardon(10.0)
+        assert not silent.is_gone(PEER, 11.5)
+        assert silent.is_gone(PEER, 11.0 + GONE_AFTER)
+
+    def test_a_word_that_is_owed_is_waited_for(self):
+        silent = SilentPeers()
+        silent.expect(PEER, 1.0)
+        silent.expect(PEER, 1.1)
+        assert silent.tick(1.0 + ANSWER_TIMEOUT / 2) == []
+        assert len(silent.tick(1.0 + ANSWER_TIMEOUT + 0.01)) == 1
+
+    def test_an_own_pause_does_not_make_words_late(self):
+        silent = SilentPeers()
+        silent.expect(PEER, 1.0)
+        silent.pardon(10.0)
+        assert silent.tick(11.0 + ANSWER_TIMEOUT / 2) == []
--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -10,6 +10,7 @@
     2000: "a frozen agent took opens that had waited, after others had them",
     1001: "a flow that was only guessed to be here was reset with its upstream",
     2022: "an agent that had heard no list of agents took itself for all of them",
+    5001: "an agent that woke took the others for gone, by its own absence",
     3002: "flows of an agent that was frozen for two seconds were reset by others",
 }
 
