--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bilberrypath.coordination.events import Tick
 from bilberrypath.coordination.flow_events import UpstreamLeft
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
 from bilberrypath.platform.packet_head import ACK
@@ -531,3 +532,11 @@
         world.run(0.5)
         assert all(client.resets == 0 for client in clients)
         assert all(client.answers for client in clients)
+
+    def test_an_agent_that_wakes_does_not_take_others_for_gone(self):
+        world = make_world(agents=2)
+        node = world.node_by_host["10.2.0.1"]
+        peer = "10.2.0.2:7600"
+        node.silent.note_late(peer, world.now)
+        node.handle(Tick(), world.now + 5.0)
+        assert not node.silent.is_gone(peer, world.now + 5.0)
