A balancer that is alone probes its seeds at each tick just after its start

Their first probe met nobody, the next came a second later, so they dropped clients' packets up to 36.74 s although agents served from 36.1 s on. Ruled out: reading the store (revision 8 was held 0.02 s after the start). Change: within the first three seconds a process without peers probes its seeds at each tick.

--- a/bilberrypath/coordination/events.py
+++ b/bilberrypath/coordination/events.py
@@ -90,6 +90,7 @@
 
 
 TICK_PERIOD: Seconds = 0.2
+EAGER_TIME: Seconds = 3.0  # processes that start together are all up within it
 
 Event = (
     Tick
--- a/bilberrypath/coordination/fleet.py
+++ b/bilberrypath/coordination/fleet.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination.events import EAGER_TIME
 from bilberrypath.coordination.membership import Membership
 from bilberrypath.coordination.probing import Prober
 from bilberrypath.protocol import control as ctl
@@ -28,6 +29,7 @@
 GOSSIP_FANOUT = 2
 PUSH_FANOUT = 3
 SEED_PERIOD: Seconds = 1.0
+JOINED_SEED_PERIOD: Seconds = 10.0  # what two parted halves may take to find each other
 COMPARE_PERIOD: Seconds = 10.0
 DIFFERING_LIMIT: Seconds = 1.0
 RECORD_BYTES = 80  # bytes of a record on the wire, about
@@ -103,10 +105,10 @@
         """
         if now < self._next_seed_at or not self.seeds:
             return []
-        period = SEED_PERIOD if len(peers) == 0 or not self.is_joined else 10.0
-        self._next_seed_at = now + period * self._rng.uniform(0.8, 1.2)
+        is_alone = not peers or not self.is_joined
+        self._next_seed_at = now + self._draw_seed_period(is_alone, now)
         seeds = [s for s in self.seeds if s != self.members.me.address]
-        if peers and self.is_joined:
+        if not is_alone:
             seeds = self._rng.sample(seeds, min(1, len(seeds)))
         return [self.start_probe(f"{host}:{port}", now) for host, port in seeds]
 
@@ -216,6 +218,17 @@
             members=self.members.rumours.take(balancers),
         )
 
+    def _draw_seed_period(self, is_alone: bool, now: Seconds) -> Seconds:
+        """Return the time to the next probe of seeds.
+
+        Just after its start a process that is alone probes them at each tick,
+        as the seeds may be starting too.
+        """
+        if is_alone and now - self.started_at < EAGER_TIME:
+            return 0.0
+        period = SEED_PERIOD if is_alone else JOINED_SEED_PERIOD
+        return period * self._rng.uniform(0.8, 1.2)
+
     def _open_sequence(self, target: NodeId, now: Seconds) -> int:
         sequence = self.freshness.start(now)
         self._probe_target_by_sequence[sequence] = target
--- a/bilberrypath/coordination/flow_presence.py
+++ b/bilberrypath/coordination/flow_presence.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from bilberrypath.coordination.effects import SendControl
+from bilberrypath.coordination.events import EAGER_TIME
 from bilberrypath.coordination.presence import Presence
 from bilberrypath.protocol.flow_messages import FlowHeartbeat, FlowHeartbeatAck
 
@@ -15,9 +16,6 @@
     from bilberrypath.types import Address, Revision, Seconds
 
 
-EAGER_TIME: Seconds = 3.0  # processes that start together are all up within it
-
-
 @define
 class FlowPresence(Presence):
     """Send heartbeats that name the table of routes and the agents known.
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -325,6 +325,22 @@
         held = sum(len(u.flows) for u in world.upstream_by_host.values())
         assert held == 20
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_a_balancer_that_starts_before_its_seeds_joins_soon(self, seed):
+        world = make_world(agents=3, seed=seed)
+        seeds = ["10.1.0.1", "10.1.0.2"]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        early = world.add_balancer("10.1.0.9", "a", seeds)
+        world.run(0.4)
+        for host in seeds:
+            world.add_balancer(host, "a", seeds)
+        for n in range(3):
+            world.add_agent(f"10.2.0.{n + 1}", seeds=seeds, knows_all=False)
+        world.run(0.7)
+        assert early.is_ready
+        assert len(early.members.table.list_agents("board")) == 3
+
     def test_an_open_does_not_wait_for_ever(self):
         world = make_world(agents=3)
         self.restart_all(world, silence=30.0)
