Agents: a process that is away is not a machine that is gone; dead upstreams; power loss

Peers now probe its machine by TCP: a refusal says that the machine is there, and the process is waited for. - An agent whose upstream never reported since its start kept guessing flows into a closed port. A refused packet now ends the guesses, and they are looked for elsewhere. - After a power loss flows were reset a second after the last agent joined. Where the upstream began together with its agent there is nothing to wait for. - Found on the way: an agent started after the clock was set back took its older upstream for new and denied its flows; the number of its reports now tells.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -259,6 +259,11 @@
     def _(self, event: fev.UpstreamUnreachable, now: Seconds) -> list[FlowEffect]:
         return self.upstream.take_unreachable(now)
 
+    @handle.register(fev.MachineAnswered)
+    def _(self, event: fev.MachineAnswered, now: Seconds) -> list[FlowEffect]:
+        self.silent.note_machine(event.node_id, now)
+        return [fx.Count("machine_probe", "answered")]
+
     @handle.register(fev.RoutesPulled)
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
         effects = self.routes.offer(event.table)
@@ -281,6 +286,7 @@
         self._pardon_own_pause(now)
         effects: list[FlowEffect] = list(self.presence.tick(0, 0, now))
         effects += self.silent.tick(now)
+        effects += self.silent.probe_machines(now)
         effects += self.upstream.tick(now)
         idle_limit = self.routes.table.idle_timeout + IDLE_SLACK
         self.flows.sweep(idle_limit, now)
--- a/bilberrypath/coordination/flow_effects.py
+++ b/bilberrypath/coordination/flow_effects.py
@@ -39,6 +39,13 @@
     peer: NodeId
 
 
+@frozen
+class ProbeMachine:
+    """Find out whether the machine of a silent process is still there."""
+
+    node_id: NodeId
+
+
 @frozen
 class RoutesAdopted:
     """A newer table of routes is in force in this process."""
@@ -71,6 +78,7 @@
     | SendToClient
     | SendToUpstream
     | PullRoutes
+    | ProbeMachine
     | RoutesAdopted
     | Decided
     | Observe
--- a/bilberrypath/coordination/flow_events.py
+++ b/bilberrypath/coordination/flow_events.py
@@ -37,6 +37,13 @@
     table: RouteTable | None
 
 
+@frozen
+class MachineAnswered:
+    """The machine of a process answered, though the process itself is silent."""
+
+    node_id: NodeId
+
+
 @frozen
 class UpstreamReport:
     """What an upstream said of itself.
--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -98,6 +98,20 @@
             fx.Count("flow_adopted", "guess"),
         ]
 
+    def give_up_guesses(self, now: Seconds) -> list[FlowEffect]:
+        """Look elsewhere for the flows that the own upstream can't have."""
+        guesses, self._guess_by_flow = self._guess_by_flow, {}
+        effects: list[FlowEffect] = []
+        for flow, carry in guesses.items():
+            held = self.agent.flows.get(flow)
+            packet = self.agent.codec.read_from_client(carry.datagram)
+            if held is None or held.confirmed or packet is None:
+                continue
+            self.agent.flows.remove(flow, now)
+            effects.append(fx.Count("flow_refused", "nothing_listens"))
+            effects += self._try_next(carry, packet, now)
+        return effects
+
     def _try_next(
         self, carry: Carry, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
@@ -151,6 +165,19 @@
             effects += self.agent.silent.note_late(node_id, now)
         return effects + self._end(flow, self.searches.conclude(flow), now)
 
+    def _is_settled(self, now: Seconds) -> bool:
+        """Return whether all agents that may have a flow are known here.
+
+        Agents that start together hear of each other one by one, and one that
+        is late may have the flow. Not so after a loss of power: where the
+        upstream began with this process, so did the others.
+        """
+        if self.agent.agents_changed_at > now:
+            return False
+        if self.agent.upstream.began_together(now):
+            return True
+        return now - self.agent.agents_changed_at > SETTLE_TIME
+
     def _note_denied(self, flow: bytes, now: Seconds) -> None:
         self._denied_at_by_flow[flow] = now
         if len(self._denied_at_by_flow) > MAX_GUESSES:
@@ -226,7 +253,7 @@
         agent = self.agent
         carry, packet = search.carries[-1]
         told = agent.tell_place(carry, flow, "")
-        settled = now - agent.agents_changed_at > SETTLE_TIME
+        settled = self._is_settled(now)
         may_reset = all(kept.may_reset for kept, _ in search.carries)
         if end.certain and settled and may_reset and not packet.resets:
             return [*told, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -13,6 +13,7 @@
 from attrs import evolve
 
 from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination.events import EAGER_TIME
 from bilberrypath.coordination.upstream_watch import (
     ReportKind,
     Unable,
@@ -27,6 +28,7 @@
     from bilberrypath.types import Seconds
 
 START_GAP = 1000  # ms; a process takes longer to end, start and accept an open
+MANY_REPORTS = 6  # an upstream that begins with its agent repeats its first a few times
 UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
 
 
@@ -39,6 +41,7 @@
         self._started_at = now
         self._knows_all = agent.setup.knows_all
         self._had_report = False
+        self._began_together = False
 
     @property
     def awaits_first_report(self) -> bool:
@@ -61,6 +64,10 @@
         lifetime = self.agent.setup.flow_lifetime
         return self._knows_all or now - self._started_at > lifetime
 
+    def began_together(self, now: Seconds) -> bool:
+        """Return whether this process and its upstream began a moment ago."""
+        return self._began_together and now - self._started_at < EAGER_TIME
+
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Judge the silence of the upstream."""
         effects: list[FlowEffect] = []
@@ -102,10 +109,15 @@
         return self.lose("left", now)
 
     def take_unreachable(self, now: Seconds) -> list[FlowEffect]:
-        """Take in that nothing listens where the upstream should."""
+        """Take in that nothing listens where the upstream should.
+
+        What begins to listen there later has no flow of before.
+        """
+        self._knows_all = True
+        effects = self.agent.finder.give_up_guesses(now)
         if self.watch.report is None or not self.watch.note_refused():
-            return []
-        return self.lose("nothing_listens", now)
+            return effects
+        return effects + self.lose("nothing_listens", now)
 
     def note_heard(self, now: Seconds) -> list[FlowEffect]:
         """Record that the upstream sent a packet."""
@@ -166,17 +178,30 @@
         fields = {
             "upstream": report.upstream_id,
             "service": report.service,
+            "sequence": report.sequence,
             "slots": report.slots,
             "draining": report.draining,
             "cold_for": report.cold_for,
         }
         effects: list[FlowEffect] = [fx.Changed("upstream_started", fields)]
-        began_before = report.started_at < self.agent.setup.me.incarnation - START_GAP
-        if first and report.sequence > 1 and began_before and not self._knows_all:
+        began_before = self._began_before(report)
+        if first and began_before and not self._knows_all:
             return effects
         self._knows_all = True
+        self._began_together = first and report.started_at > 0 and not began_before
         return effects + self._lose_flows("upstream_restarted", now)
 
+    def _began_before(self, report: UpstreamReport) -> bool:
+        """Return whether an upstream began well before this process.
+
+        Its time of start counts for little where the clock was set back since;
+        then its many reports tell.
+        """
+        earliest = self.agent.setup.me.incarnation - START_GAP
+        if report.sequence > MANY_REPORTS:
+            return True
+        return report.sequence > 1 and report.started_at < earliest
+
     def _change_service(self, service: str) -> list[FlowEffect]:
         before = self.agent.presence.me
         self.agent.presence.me = msgspec.structs.replace(
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -9,10 +9,12 @@
 
 from bilberrypath.coordination import flow_events as fev
 from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
+from bilberrypath.protocol.flow_messages import to_address
 from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
 from bilberrypath.transport.datagrams import ConnectedSocket, DatagramSocket
 from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
+from bilberrypath.transport.machine_probe import does_machine_answer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +23,7 @@
     from bilberrypath.flow_settings import FlowAgentSettings
     from bilberrypath.protocol.flow_messages import Carry
     from bilberrypath.protocol.flow_packet import PacketCodec
-    from bilberrypath.types import Address, Seconds
+    from bilberrypath.types import Address, NodeId, Seconds
 
 LEAVE_TIME: Seconds = 0.05  # for the last heartbeats to go out
 
@@ -100,6 +102,14 @@
         """Send a datagram to the upstream."""
         self._upstream.send(datagram)
 
+    def probe_machine(self, node_id: NodeId) -> None:
+        """Find out whether the machine of another agent is there."""
+        self.start(self._probe_machine(node_id))
+
+    async def _probe_machine(self, node_id: NodeId) -> None:
+        if await does_machine_answer(to_address(node_id)):
+            self.feed(fev.MachineAnswered(node_id))
+
     def describe(self, flow: bytes, now: Seconds) -> StatusReply:
         """Return how the agent stands, or what it knows of a flow."""
         core = self.core
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -50,7 +50,7 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.flow_settings import FlowNodeSettings
     from bilberrypath.transport.bulk_calls import Request
-    from bilberrypath.types import Address, Seconds
+    from bilberrypath.types import Address, NodeId, Seconds
 
 NANOSECONDS = 1_000_000  # in a millisecond
 SETTINGS_PERIOD: Seconds = 2.0  # seeds are at most three seconds behind the fleet
@@ -275,6 +275,10 @@
     def _(self, effect: ffx.PullRoutes, now: Seconds) -> None:
         self.start(self._pull_routes(effect))
 
+    @perform.register(ffx.ProbeMachine)
+    def _(self, effect: ffx.ProbeMachine, now: Seconds) -> None:
+        self.probe_machine(effect.node_id)
+
     @perform.register(fx.PullTable)
     def _(self, effect: fx.PullTable, now: Seconds) -> None:
         self.start(self._pull_table(effect))
@@ -283,6 +287,10 @@
         """Send a datagram to the upstream beside this process."""
         raise TypeError(f"a {self.role} has no upstream beside it")
 
+    def probe_machine(self, node_id: NodeId) -> None:
+        """Find out whether the machine of another process is there."""
+        raise TypeError(f"a {self.role} probes no machines")
+
     async def _pull_routes(self, effect: ffx.PullRoutes) -> None:
         try:
             peer = to_address(effect.peer)
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bilberrypath.coordination.events import Tick
-from bilberrypath.coordination.flow_events import UpstreamLeft
+from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
 from bilberrypath.platform.packet_head import ACK
 from bilberrypath.protocol.flow_messages import Carry, LoadReport
@@ -213,6 +213,24 @@
         assert [client.answers for client in clients] == [1] * 40
         assert all(client.resets == 0 for client in clients)
 
+    def test_an_agent_regains_its_flows_though_the_clock_was_set_back(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        world.run(4.0)
+        world.kill("10.2.0.2")
+        upstream = world.upstream_by_host["10.2.0.2"]
+        upstream.started_at = 6000 + round(world.now * 1000)
+        world.run(0.5)
+        world.add_agent(
+            "10.2.0.2", data_centre="b", seeds=["10.1.0.1"], knows_all=False
+        )
+        world.run(1.5)
+        for client in clients:
+            client.ask()
+        world.run(0.3)
+        assert [client.answers for client in clients] == [1] * 40
+        assert all(client.resets == 0 for client in clients)
+
     def test_all_processes_restart_and_flows_go_on(self):
         world = make_world(agents=5, balancers=2)
         clients = open_flows(world, 40)
@@ -366,6 +384,41 @@
         world.run(0.1)
         assert all(client.resets == 1 for client in clients)
 
+    def test_flows_of_before_a_power_loss_are_reset_at_once(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 20)
+        world.run(2.0)
+        self.restart_all(world, silence=0.3)
+        world.run(0.8)
+        for client in clients:
+            client.ask()
+        world.run(0.1)
+        assert all(client.resets == 1 for client in clients)
+
+    def test_flows_of_living_upstreams_outlive_a_restart_of_all_processes(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 40)
+        world.run(2.0)
+        agents = [host for host in world.node_by_host if host.startswith("10.2.")]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        balancers = ["10.1.0.1", "10.1.0.2"]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for n, host in enumerate(agents):
+            world.after(
+                0.3 * n,
+                lambda h=host: world.add_agent(h, seeds=balancers, knows_all=False),
+            )
+        for _ in range(20):
+            world.run(0.2)
+            for client in clients:
+                if not client.answers:
+                    client.ask()
+        world.run(0.2)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.answers for client in clients)
+
     def test_an_agent_that_heard_no_list_of_agents_resets_nothing(self):
         world = make_world(agents=3)
         clients = open_flows(world, 20)
@@ -381,6 +434,27 @@
         world.run(0.2)
         assert all(client.resets == 0 for client in clients)
 
+    def test_flows_guessed_beside_a_dead_upstream_are_looked_for_elsewhere(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 30)
+        dead = "10.2.0.1"
+        elsewhere = [c for c in clients if find_holder(world, c.flow) != dead]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        world.upstream_by_host[dead].is_up = False
+        world.run(0.3)
+        world.add_balancer("10.1.0.1", "a", ["10.1.0.1"])
+        for n in range(3):
+            world.add_agent(f"10.2.0.{n + 1}", seeds=["10.1.0.1"], knows_all=False)
+        world.run(4.5)
+        for client in elsewhere:
+            client.ask()
+        for _ in range(20):
+            world.run(0.01)
+            world.feed(dead, UpstreamUnreachable())
+        assert elsewhere
+        assert all(client.answers for client in elsewhere)
+
     def test_late_agents_are_waited_for(self):
         world = make_world(agents=5)
         clients = open_flows(world, 20)
@@ -462,8 +536,7 @@
         clients = open_flows(world, 40)
         gone = "10.2.0.1"
         lost = [c for c in clients if find_holder(world, c.flow) == gone]
-        world.upstream_by_host[gone].is_up = False
-        world.kill(gone)
+        world.power_off(gone)
         world.add_balancer("10.1.0.9", "a", ["10.1.0.1"])
         world.run(0.8)
         for _ in range(16):
@@ -477,6 +550,28 @@
         world.run(0.2)
         assert all(c.answers for c in set(clients) - set(lost))
 
+    def test_flows_of_an_agent_that_is_away_for_long_are_not_reset(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        away = "10.2.0.1"
+        kept = [c for c in clients if find_holder(world, c.flow) == away]
+        world.kill(away)
+        world.add_balancer("10.1.0.9", "a", ["10.1.0.1"])
+        for _ in range(18):
+            world.run(0.3)
+            for client in kept:
+                client.ask("10.1.0.9")
+        world.add_agent(away, seeds=["10.1.0.1"], knows_all=False)
+        for _ in range(4):
+            world.run(0.5)
+            for client in kept:
+                if not client.answers:
+                    client.ask("10.1.0.9")
+        world.run(0.2)
+        assert kept
+        assert all(client.resets == 0 for client in kept)
+        assert all(client.answers for client in kept)
+
 
 class TestPauses:
     def test_an_agent_that_wakes_takes_no_open_that_waited(self):
--- a/tests/coordination/test_silent_peers.py
+++ b/tests/coordination/test_silent_peers.py
@@ -3,6 +3,7 @@
 from bilberrypath.coordination.silent_peers import (
     ANSWER_TIMEOUT,
     GONE_AFTER,
+    MACHINE_ALIVE_FOR,
     SilentPeers,
 )
 
@@ -26,6 +27,20 @@
         assert not silent.is_gone(PEER, 1.0 + GONE_AFTER - 0.1)
         assert silent.is_gone(PEER, 1.0 + GONE_AFTER)
 
+    def test_a_process_whose_machine_answers_is_not_gone(self, silent):
+        assert [probe.node_id for probe in silent.probe_machines(1.2)] == [PEER]
+        assert silent.probe_machines(1.4) == []
+        silent.note_machine(PEER, 1.0 + GONE_AFTER - 1.0)
+        assert not silent.is_gone(PEER, 1.0 + GONE_AFTER)
+        assert silent.is_gone(PEER, GONE_AFTER + MACHINE_ALIVE_FOR + 0.1)
+
+    def test_a_machine_that_answered_before_does_not_count_for_the_next(self, silent):
+        silent.note_machine(PEER, 2.0)
+        silent.note_heard(PEER)
+        silent.note_late(PEER, 2.5)
+        silent.note_machine("10.0.0.3:7600", 2.5)
+        assert silent.is_gone(PEER, 2.5 + GONE_AFTER)
+
     def test_an_own_pause_does_not_count(self, silent):
         silent.pardon(10.0)
         assert not silent.is_gone(PEER, 11.5)
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -165,6 +165,7 @@
     table: RouteTable = Factory(RouteTable)
     store_is_away: bool = False
     cut: set = Factory(set)
+    powered_off: set = Factory(set)
     counts: Counter = Factory(Counter)
     decisions: list = Factory(list)
     _events: list = Factory(list)
@@ -222,8 +223,16 @@
         return node
 
     def kill(self, host):
+        """End a process; its machine goes on."""
         self.node_by_host.pop(host, None)
 
+    def power_off(self, host):
+        """End a process and all else on its machine."""
+        self.kill(host)
+        self.powered_off.add(host)
+        if host in self.upstream_by_host:
+            self.upstream_by_host[host].is_up = False
+
     def set_routes(self, table):
         """Have the operator change the configuration."""
         self.table = table
@@ -287,6 +296,8 @@
             self._pull_routes(host, effect.peer)
         elif isinstance(effect, fx.PullTable):
             self._pull_table(host, effect)
+        elif isinstance(effect, ffx.ProbeMachine):
+            self._probe_machine(host, effect.node_id)
         elif isinstance(effect, fx.Count):
             self.counts[effect.event, effect.reason] += 1
         elif isinstance(effect, ffx.Decided):
@@ -333,6 +344,14 @@
 
         self.after(4 * LINK_DELAY, answer)
 
+    def _probe_machine(self, host, node_id):
+        to = to_address(node_id)[0]
+        if to in self.powered_off or (host, to) in self.cut:
+            return
+        self.after(
+            2 * LINK_DELAY, lambda: self.feed(host, fev.MachineAnswered(node_id))
+        )
+
     def _start(self, host, node):
         self.node_by_host[host] = node
 
--- /dev/null
+++ b/tests/transport/test_machine_probe.py
@@ -0,0 +1,32 @@
+import asyncio
+import socket
+
+import pytest
+
+from bilberrypath.transport import machine_probe
+from bilberrypath.transport.machine_probe import does_machine_answer
+
+
+@pytest.fixture
+def free_address():
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        return taken.getsockname()
+
+
+class TestMachineProbe:
+    async def test_a_refusal_is_an_answer(self, free_address):
+        assert await does_machine_answer(free_address)
+
+    async def test_a_connection_is_an_answer(self):
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        async with server:
+            assert await does_machine_answer(server.sockets[0].getsockname())
+
+    @pytest.mark.parametrize("error", [TimeoutError, OSError])
+    async def test_silence_is_none(self, monkeypatch, error):
+        async def open_connection(*address):
+            raise error
+
+        monkeypatch.setattr(machine_probe.asyncio, "open_connection", open_connection)
+        assert not await does_machine_answer(("127.0.0.1", 1))
