An agent that is asked to end does so between requests

Cause: an agent beside a living upstream ended 50 ms after SIGTERM. Ruled out: flows, none of which was lost. The only agent of a service takes opens until it ends.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -88,6 +88,7 @@
         self.finder = FlowFinder(self)
         self.agents_changed_at = float("inf")  # no list of agents was heard yet
         self._next_report_at = now
+        self.is_leaving = False
         self.pauses = OwnPauses(now)
 
     @property
@@ -100,6 +101,11 @@
         """The service of the upstream."""
         return self.presence.me.service
 
+    @property
+    def may_end(self) -> bool:
+        """Whether ending now cuts no request: none runs, or none can."""
+        return self.flows.busy_count == 0 or not self.upstream.is_alive
+
     @property
     def is_ready(self) -> bool:
         """Whether opens can be judged."""
@@ -277,9 +283,11 @@
 
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
+        self.is_leaving = True
         alive = self.upstream.is_alive
         self.presence.announce(Status.DRAINING if alive else Status.LEFT)
-        return self.presence.send_heartbeats(0, 0, now)
+        heartbeats = self.presence.send_heartbeats(0, 0, now)
+        return [*heartbeats, *self.report_load(now)]
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
@@ -372,7 +380,7 @@
         message = msg.LoadReport(
             self.routes.revision,
             self.service,
-            self.upstream.find_unable(now) is None,
+            not self.is_leaving and self.upstream.find_unable(now) is None,
             round(self.flows.compute_pressure(slots, now), 3),
             slots,
             len(self.flows),
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -133,11 +133,12 @@
         unable = self._find_unable(now)
         if unable is not None:
             return self._pass_unable(carry, packet, unable, now)
-        other = self._find_less_busy(carry, sender, now)
+        other = self._find_better(carry, sender, now)
         if other is not None:
             passed = (*carry.passed, self.agent.me)
             carry = msgspec.structs.replace(carry, passed=passed)
-            return self._pass_on(carry, packet, other, "load", now)
+            reason = "leaving" if self.agent.is_leaving else "load"
+            return self._pass_on(carry, packet, other, reason, now)
         return self._accept(carry, packet, sender, now)
 
     def _check_routes(
@@ -171,6 +172,14 @@
         unable = agent.upstream.find_unable(now)
         return None if unable is None else unable.value
 
+    def _find_better(self, carry: Carry, sender: NodeId, now: Seconds) -> NodeId | None:
+        """Return an agent that should take an open which could be taken here."""
+        agent = self.agent
+        if agent.is_leaving:
+            rules = self._make_rules(carry, sender, agent.me, *carry.passed)
+            return agent.placement.choose_any(rules, now)
+        return self._find_less_busy(carry, sender, now)
+
     def _find_less_busy(
         self, carry: Carry, sender: NodeId, now: Seconds
     ) -> NodeId | None:
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -26,6 +26,7 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 LEAVE_TIME: Seconds = 0.05  # for the last heartbeats to go out
+LEAVE_LOOK: Seconds = 0.005  # a fraction of the time that a request runs
 
 
 class FlowAgentDaemon(FlowDaemon):
@@ -78,8 +79,13 @@
         self.show("searches", lambda: len(core.finder.searches.search_by_flow))
 
     async def leave(self) -> None:
-        """End at once: what comes meanwhile waits for the next process."""
+        """End when no request runs; what comes meanwhile waits for the next process.
+
+        Opens go elsewhere from now on, but flows that are open stay here.
+        """
         await asyncio.sleep(LEAVE_TIME)
+        while not self.core.may_end:
+            await asyncio.sleep(LEAVE_LOOK)
 
     def use_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Take over other seeds while running."""
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bilberrypath.coordination.events import Tick
+from bilberrypath.coordination.events import Leave, Tick
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
 from bilberrypath.platform.packet_head import ACK
@@ -530,6 +530,48 @@
         assert held == 10
 
 
+class TestLeaving:
+    def test_an_agent_that_leaves_takes_no_opens_and_keeps_its_flows(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 20)
+        leaving = "10.2.0.1"
+        before = len(world.upstream_by_host[leaving].opens)
+        world.feed(leaving, Leave())
+        later = open_flows(world, 40)
+        for client in clients:
+            client.ask()
+        world.run(0.1)
+        assert len(world.upstream_by_host[leaving].opens) == before
+        assert all(client.opened for client in later)
+        assert all(client.answers for client in clients)
+
+    def test_the_only_agent_takes_opens_until_it_ends(self):
+        world = make_world(agents=1)
+        world.feed("10.2.0.1", Leave())
+        (client,) = open_flows(world, 1)
+        assert client.opened
+
+    def test_it_ends_between_requests(self):
+        world = make_world(agents=1)
+        (client,) = open_flows(world, 1)
+        node = world.node_by_host["10.2.0.1"]
+        client.ask()
+        world.run(0.01)
+        world.feed("10.2.0.1", Leave())
+        assert not node.may_end
+        world.run(0.1)
+        assert client.answers
+        assert node.may_end
+
+    def test_it_does_not_wait_for_an_upstream_that_is_gone(self):
+        world = make_world(agents=1)
+        (client,) = open_flows(world, 1)
+        client.ask()
+        world.run(0.01)
+        world.feed("10.2.0.1", UpstreamUnreachable())
+        assert world.node_by_host["10.2.0.1"].may_end
+
+
 class TestGoneAgents:
     def test_flows_of_an_agent_that_vanished_are_reset(self):
         world = make_world(agents=4)
