Searches do not end at an agent whose upstream was never heard

Ruled out: load (p50 did not change), homes that did not answer (10 asked_next). Change: such agents are tried last, and once an upstream should have reported twice since their start they deny unknown flows and look elsewhere for guessed ones.

--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -52,11 +52,13 @@
         if carry.hops == 0 and self._was_denied(packet.flow, now):
             told = agent.tell_place(carry, packet.flow, "")
             return [*told, fx.Count("packet_dropped", "denied_before")]
-        if agent.me not in carry.tried and not agent.upstream.knows_all_flows(now):
+        may_have_it = agent.me not in carry.tried
+        may_have_it &= not agent.upstream.knows_all_flows(now)
+        if may_have_it and (agent.upstream.watch.was_heard or carry.chained):
             return self._guess(carry, packet, now)
         if carry.chained:
             return self._try_next(carry, packet, now)
-        return self._ask(carry, packet, now)
+        return self._ask(carry, packet, now, may_have_it)
 
     def take_refused(
         self, packet: FlowPacket, was_confirmed: bool, now: Seconds
@@ -141,7 +143,8 @@
         known = holder is not None and holder in agent.placement.peer_by_id
         if known and not agent.silent.is_gone(holder, now):
             return msg.Holds(flow, holder, False)
-        return msg.Holds(flow, "", not agent.upstream.knows_all_flows(now))
+        unsure = not agent.upstream.knows_all_flows(now)
+        return msg.Holds(flow, "", unsure, agent.upstream.watch.was_heard)
 
     def take_answer(
         self, answer: msg.Holds, sender: NodeId, now: Seconds
@@ -151,7 +154,7 @@
         What it heard of a holder that does not answer here counts for nothing.
         """
         if self.agent.silent.is_gone(answer.holder, now):
-            answer = msg.Holds(answer.flow, "", answer.unsure)
+            answer = msgspec.structs.replace(answer, holder="")
         end = self.searches.take_answer(answer, sender)
         return [] if end is None else self._end(answer.flow, end, now)
 
@@ -194,7 +197,14 @@
         if len(self._guess_by_flow) > MAX_GUESSES:
             del self._guess_by_flow[next(iter(self._guess_by_flow))]
 
-    def _ask(self, carry: Carry, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+    def _ask(
+        self,
+        carry: Carry,
+        packet: FlowPacket,
+        now: Seconds,
+        may_have_it: bool = False,
+    ) -> list[FlowEffect]:
+        """Ask the other agents; ``may_have_it`` has the own upstream tried last."""
         agent = self.agent
         tried = tuple(dict.fromkeys((*carry.tried, agent.me)))
         others = [
@@ -202,9 +212,13 @@
             for node_id in agent.placement.peer_by_id
             if node_id not in tried and not agent.silent.is_gone(node_id, now)
         ]
+        if may_have_it:
+            tried = carry.tried
         search = self.searches.begin(carry, packet, tried, others)
         if search is None:
             return [fx.Count("packet_dropped", "too_many_searches")]
+        if may_have_it:
+            search.unheard.append(agent.me)
         if not others:
             return self._end(packet.flow, self.searches.conclude(packet.flow), now)
         agent.deadlines.set(("search", packet.flow), now + SEARCH_TIMEOUT)
--- a/bilberrypath/coordination/flow_search.py
+++ b/bilberrypath/coordination/flow_search.py
@@ -59,6 +59,7 @@
     tried: tuple[NodeId, ...]
     waiting: set[NodeId]
     unsure: list[NodeId] = Factory(list)
+    unheard: list[NodeId] = Factory(list)
 
     def keep(self, carry: Carry, packet: FlowPacket) -> bool:
         """Keep a packet until the search ends; return whether there was room."""
@@ -101,14 +102,19 @@
         if answer.holder and answer.holder not in search.tried:
             return Found(answer.holder)
         if answer.unsure:
-            search.unsure.append(agent)
+            (search.unsure if answer.heard else search.unheard).append(agent)
         return None if search.waiting else self.conclude(answer.flow)
 
     def conclude(self, flow: bytes) -> SearchEnd:
-        """Return how a search ends with the answers that came."""
+        """Return how a search ends with the answers that came.
+
+        Agents that have not heard their upstream come last: a dead upstream
+        hands nothing back.
+        """
         search = self.search_by_flow[flow]
-        if search.unsure:
-            return TryEach(tuple(sorted(search.unsure)), not search.waiting)
+        agents = (*sorted(search.unsure), *sorted(search.unheard))
+        if agents:
+            return TryEach(agents, not search.waiting)
         return Nowhere(certain=not search.waiting)
 
     def end(self, flow: bytes) -> Search:
--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -15,6 +15,7 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination.events import EAGER_TIME
 from bilberrypath.coordination.upstream_watch import (
+    SILENT_REPORTS,
     ReportKind,
     Unable,
     UpstreamWatch,
@@ -60,9 +61,15 @@
         return 1 if report is None else report.slots
 
     def knows_all_flows(self, now: Seconds) -> bool:
-        """Return whether the upstream has no flow that is unknown here."""
-        lifetime = self.agent.setup.flow_lifetime
-        return self._knows_all or now - self._started_at > lifetime
+        """Return whether the upstream has no flow that is unknown here.
+
+        An upstream that is alive reports within a period or two of our start.
+        """
+        age = now - self._started_at
+        if self._knows_all or age > self.agent.setup.flow_lifetime:
+            return True
+        silent_for = SILENT_REPORTS * self.agent.setup.report_period
+        return age > silent_for and not self.watch.was_heard
 
     def began_together(self, now: Seconds) -> bool:
         """Return whether this process and its upstream began a moment ago."""
@@ -73,6 +80,8 @@
         effects: list[FlowEffect] = []
         if self.watch.note_absent(now):
             effects += self.lose("absent", now)
+        if self.knows_all_flows(now):
+            effects += self.agent.finder.give_up_guesses(now)
         return effects + self.refresh_status("tick", now)
 
     def take_report(self, event: UpstreamReport, now: Seconds) -> list[FlowEffect]:
--- a/bilberrypath/coordination/upstream_watch.py
+++ b/bilberrypath/coordination/upstream_watch.py
@@ -89,6 +89,11 @@
         self._rest_until = float("-inf")
         self.is_lost = False
 
+    @property
+    def was_heard(self) -> bool:
+        """Whether the upstream reported or sent a packet since this start."""
+        return max(self._reported_at, self._heard_at) > float("-inf")
+
     def note_late_open(self, now: Seconds) -> bool:
         """Record an open left unanswered; return whether it is lost since."""
         self._late_opens += 1
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -67,12 +67,14 @@
     """The answer: the holder if known.
 
     ``unsure`` means that the agent started after its upstream did, so that
-    the upstream may have the flow unknown to the agent.
+    the upstream may have the flow unknown to the agent; ``heard`` that the
+    upstream was heard since, and so will hand back what is not its own.
     """
 
     flow: bytes
     holder: str
     unsure: bool
+    heard: bool = True
 
 
 class LoadReport(Struct, tag=24):
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -10,6 +10,7 @@
 from bilberrypath.state.routes import FlowRoute, Target
 from tests.support.flow_world import (
     ADDRESS,
+    REPORT_PERIOD,
     find_holder,
     make_table,
     make_world,
@@ -455,6 +456,44 @@
         assert elsewhere
         assert all(client.answers for client in elsewhere)
 
+    def restart_beside_a_dark_upstream(self, world, dark):
+        """Restart all processes while one upstream is dead and says nothing."""
+        hosts = [host for host in world.node_by_host if host.startswith("10.2.")]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        world.upstream_by_host[dark].is_up = False
+        world.run(0.3)
+        balancers = ["10.1.0.1", "10.1.0.2"]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for host in hosts:
+            world.add_agent(host, seeds=balancers, knows_all=False)
+        world.run(1.2)
+
+    def test_a_dark_upstream_does_not_keep_flows_from_being_found(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        dark = "10.2.0.1"
+        elsewhere = [c for c in clients if find_holder(world, c.flow) != dark]
+        self.restart_beside_a_dark_upstream(world, dark)
+        for client in elsewhere:
+            client.ask()
+        world.run(0.3)
+        assert elsewhere
+        assert all(client.answers for client in elsewhere)
+
+    def test_flows_of_a_dark_upstream_are_reset_once_it_should_have_reported(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        dark = "10.2.0.1"
+        lost = [c for c in clients if find_holder(world, c.flow) == dark]
+        self.restart_beside_a_dark_upstream(world, dark)
+        for client in lost:
+            client.ask()
+        world.run(2 * REPORT_PERIOD)
+        assert lost
+        assert all(client.resets == 1 for client in lost)
+
     def test_late_agents_are_waited_for(self):
         world = make_world(agents=5)
         clients = open_flows(world, 20)
--- a/tests/coordination/test_planted_faults.py
+++ b/tests/coordination/test_planted_faults.py
@@ -32,7 +32,7 @@
     return find
 
 
-def give_up_at_once(finder, carry, packet, now):
+def give_up_at_once(finder, carry, packet, now, may_have_it=False):
     """Take a flow for lost without asking anybody."""
     search = finder.searches.begin(carry, packet, (), ())
     return finder._end(packet.flow, Nowhere(certain=True), now) if search else []
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -425,6 +425,7 @@
 
 __all__ = [
     "ADDRESS",
+    "REPORT_PERIOD",
     "FIN",
     "RST",
     "FlowWorld",
