--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from random import Random
 
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
@@ -42,6 +42,16 @@
     return head + data
 
 
+@frozen
+class Arrival:
+    """A packet that came to an upstream; ``held`` if the upstream had its flow."""
+
+    at: float
+    flow: bytes
+    opens: bool
+    held: bool
+
+
 @define(eq=False)
 class ModelUpstream:
     """A server: it holds flows, answers data, and hands back what is not its own."""
@@ -61,15 +71,26 @@
     is_silent: bool = False
     flows: dict = Factory(dict)
     opens: list = Factory(list)
+    opened: set = Factory(set)
+    arrivals: list = Factory(list)
     foreign: Counter = Factory(Counter)
 
+    @property
+    def first_sequence(self):
+        """The first number of its side of a flow, its own for each upstream."""
+        return 100 + int(self.host.rpartition(".")[2])
+
     def receive(self, datagram):
         if not self.is_up or self.is_silent:
             return
         packet = self.world.codec.read_from_client(datagram)
+        arrival = Arrival(
+            self.world.now, packet.flow, packet.opens, packet.flow in self.flows
+        )
+        self.arrivals.append(arrival)
         if packet.opens:
             self._accept(packet)
-        elif packet.flow not in self.flows:
+        elif not self._has_opened(packet):
             self.foreign[packet.flow] += 1
             bounced = bytearray(datagram)
             bounced[22] |= BOUNCED
@@ -77,9 +98,19 @@
         elif packet.data_length:
             self.world.after(self.work, lambda: self._answer(packet))
 
+    def _has_opened(self, packet):
+        """Whether a flow is open here; its client chose whose answer it took."""
+        if packet.flow in self.flows and packet.flow not in self.opened:
+            if packet.acknowledged == self.first_sequence + 1:
+                self.opened.add(packet.flow)
+            else:
+                del self.flows[packet.flow]
+        return packet.flow in self.flows
+
     def restart(self):
         """Begin anew, with nothing of before."""
         self.flows.clear()
+        self.opened.clear()
         self.started_at = 1000 + round(self.world.now * 1000)
         self.sequence = 0
         self.is_up = True
@@ -107,7 +138,8 @@
         if packet.flow not in self.flows:
             self.flows[packet.flow] = self.world.now
             self.opens.append((self.world.now, packet.flow))
-        self._send(write_packet(packet.flow, SYN | ACK, 100, 1, back=True))
+        answer = write_packet(packet.flow, SYN | ACK, self.first_sequence, 1, back=True)
+        self._send(answer)
 
     def _answer(self, packet):
         if self.is_up and packet.flow in self.flows:
@@ -128,6 +160,7 @@
     world: "FlowWorld"
     flow: bytes
     opened: bool = False
+    acknowledged: int = 0
     answers: int = 0
     resets: int = 0
 
@@ -135,14 +168,18 @@
         self._send(write_packet(self.flow, SYN, 1), through)
 
     def ask(self, through=None):
-        self._send(write_packet(self.flow, ACK, 2, 101, b"request"), through)
+        packet = write_packet(self.flow, ACK, 2, self.acknowledged, b"request")
+        self._send(packet, through)
 
     def close(self, through=None):
-        self._send(write_packet(self.flow, ACK | FIN, 3, 102), through)
+        packet = write_packet(self.flow, ACK | FIN, 3, self.acknowledged)
+        self._send(packet, through)
 
     def take(self, datagram):
         packet = self.world.codec.read_from_upstream(datagram)
-        self.opened |= packet.accepts_open
+        if packet.accepts_open and not self.opened:
+            self.opened = True
+            self.acknowledged = packet.sequence + 1
         self.resets += packet.resets
         self.answers += bool(packet.data_length)
 
