An open that is accepted is told to all who passed it on; names of processes in one place

Cause: after two passes the agent in the middle was not told who took an open. Ruled out: lost words between agents (the links lost nothing then). Change: everyone on the way is told. Besides: to_node_id beside to_address, a field and two methods that nothing used.

--- a/benchmarks/flow_capacity.py
+++ b/benchmarks/flow_capacity.py
@@ -125,7 +125,7 @@
         "its answer": msg.FlowHeartbeatAck(
             9999, 1 << 30, member, ("10.1.200.10:7720",) * 3, None
         ),
-        "load report": msg.LoadReport(1 << 30, "service", True, 0.333, 3, 500),
+        "load report": msg.LoadReport(1 << 30, "service", True, 0.333, 3),
         "question": msg.WhoHolds(make_flow(1)),
         "answer": msg.Holds(make_flow(1), "10.1.200.10:7720", False),
         "placed": msg.Placed(make_flow(1), "10.1.200.10:7720"),
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -30,7 +30,7 @@
 from bilberrypath.coordination.silent_peers import SilentPeers
 from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.protocol import flow_messages as msg
-from bilberrypath.protocol.flow_messages import to_address
+from bilberrypath.protocol.flow_messages import to_address, to_node_id
 from bilberrypath.state.flow_agents import digest_agents
 from bilberrypath.state.members import Status
 
@@ -141,7 +141,7 @@
         effects: list[FlowEffect] = []
         if carry.revision > self.routes.revision:
             effects += self.routes.learn_of(carry.origin, carry.revision, now)
-        return effects + self.route(carry, packet, f"{sender[0]}:{sender[1]}", now)
+        return effects + self.route(carry, packet, to_node_id(sender), now)
 
     def route(
         self, carry: msg.Carry, packet: FlowPacket, sender: NodeId, now: Seconds
@@ -189,10 +189,11 @@
     def tell_place(
         self, carry: msg.Carry, flow: bytes, holder: NodeId, sender: NodeId = ""
     ) -> list[FlowEffect]:
-        """Tell those who asked where a flow is."""
+        """Tell those who asked where a flow is, and all who passed it on."""
         if not carry.seeks:
             return []
-        told = {carry.origin, carry.home, sender} - {"", self.me}
+        told = {carry.origin, carry.home, sender, *carry.passed, *carry.tried}
+        told -= {"", self.me}
         message = msg.Placed(flow, holder)
         return [
             fx.SendControl(to_address(node_id), message) for node_id in sorted(told)
@@ -250,7 +251,7 @@
     def _(self, event: ev.ControlReceived, now: Seconds) -> list[FlowEffect]:
         self._pardon_own_pause(now)
         if self.silent.awaits:
-            self.silent.note_heard(f"{event.sender[0]}:{event.sender[1]}")
+            self.silent.note_heard(to_node_id(event.sender))
         return self._take_message(event.message, event.sender, now)
 
     @handle.register(fev.UpstreamReport)
@@ -328,13 +329,13 @@
 
     @_take_message.register(msg.Holds)
     def _(self, message: msg.Holds, sender: Address, now: Seconds) -> list[FlowEffect]:
-        return self.finder.take_answer(message, f"{sender[0]}:{sender[1]}", now)
+        return self.finder.take_answer(message, to_node_id(sender), now)
 
     @_take_message.register(msg.LoadReport)
     def _(
         self, message: msg.LoadReport, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        node_id = f"{sender[0]}:{sender[1]}"
+        node_id = to_node_id(sender)
         peer = self.placement.peer_by_id.get(node_id)
         if peer is not None and message.service == self.service:
             peer.take_report(message, now)
@@ -351,14 +352,14 @@
             if changed or self.agents_changed_at > now:
                 self.agents_changed_at = now
             self.presence.agents_digest = digest_agents(message.agents)
-        balancer = f"{sender[0]}:{sender[1]}"
+        balancer = to_node_id(sender)
         return self.routes.learn_of(balancer, message.revision, now)
 
     @_take_message.register(msg.RoutesChanged)
     def _(
         self, message: msg.RoutesChanged, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        balancer = f"{sender[0]}:{sender[1]}"
+        balancer = to_node_id(sender)
         return self.routes.learn_of(balancer, message.revision, now)
 
     @_take_message.register(msg.Ping)
@@ -383,7 +384,6 @@
             not self.is_leaving and self.upstream.find_unable(now) is None,
             round(self.flows.compute_pressure(slots, now), 3),
             slots,
-            len(self.flows),
         )
         return [fx.SendControl(to_address(node_id), message) for node_id in told]
 
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -24,7 +24,7 @@
 from bilberrypath.coordination.silent_peers import SilentPeers
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol import flow_messages as msg
-from bilberrypath.protocol.flow_messages import to_address
+from bilberrypath.protocol.flow_messages import to_address, to_node_id
 from bilberrypath.state.flow_agents import digest_agents
 from bilberrypath.state.members import Role, Status
 
@@ -147,7 +147,7 @@
     @handle.register(ev.ControlReceived)
     def _(self, event: ev.ControlReceived, now: Seconds) -> list[FlowEffect]:
         if self.silent.awaits:
-            self.silent.note_heard(f"{event.sender[0]}:{event.sender[1]}")
+            self.silent.note_heard(to_node_id(event.sender))
         effects = self._take_message(event.message, event.sender, now)
         self._forget_changed()
         return effects
@@ -281,7 +281,7 @@
     def _learn_of(
         self, sender: Address, revision: int, now: Seconds
     ) -> list[FlowEffect]:
-        return self.routes.learn_of(f"{sender[0]}:{sender[1]}", revision, now)
+        return self.routes.learn_of(to_node_id(sender), revision, now)
 
     def _adopt(self, effects: list[FlowEffect]) -> list[FlowEffect]:
         """Tell peers and agents of a table that was just taken over."""
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -89,7 +89,6 @@
     takes_opens: bool
     pressure: float
     slots: int
-    flow_count: int
 
 
 class FlowHeartbeat(Struct, tag=25):
@@ -161,6 +160,12 @@
         return None
 
 
+@lru_cache(maxsize=1 << 17)
+def to_node_id(address: Address) -> NodeId:
+    """Return the name of the process at an address."""
+    return f"{address[0]}:{address[1]}"
+
+
 @lru_cache(maxsize=1 << 17)
 def to_address(node_id: NodeId) -> Address:
     """Return the socket address in the name of a process."""
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -72,11 +72,11 @@
         self._outbound = DatagramSocket(settings.outbound, self._take_upstream)
         self._upstream = ConnectedSocket(settings.upstream, self._note_refused)
         core = self.core
-        self.show("revision", lambda: core.routes.revision)
-        self.show("flows", lambda: len(core.flows))
-        self.show("busy", lambda: core.flows.busy_count)
-        self.show("redirects", lambda: len(core.redirects))
-        self.show("searches", lambda: len(core.finder.searches.search_by_flow))
+        self.metrics.show("revision", lambda: core.routes.revision)
+        self.metrics.show("flows", lambda: len(core.flows))
+        self.metrics.show("busy", lambda: core.flows.busy_count)
+        self.metrics.show("redirects", lambda: len(core.redirects))
+        self.metrics.show("searches", lambda: len(core.finder.searches.search_by_flow))
 
     async def leave(self) -> None:
         """End when no request runs; what comes meanwhile waits for the next process.
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -82,10 +82,10 @@
         """Open the socket for clients' packets and begin to follow the routes."""
         self._packets = DatagramSocket(self._packet_address, self._take_packet)
         core = self.core
-        self.show("revision", lambda: core.routes.revision)
-        self.show("members", lambda: len(core.members.table))
-        self.show("places", lambda: len(core.places))
-        self.show("silent_peers", lambda: len(core.silent.since_by_id))
+        self.metrics.show("revision", lambda: core.routes.revision)
+        self.metrics.show("members", lambda: len(core.members.table))
+        self.metrics.show("places", lambda: len(core.places))
+        self.metrics.show("silent_peers", lambda: len(core.silent.since_by_id))
         self.start(self._follow_routes())
 
     async def leave(self) -> None:
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -78,7 +78,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._stopping = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
-        self._bulk = BulkServer(self._answer_call)
+        self._bulk = BulkServer(self.answer)
         self._metrics_server = HttpServer(self._answer_metrics)
 
     async def run(self) -> None:
@@ -338,12 +338,5 @@
     def describe(self, flow: bytes, now: Seconds) -> StatusReply:
         """Return how the process stands, or what it knows of one flow."""
 
-    def _answer_call(self, request: Request) -> RouteTable | TableReply | StatusReply:
-        return self.answer(request)
-
     def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, self.metrics.render(), "text/plain; version=0.0.4")
-
-    def show(self, name: str, read: Callable[[], float]) -> None:
-        """Show a value among the metrics."""
-        self.metrics.show(name, read)
--- a/tests/coordination/test_open_placement.py
+++ b/tests/coordination/test_open_placement.py
@@ -23,7 +23,7 @@
 
 
 def make_report(pressure, takes_opens=True):
-    return LoadReport(1, "board", takes_opens, pressure, 3, 10)
+    return LoadReport(1, "board", takes_opens, pressure, 3)
 
 
 @pytest.fixture
