Opens wait for a first report only while one may come

Cause: an agent whose upstream never reported since its start kept opens for 0.5 s whenever the best other agent was crowded. Change: the wait ends two report periods after the start.

--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -231,12 +231,12 @@
         tried = (*carry.tried, agent.me)
         carry = msgspec.structs.replace(carry, tried=tried)
         other = agent.placement.choose_any(self._make_rules(carry), now)
-        awaits = agent.upstream.awaits_first_report and not carry.waited
-        if other is None and agent.upstream.awaits_first_report:
+        awaits = agent.upstream.awaits_first_report(now)
+        if other is None and awaits:
             return self._await_report(carry, packet, now)
         if other is None:
             return self._refuse(carry, packet, reason)
-        if awaits and agent.placement.is_crowded(other, now):
+        if awaits and not carry.waited and agent.placement.is_crowded(other, now):
             return self._await_report(carry, packet, now)
         return self._pass_on(carry, packet, other, reason, now)
 
--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -44,10 +44,9 @@
         self._had_report = False
         self._began_together = False
 
-    @property
-    def awaits_first_report(self) -> bool:
-        """Whether this process has not heard of its upstream yet."""
-        return not self._had_report
+    def awaits_first_report(self, now: Seconds) -> bool:
+        """Return whether the upstream is still to report since our start."""
+        return not self._had_report and not self._should_have_reported(now)
 
     @property
     def is_alive(self) -> bool:
@@ -65,11 +64,10 @@
 
         An upstream that is alive reports within a period or two of our start.
         """
-        age = now - self._started_at
-        if self._knows_all or age > self.agent.setup.flow_lifetime:
+        lifetime = self.agent.setup.flow_lifetime
+        if self._knows_all or now - self._started_at > lifetime:
             return True
-        silent_for = SILENT_REPORTS * self.agent.setup.report_period
-        return age > silent_for and not self.watch.was_heard
+        return self._should_have_reported(now) and not self.watch.was_heard
 
     def began_together(self, now: Seconds) -> bool:
         """Return whether this process and its upstream began a moment ago."""
@@ -163,6 +161,10 @@
             *self.agent.report_load(now),
         ]
 
+    def _should_have_reported(self, now: Seconds) -> bool:
+        silent_for = SILENT_REPORTS * self.agent.setup.report_period
+        return now - self._started_at > silent_for
+
     def _lose_flows(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Reset the flows of an upstream that no longer holds them.
 
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -542,18 +542,18 @@
 
 
 class TestPassing:
-    def mislead(self, world):
-        """Have each of three busy agents take the next one for idle."""
-        hosts = [f"10.2.0.{n}" for n in (1, 2, 3)]
+    def mislead(self, world, count=3):
+        """Have each of some busy agents take the next one for idle."""
+        hosts = [f"10.2.0.{n + 1}" for n in range(count)]
         for number, host in enumerate(hosts):
             node = world.node_by_host[host]
             node.flows.busy_count = 3
             for other in hosts:
                 peer = node.placement.peer_by_id.get(f"{other}:7600")
                 if peer is not None:
-                    idle = other == hosts[(number + 1) % 3]
+                    idle = other == hosts[(number + 1) % count]
                     pressure = 0.0 if idle else 5.0
-                    report = LoadReport(1, "board", True, pressure, 3, 0)
+                    report = LoadReport(1, "board", True, pressure, 3)
                     peer.take_report(report, world.now)
 
     def test_an_open_does_not_go_round(self):
@@ -568,6 +568,35 @@
         held = sum(len(u.flows) for u in world.upstream_by_host.values())
         assert held == 10
 
+    def test_all_who_passed_an_open_on_hear_who_took_it(self):
+        world = make_world(agents=5)
+        for _ in range(10):
+            self.mislead(world, count=5)
+            client = world.make_client()
+            client.open()
+            world.run(0.1)
+            assert client.opened
+        opens = [len(u.opens) for u in world.upstream_by_host.values()]
+        assert sum(opens) == 10
+
+    def test_an_open_does_not_wait_for_an_upstream_that_should_have_reported(self):
+        world = make_world(agents=3)
+        absent = "10.2.0.1"
+        world.upstream_by_host[absent].is_up = False
+        world.kill(absent)
+        world.run(0.3)
+        world.add_agent(absent, seeds=["10.1.0.1"], knows_all=False)
+        world.run(2 * REPORT_PERIOD + 0.5)
+        for host in ("10.2.0.2", "10.2.0.3"):
+            report = LoadReport(1, "board", True, 2.0, 3)
+            peer = world.node_by_host[absent].placement.peer_by_id[f"{host}:7600"]
+            peer.take_report(report, world.now)
+        clients = [world.make_client() for _ in range(12)]
+        for client in clients:
+            client.open()
+        world.run(0.1)
+        assert all(client.opened for client in clients)
+
 
 class TestLeaving:
     def test_an_agent_that_leaves_takes_no_opens_and_keeps_its_flows(self):
--- a/tests/coordination/test_planted_faults.py
+++ b/tests/coordination/test_planted_faults.py
@@ -124,7 +124,7 @@
     "opens do not wait for a first report": (
         UpstreamKeeper,
         "awaits_first_report",
-        False,
+        lambda keeper, now: False,
         lambda: scenarios.TestAfterAStart().test_opens_wait_for_the_first_reports(),
     ),
     "opens that waited through a pause are taken": (
