An upstream that was not chosen does not reset the flow

A paused agent took an open 0.4 s late, after another upstream had it and the client had gone on there. When the late agent's upstream was started anew, the agent reset the flow, which lived elsewhere. Ruled out: the search (the reset came without one), the first report's order. Change: flows are reset with their upstream only when the client acknowledged this upstream's acceptance or the upstream sent more; others are looked for. The model's clients acknowledge an acceptance at once, as the platform's do.

--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -20,6 +20,8 @@
 PRESSURE_TIME: Seconds = 1.0  # constant of the moving mean of busy flows
 LINGER: Seconds = 5.0  # an ended flow's late packets come within three 1.6 s intervals
 BUSY_LIMIT: Seconds = 10.0  # a request without answer for so long was given up
+SEQUENCE_NUMBERS = 1 << 32  # the field has 32 bits
+MAX_ANSWER = 1 << 20  # bytes; more than an upstream sends on a flow before it is chosen
 SWEEP_COUNT = 256  # flows looked at each tick
 FLOW_LOAD = 0.02  # busy flows for each open one: 40 ms of work each two seconds
 
@@ -29,14 +31,19 @@
     """One flow of the upstream.
 
     ``confirmed`` is false while only our own guess says that the upstream has
-    the flow. ``acknowledged`` is the client's last, for a reset. ``counts`` is
-    true until the flow has ended.
+    the flow. An open may be accepted by two upstreams, and the client goes on
+    with one: ``chosen`` is true once the client acknowledged this upstream's
+    acceptance, whose number is ``accepted_sequence``, or the upstream sent more.
+    ``acknowledged`` is the client's last, for a reset. ``counts`` is true until
+    the flow has ended.
     """
 
     seen_at: Seconds
     acknowledged: int
     is_open: bool = False
     confirmed: bool = False
+    chosen: bool = False
+    accepted_sequence: int | None = None
     busy_since: Seconds | None = None
     client_closed: bool = False
     upstream_closed: bool = False
@@ -47,6 +54,16 @@
         """Whether both ends have closed the flow."""
         return self.client_closed and self.upstream_closed
 
+    def is_acknowledged(self, packet: FlowPacket) -> bool:
+        """Return whether a packet of the client answers this upstream's acceptance.
+
+        Sequence numbers wrap around; those of two upstreams differ by chance.
+        """
+        if self.accepted_sequence is None:
+            return False
+        ahead = (packet.acknowledged - self.accepted_sequence) % SEQUENCE_NUMBERS
+        return 0 < ahead <= MAX_ANSWER
+
 
 @define
 class HeldFlows:
@@ -91,6 +108,7 @@
         held.seen_at = now
         if not packet.opens:
             held.acknowledged = packet.acknowledged
+            held.chosen |= held.is_acknowledged(packet)
         if packet.closes or packet.resets:
             held.client_closed = True
             self._stop_counting(held)
@@ -103,6 +121,10 @@
         """Record a packet of the upstream."""
         held.seen_at = now
         held.confirmed = True
+        if packet.accepts_open:
+            held.accepted_sequence = packet.sequence
+        else:
+            held.chosen = True
         if packet.accepts_open or packet.data_length:
             held.is_open = True
         if packet.data_length or packet.closes or packet.resets:
--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -168,13 +168,13 @@
     def _lose_flows(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Reset the flows of an upstream that no longer holds them.
 
-        Those that it was only guessed to have may be elsewhere; they are looked
-        for again.
+        Those that it was only guessed to have, or whose client may have chosen
+        another upstream, may be elsewhere; they are looked for again.
         """
         effects: list[FlowEffect] = []
         for flow, held in self.agent.flows:
             self.agent.flows.remove(flow, now)
-            if held.confirmed and not held.is_ended:
+            if held.chosen and not held.is_ended:
                 effects += self.agent.reset(flow, held.acknowledged, reason)
         return effects
 
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -5,7 +5,7 @@
 from bilberrypath.coordination.events import Leave, Tick
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
-from bilberrypath.platform.packet_head import ACK
+from bilberrypath.platform.packet_head import ACK, SYN
 from bilberrypath.protocol.flow_messages import Carry, LoadReport
 from bilberrypath.state.routes import FlowRoute, Target
 from tests.support.flow_world import (
@@ -640,6 +640,30 @@
         assert world.node_by_host["10.2.0.1"].may_end
 
 
+class TestTwoAcceptances:
+    def test_an_upstream_that_was_not_chosen_resets_nothing(self):
+        world = make_world(agents=3)
+        (client,) = open_flows(world, 1)
+        client.ask()
+        world.run(0.1)
+        holder = find_holder(world, client.flow)
+        other = next(h for h in world.upstream_by_host if h != holder)
+        datagram = write_packet(client.flow, SYN, 1)
+        carry = Carry(1, "board", "10.1.0.1:7600", True, "", (), 3, True, datagram)
+        node = world.node_by_host[other]
+        effects = node.take_carry(carry, ("10.1.0.1", 7600), world.now)
+        world.perform(other, effects)
+        world.run(0.1)
+        assert client.flow in world.upstream_by_host[other].flows
+        world.upstream_by_host[other].restart()
+        world.upstream_by_host[other].report()
+        world.run(0.1)
+        client.ask()
+        world.run(0.2)
+        assert client.resets == 0
+        assert client.answers == 2
+
+
 class TestGoneAgents:
     def test_flows_of_an_agent_that_vanished_are_reset(self):
         world = make_world(agents=4)
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -180,6 +180,7 @@
         if packet.accepts_open and not self.opened:
             self.opened = True
             self.acknowledged = packet.sequence + 1
+            self._send(write_packet(self.flow, ACK, 2, self.acknowledged), None)
         self.resets += packet.resets
         self.answers += bool(packet.data_length)
 
