Cold upstreams: opens queue for a short while only, first ones before copies

Cause: after a loss of power all clients come back at once. Change: while its upstream is in cold start an agent takes an open that comes for the first time up to three requests a slot, and a client's copy, which is late already, up to two. Others wait for the client's next copy; after the last one it is told that nothing ran.

--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -15,6 +15,7 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.open_placement import MAX_HOPS, OpenRules, OwnLoad
+from bilberrypath.coordination.upstream_watch import Unable
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import to_address
 
@@ -29,6 +30,7 @@
 ACCEPT_TIMEOUT: Seconds = 0.04  # an upstream accepts within a ms; a slow one in 40
 ROUTES_TIMEOUT: Seconds = 0.1  # half of a client's first wait for its open
 REPORT_TIMEOUT: Seconds = 0.5  # an upstream reports at once when it may
+LAST_COPY = 2  # copies that a client sends of an open
 MAX_WAITING = 256  # opens that wait for a table of routes or for a report
 
 
@@ -130,7 +132,7 @@
         refused = self._check_routes(carry, packet)
         if refused is not None:
             return refused
-        unable = self._find_unable(now)
+        unable = self._find_unable(now, packet.copies)
         if unable is not None:
             return self._pass_unable(carry, packet, unable, now)
         other = self._find_better(carry, sender, now)
@@ -165,11 +167,11 @@
             return [*told, fx.Count("open_dropped", "routed_by_older_table")]
         return None
 
-    def _find_unable(self, now: Seconds) -> str | None:
+    def _find_unable(self, now: Seconds, copies: int) -> str | None:
         agent = self.agent
         if agent.setup.me.data_centre in agent.routes.table.out:
             return "data_centre_out"
-        unable = agent.upstream.find_unable(now)
+        unable = agent.upstream.find_unable(now, copies)
         return None if unable is None else unable.value
 
     def _find_better(self, carry: Carry, sender: NodeId, now: Seconds) -> NodeId | None:
@@ -234,6 +236,9 @@
         awaits = agent.upstream.awaits_first_report(now)
         if other is None and awaits:
             return self._await_report(carry, packet, now)
+        is_crowded = reason == Unable.CROWDED.value
+        if is_crowded and (other is None or carry.hops >= MAX_HOPS):
+            return self._defer(carry, packet, reason)
         if other is None:
             return self._refuse(carry, packet, reason)
         if awaits and not carry.waited and agent.placement.is_crowded(other, now):
@@ -257,6 +262,23 @@
         told = self.agent.tell_place(carry, packet.flow, "")
         return [fx.Count("open_dropped", "no_report"), *told]
 
+    def _defer(self, carry: Carry, packet: FlowPacket, reason: str) -> list[FlowEffect]:
+        """Leave an open to its client's next copy, or refuse the last one.
+
+        Where all upstreams that can be asked are in cold start with requests
+        waiting, one more would only lengthen the wait of all. The client sends
+        its open again within a fraction of a second, when there is room. After
+        its last copy it is told at once, and may begin anew.
+        """
+        if packet.copies >= LAST_COPY:
+            return self._refuse(carry, packet, reason)
+        fields = {"copies": packet.copies, "tried": list(carry.tried)}
+        return [
+            *self.agent.tell_place(carry, packet.flow, ""),
+            fx.Count("open", "deferred"),
+            ffx.Decided("open_deferred", packet.flow, fields),
+        ]
+
     def _refuse(
         self, carry: Carry, packet: FlowPacket, reason: str
     ) -> list[FlowEffect]:
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -22,6 +22,7 @@
 BUSY_LIMIT: Seconds = 10.0  # a request without answer for so long was given up
 SEQUENCE_NUMBERS = 1 << 32  # the field has 32 bits
 MAX_ANSWER = 1 << 20  # bytes; more than an upstream sends on a flow before it is chosen
+FIRST_DATA: Seconds = 0.05  # several ways to a client and back
 SWEEP_COUNT = 256  # flows looked at each tick
 FLOW_LOAD = 0.02  # busy flows for each open one: 40 ms of work each two seconds
 
@@ -75,6 +76,7 @@
     _mean_busy: float = 0.0
     _mean_at: Seconds = float("-inf")
     _sweep: list[bytes] = Factory(list)
+    _opened_at_by_key: dict[bytes, Seconds] = Factory(dict)
 
     def __len__(self) -> int:
         return len(self.flow_by_key)
@@ -93,11 +95,14 @@
         self.remove(packet.flow, now)
         self.flow_by_key[packet.flow] = held
         self.live_count += 1
+        if packet.opens:
+            self._opened_at_by_key[packet.flow] = now
         return held
 
     def remove(self, flow: bytes, now: Seconds) -> HeldFlow | None:
         """Stop holding a flow, and return it if it was held."""
         held = self.flow_by_key.pop(flow, None)
+        self._opened_at_by_key.pop(flow, None)
         if held is not None:
             self._end_busy(held, now)
             self._stop_counting(held)
@@ -112,6 +117,8 @@
         if packet.closes or packet.resets:
             held.client_closed = True
             self._stop_counting(held)
+        if packet.data_length:
+            self._opened_at_by_key.pop(packet.flow, None)
         if packet.data_length and held.busy_since is None:
             self._move_mean(now)
             held.busy_since = now
@@ -136,6 +143,14 @@
         if held.upstream_closed:
             self._stop_counting(held)
 
+    def count_awaited(self, now: Seconds) -> int:
+        """Return how many flows were just opened and have sent no data yet."""
+        for key, opened_at in list(self._opened_at_by_key.items()):
+            if now - opened_at <= FIRST_DATA:
+                break
+            del self._opened_at_by_key[key]
+        return len(self._opened_at_by_key)
+
     def compute_mean_busy(self, now: Seconds) -> float:
         """Return the mean number of busy flows of late."""
         self._move_mean(now)
--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -29,6 +29,8 @@
     from bilberrypath.types import Seconds
 
 START_GAP = 1000  # ms; a process takes longer to end, start and accept an open
+FIRST_QUEUE = 3.0  # requests for each slot; with 4 most miss their aim in a crowd
+COPY_QUEUE = 2.0  # requests for each slot: one that runs, and one that waits
 MANY_REPORTS = 10  # one that begins with its agent repeats its first report five times
 UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
 
@@ -138,14 +140,33 @@
         effects += self._lose_flows("upstream_lost", now)
         return effects + self.refresh_status(reason, now)
 
-    def find_unable(self, now: Seconds) -> Unable | None:
-        """Return why the upstream may not take an open now, or None."""
+    def find_unable(self, now: Seconds, copies: int = 0) -> Unable | None:
+        """Return why the upstream may not take an open now, or None.
+
+        ``copies`` is how often the client sent the open before.
+        """
         limits = self.agent.routes.limits_by_service.get(self.agent.service)
         if limits is None:
             return Unable.ABSENT
-        return self.watch.find_unable(
-            limits.cold_opens, len(self.agent.flows), limits.max_flows, now
+        flows = self.agent.flows
+        unable = self.watch.find_unable(
+            limits.cold_opens, len(flows), limits.max_flows, now
         )
+        if unable is None and self._is_crowded(now, copies):
+            return Unable.CROWDED
+        return unable
+
+    def _is_crowded(self, now: Seconds, copies: int) -> bool:
+        """Return whether too many requests queue at an upstream in cold start.
+
+        An open that comes for the first time can still be answered in time; one
+        that waited before is late already, and gives way.
+        """
+        if not self.watch.is_cold(now):
+            return False
+        flows = self.agent.flows
+        ahead = flows.busy_count + flows.count_awaited(now)
+        return ahead >= (COPY_QUEUE if copies else FIRST_QUEUE) * self.slots
 
     def refresh_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Announce whether the upstream takes work, if that changed."""
--- a/bilberrypath/coordination/upstream_watch.py
+++ b/bilberrypath/coordination/upstream_watch.py
@@ -44,6 +44,7 @@
     RESTING = "resting"
     LOST = "lost"
     COLD = "cold"
+    CROWDED = "crowded"
     FULL = "full"
 
 
@@ -148,6 +149,10 @@
             return Unable.COLD
         return None
 
+    def is_cold(self, now: Seconds) -> bool:
+        """Return whether the upstream said that it is in cold start."""
+        return now < self._cold_until
+
     def note_open(self, now: Seconds) -> None:
         """Count an open that was handed to the upstream."""
         if now < self._cold_until:
--- a/bilberrypath/platform/packet_head.py
+++ b/bilberrypath/platform/packet_head.py
@@ -79,9 +79,10 @@
     _mark, _checksum, flags, sequence, acknowledged = REST.unpack_from(
         datagram, REST_AT
     )
+    opens = flags & SYN != 0 and flags & ACK == 0
     return FlowPacket(
         flow,
-        flags & SYN != 0 and flags & ACK == 0,
+        opens,
         flags & SYN != 0 and flags & ACK != 0,
         flags & FIN != 0,
         flags & RST != 0,
@@ -90,4 +91,5 @@
         sequence,
         acknowledged,
         datagram,
+        acknowledged if opens else 0,  # an open counts its copies in this field
     )
--- a/bilberrypath/protocol/flow_packet.py
+++ b/bilberrypath/protocol/flow_packet.py
@@ -27,6 +27,7 @@
     ``flow`` is the same for both directions: the client's end, then the end
     that the client sends to. ``acknowledged`` is the sequence number that the
     sender awaits next. ``refused`` marks a packet that an upstream handed back.
+    ``copies`` counts how often the client sent an open before.
     """
 
     flow: bytes
@@ -39,6 +40,7 @@
     sequence: int
     acknowledged: int
     datagram: bytes
+    copies: int = 0
 
 
 class PacketCodec(Protocol):
--- a/tests/coordination/test_flow_properties.py
+++ b/tests/coordination/test_flow_properties.py
@@ -282,7 +282,7 @@
     "the gate ignores data centres that are out": (
         FlowOpener,
         "_find_unable",
-        lambda opener, now: None,
+        lambda opener, now, copies: None,
         leaves_out,
         make_schedules("out"),
     ),
--- a/tests/coordination/test_flow_world.py
+++ b/tests/coordination/test_flow_world.py
@@ -4,6 +4,7 @@
 
 from bilberrypath.coordination.events import Leave, Tick
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
+from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
 from bilberrypath.platform.packet_head import ACK, SYN
 from bilberrypath.protocol.flow_messages import Carry, LoadReport
@@ -598,6 +599,55 @@
         assert all(client.opened for client in clients)
 
 
+class TestColdLoad:
+    """All clients come back at once to upstreams in cold start.
+
+    Four upstreams of three slots run a request in 55 ms, 218 a second together; 16
+    may wait at each. A crowd comes within 0.2 s, then others for two seconds.
+    """
+
+    AIM = 0.2  # seconds in which a request is to be answered
+    DEADLINE = 2.5
+
+    def play(self, crowd, later):
+        """Return the seconds that each request of a crowd and after it took."""
+        world = make_world(agents=4)
+        for upstream in world.upstream_by_host.values():
+            upstream.restart()
+            upstream.work, upstream.room, upstream.cold_for = 0.055, 16, 3.0
+            upstream.report()
+        sent = self.send(world, crowd, 0.2) + self.send(world, later, 2.0)
+        world.run(self.DEADLINE)
+        ends = [(at, client.last_try) for at, client in sent]
+        return [end.answered_at - at for at, end in ends if end.answers]
+
+    def send(self, world, count, seconds):
+        sent = []
+        for _ in range(count):
+            client = world.make_client()
+            client.request()
+            sent.append((world.now, client))
+            world.run(seconds / count)
+        return sent
+
+    @pytest.mark.parametrize(("crowd", "later"), [(200, 280), (400, 280), (200, 400)])
+    def test_more_are_answered_and_more_within_their_aim(
+        self, crowd, later, monkeypatch
+    ):
+        waits = self.play(crowd, later)
+        monkeypatch.setattr(UpstreamKeeper, "_is_crowded", lambda *_: False)
+        before = self.play(crowd, later)
+        assert len(waits) > len(before)
+        assert self.count_in_aim(waits) > 1.1 * self.count_in_aim(before)
+
+    def test_a_load_that_is_borne_is_not_held_up(self):
+        waits = self.play(60, 280)
+        assert self.count_in_aim(waits) == 340
+
+    def count_in_aim(self, waits):
+        return sum(wait <= self.AIM for wait in waits)
+
+
 class TestLeaving:
     def test_an_agent_that_leaves_takes_no_opens_and_keeps_its_flows(self):
         world = make_world(agents=4)
--- a/tests/coordination/test_planted_faults.py
+++ b/tests/coordination/test_planted_faults.py
@@ -54,7 +54,7 @@
     "the gate ignores data centres that are out": (
         FlowOpener,
         "_find_unable",
-        lambda opener, now: None,
+        lambda opener, now, copies: None,
         lambda: scenarios.TestGate().test_a_data_centre_that_is_out_gets_no_open(),
     ),
     "agents trust balancers with older routes": (
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -7,7 +7,7 @@
 
 import heapq
 import struct
-from collections import Counter
+from collections import Counter, deque
 from random import Random
 
 from attrs import Factory, define, field, frozen
@@ -32,6 +32,8 @@
 LINK_DELAY = 0.0005
 START_DELAY = 0.3
 ADDRESS = ("198.18.0.1", 443)
+SHED = b"shed"
+ATTEMPT_TIME = 1.4  # seconds after which a client gives an open up
 
 
 def write_packet(flow, flags, sequence=0, acknowledged=0, data=b"", back=False):
@@ -54,7 +56,11 @@
 
 @define(eq=False)
 class ModelUpstream:
-    """A server: it holds flows, answers data, and hands back what is not its own."""
+    """A server: it holds flows, answers data, and hands back what is not its own.
+
+    It runs all requests at once; with ``room``, ``slots`` of them, while so many
+    more wait and the others are shed.
+    """
 
     world: "FlowWorld"
     name: str
@@ -65,6 +71,9 @@
     sequence: int = 0
     slots: int = 3
     work: float = 0.03
+    room: int | None = None
+    running: int = 0
+    queue: deque = Factory(deque)
     cold_for: float = 0.0
     draining: bool = False
     is_up: bool = True
@@ -96,7 +105,7 @@
             bounced[22] |= BOUNCED
             self._send(bytes(bounced))
         elif packet.data_length:
-            self.world.after(self.work, lambda: self._answer(packet))
+            self._take_request(packet)
 
     def _has_opened(self, packet):
         """Whether a flow is open here; its client chose whose answer it took."""
@@ -107,10 +116,30 @@
                 del self.flows[packet.flow]
         return packet.flow in self.flows
 
+    def _take_request(self, packet):
+        if self.room is None or self.running < self.slots:
+            self._run(packet)
+        elif len(self.queue) < self.room:
+            self.queue.append(packet)
+        else:
+            self._send(write_packet(packet.flow, ACK, 101, 2, SHED, back=True))
+
+    def _run(self, packet):
+        self.running += 1
+
+        def end():
+            self.running -= 1
+            self._answer(packet)
+            if self.queue:
+                self._run(self.queue.popleft())
+
+        self.world.after(self.work, end)
+
     def restart(self):
         """Begin anew, with nothing of before."""
         self.flows.clear()
         self.opened.clear()
+        self.queue.clear()
         self.started_at = 1000 + round(self.world.now * 1000)
         self.sequence = 0
         self.is_up = True
@@ -160,13 +189,47 @@
     world: "FlowWorld"
     flow: bytes
     opened: bool = False
+    asks_when_open: bool = False
     acknowledged: int = 0
     answers: int = 0
+    answered_at: float = 0.0
+    is_shed: bool = False
     resets: int = 0
+    tries_left: int = 0
+    next_try: "ModelClient | None" = None
 
     def open(self, through=None):
         self._send(write_packet(self.flow, SYN, 1), through)
 
+    def request(self, tries_left=2):
+        """Open with the copies that the platform's clients send, then ask.
+
+        A request that was shed or refused is tried again on a new flow.
+        """
+        self.asks_when_open = True
+        self.tries_left = tries_left
+        for copies, delay in enumerate((0.0, 0.2, 0.6)):
+            self.world.after(delay, lambda n=copies: self._copy(n))
+        self.world.after(ATTEMPT_TIME, self._end_attempt)
+
+    def _end_attempt(self):
+        if not self.opened:
+            self._try_again()
+
+    @property
+    def last_try(self):
+        """The flow that the request was tried on last."""
+        return self if self.next_try is None else self.next_try.last_try
+
+    def _try_again(self):
+        if self.tries_left and self.next_try is None:
+            self.next_try = self.world.make_client()
+            self.next_try.request(self.tries_left - 1)
+
+    def _copy(self, copies):
+        if not self.opened and not self.resets:
+            self._send(write_packet(self.flow, SYN, 1, copies), None)
+
     def ask(self, through=None):
         packet = write_packet(self.flow, ACK, 2, self.acknowledged, b"request")
         self._send(packet, through)
@@ -181,8 +244,16 @@
             self.opened = True
             self.acknowledged = packet.sequence + 1
             self._send(write_packet(self.flow, ACK, 2, self.acknowledged), None)
+            if self.asks_when_open:
+                self.ask()
         self.resets += packet.resets
-        self.answers += bool(packet.data_length)
+        if packet.data_length and datagram.endswith(SHED):
+            self.is_shed = True
+        elif packet.data_length:
+            self.answers += 1
+            self.answered_at = self.world.now
+        if packet.resets or self.is_shed:
+            self._try_again()
 
     def _send(self, datagram, through):
         self.world.send_packet(datagram, through)
