Tests of flows by subject, the model's two ends in a module of their own

test_flow_world.py had grown to 837 lines: opens, affinity and recovery are three files now, with every test kept.

--- /dev/null
+++ b/tests/coordination/test_flow_recovery.py
@@ -0,0 +1,372 @@
+"""Flows after restarts, losses of power, and pauses."""
+
+import pytest
+
+from bilberrypath.coordination.events import Tick
+from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
+from bilberrypath.platform.packet_head import ACK
+from bilberrypath.protocol.flow_messages import Carry
+from tests.support.flow_world import (
+    REPORT_PERIOD,
+    count_foreign,
+    find_holder,
+    make_world,
+    open_flows,
+    write_packet,
+)
+
+
+class TestAfterAStart:
+    def restart_all(self, world, silence):
+        """Power off everything; upstreams report only after ``silence``."""
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        for upstream in world.upstream_by_host.values():
+            upstream.restart()
+            upstream.is_up = False
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for host in hosts:
+            if host not in balancers:
+                world.add_agent(host, seeds=balancers, knows_all=False)
+
+        def come_back(upstream):
+            upstream.is_up = True
+            upstream.report()
+
+        for upstream in world.upstream_by_host.values():
+            world.after(silence, lambda u=upstream: come_back(u))
+
+    def test_opens_wait_for_the_first_reports(self):
+        world = make_world(agents=3)
+        self.restart_all(world, silence=1.0)
+        world.run(0.9)
+        clients = [world.make_client() for _ in range(20)]
+        for client in clients:
+            client.open()
+        world.run(0.15)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.opened for client in clients)
+        held = sum(len(u.flows) for u in world.upstream_by_host.values())
+        assert held == 20
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_a_balancer_that_starts_before_its_seeds_joins_soon(self, seed):
+        world = make_world(agents=3, seed=seed)
+        seeds = ["10.1.0.1", "10.1.0.2"]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        early = world.add_balancer("10.1.0.9", "a", seeds)
+        world.run(0.4)
+        for host in seeds:
+            world.add_balancer(host, "a", seeds)
+        for n in range(3):
+            world.add_agent(f"10.2.0.{n + 1}", seeds=seeds, knows_all=False)
+        world.run(0.7)
+        assert early.is_ready
+        assert len(early.members.table.list_agents("board")) == 3
+
+    def test_an_open_does_not_wait_for_ever(self):
+        world = make_world(agents=3)
+        self.restart_all(world, silence=30.0)
+        world.run(2.0)
+        client = world.make_client()
+        client.open()
+        world.run(2.0)
+        assert not client.opened
+        waiting = [
+            node.opener._waiting_by_flow
+            for host, node in world.node_by_host.items()
+            if host.startswith("10.2.")
+        ]
+        assert not any(waiting)
+
+    def test_flows_of_before_are_reset_soon(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 20)
+        self.restart_all(world, silence=0.3)
+        world.run(1.8)
+        for client in clients:
+            client.ask()
+        world.run(0.1)
+        assert all(client.resets == 1 for client in clients)
+
+    def test_flows_of_before_a_power_loss_are_reset_at_once(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 20)
+        world.run(2.0)
+        self.restart_all(world, silence=0.3)
+        world.run(0.8)
+        for client in clients:
+            client.ask()
+        world.run(0.1)
+        assert all(client.resets == 1 for client in clients)
+
+    def test_flows_of_living_upstreams_outlive_a_restart_of_all_processes(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 40)
+        world.run(2.0)
+        agents = [host for host in world.node_by_host if host.startswith("10.2.")]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        balancers = ["10.1.0.1", "10.1.0.2"]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for n, host in enumerate(agents):
+            world.after(
+                0.3 * n,
+                lambda h=host: world.add_agent(h, seeds=balancers, knows_all=False),
+            )
+        for _ in range(20):
+            world.run(0.2)
+            for client in clients:
+                if not client.answers:
+                    client.ask()
+        world.run(0.2)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.answers for client in clients)
+
+    def test_an_agent_that_heard_no_list_of_agents_resets_nothing(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 20)
+        world.kill("10.2.0.1")
+        world.add_agent("10.2.0.1", seeds=[], knows_all=False)
+        world.run(2.0)
+        node = world.node_by_host["10.2.0.1"]
+        for client in clients:
+            datagram = write_packet(client.flow, ACK, 2, 101, b"x")
+            carry = Carry(1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram)
+            effects = node.take_carry(carry, ("10.1.0.1", 7600), world.now)
+            world.perform("10.2.0.1", effects)
+        world.run(0.2)
+        assert all(client.resets == 0 for client in clients)
+
+    def test_flows_guessed_beside_a_dead_upstream_are_looked_for_elsewhere(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 30)
+        dead = "10.2.0.1"
+        elsewhere = [c for c in clients if find_holder(world, c.flow) != dead]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        world.upstream_by_host[dead].is_up = False
+        world.run(0.3)
+        world.add_balancer("10.1.0.1", "a", ["10.1.0.1"])
+        for n in range(3):
+            world.add_agent(f"10.2.0.{n + 1}", seeds=["10.1.0.1"], knows_all=False)
+        world.run(4.5)
+        for client in elsewhere:
+            client.ask()
+        for _ in range(20):
+            world.run(0.01)
+            world.feed(dead, UpstreamUnreachable())
+        assert elsewhere
+        assert all(client.answers for client in elsewhere)
+
+    def restart_beside_a_dark_upstream(self, world, dark):
+        """Restart all processes while one upstream is dead and says nothing."""
+        hosts = [host for host in world.node_by_host if host.startswith("10.2.")]
+        for host in list(world.node_by_host):
+            world.kill(host)
+        world.upstream_by_host[dark].is_up = False
+        world.run(0.3)
+        balancers = ["10.1.0.1", "10.1.0.2"]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for host in hosts:
+            world.add_agent(host, seeds=balancers, knows_all=False)
+        world.run(1.2)
+
+    def test_a_dark_upstream_does_not_keep_flows_from_being_found(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        dark = "10.2.0.1"
+        elsewhere = [c for c in clients if find_holder(world, c.flow) != dark]
+        self.restart_beside_a_dark_upstream(world, dark)
+        for client in elsewhere:
+            client.ask()
+        world.run(0.3)
+        assert elsewhere
+        assert all(client.answers for client in elsewhere)
+
+    def test_flows_of_a_dark_upstream_are_reset_once_it_should_have_reported(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        dark = "10.2.0.1"
+        lost = [c for c in clients if find_holder(world, c.flow) == dark]
+        self.restart_beside_a_dark_upstream(world, dark)
+        for client in lost:
+            client.ask()
+        world.run(2 * REPORT_PERIOD)
+        assert lost
+        assert all(client.resets == 1 for client in lost)
+
+    def test_late_agents_are_waited_for(self):
+        world = make_world(agents=5)
+        clients = open_flows(world, 20)
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for number, host in enumerate(hosts[len(balancers) :]):
+            world.add_agent(host, seeds=balancers, knows_all=False)
+            world.run(0.15)
+            for client in clients:
+                client.ask()
+            assert number < 5
+        world.run(0.5)
+        for client in clients:
+            client.ask()
+        world.run(0.5)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.answers for client in clients)
+
+    def test_an_end_that_was_not_announced_resets_nothing(self):
+        world = make_world(agents=2)
+        clients = open_flows(world, 10)
+        for host, upstream in world.upstream_by_host.items():
+            world.feed(host, UpstreamLeft(upstream.name))
+        world.run(0.1)
+        assert all(client.resets == 0 for client in clients)
+        world.run(1.5)
+        client = world.make_client()
+        client.open()
+        world.run(0.1)
+        assert client.opened
+
+    def test_an_announced_end_resets_what_is_left(self):
+        world = make_world(agents=2)
+        clients = open_flows(world, 10)
+        upstream = world.upstream_by_host["10.2.0.1"]
+        lost = [c for c in clients if c.flow in upstream.flows]
+        upstream.draining = True
+        upstream.report()
+        world.feed("10.2.0.1", UpstreamLeft(upstream.name))
+        world.run(0.1)
+        assert all(client.resets == 1 for client in lost)
+
+
+class TestGoneAgents:
+    def test_flows_of_an_agent_that_vanished_are_reset(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        gone = "10.2.0.1"
+        lost = [c for c in clients if find_holder(world, c.flow) == gone]
+        world.power_off(gone)
+        world.add_balancer("10.1.0.9", "a", ["10.1.0.1"])
+        world.run(0.8)
+        for _ in range(16):
+            for client in lost:
+                client.ask("10.1.0.9")
+            world.run(0.3)
+        assert lost
+        assert all(client.resets for client in lost)
+        for client in set(clients) - set(lost):
+            client.ask("10.1.0.9")
+        world.run(0.2)
+        assert all(c.answers for c in set(clients) - set(lost))
+
+    def test_flows_of_an_agent_that_is_away_for_long_are_not_reset(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 40)
+        away = "10.2.0.1"
+        kept = [c for c in clients if find_holder(world, c.flow) == away]
+        world.kill(away)
+        world.add_balancer("10.1.0.9", "a", ["10.1.0.1"])
+        for _ in range(18):
+            world.run(0.3)
+            for client in kept:
+                client.ask("10.1.0.9")
+        world.add_agent(away, seeds=["10.1.0.1"], knows_all=False)
+        for _ in range(4):
+            world.run(0.5)
+            for client in kept:
+                if not client.answers:
+                    client.ask("10.1.0.9")
+        world.run(0.2)
+        assert kept
+        assert all(client.resets == 0 for client in kept)
+        assert all(client.answers for client in kept)
+
+
+class TestPauses:
+    def test_an_agent_that_wakes_takes_no_open_that_waited(self):
+        world = make_world(agents=3)
+        frozen = world.node_by_host["10.2.0.1"]
+        waited = []
+        original = frozen.take_carry
+        frozen.take_carry = lambda *taken: waited.append(taken[:2]) or []
+        ticking = frozen.handle
+        frozen.handle = lambda event, now: []
+        clients = open_flows(world, 30)
+        world.run(1.0)
+        frozen.take_carry, frozen.handle = original, ticking
+        before = len(world.upstream_by_host["10.2.0.1"].opens)
+        for carry, sender in waited:
+            world.perform("10.2.0.1", frozen.take_carry(carry, sender, world.now))
+        world.run(0.2)
+        assert waited
+        assert len(world.upstream_by_host["10.2.0.1"].opens) == before
+        assert all(client.opened for client in clients)
+        for client in clients:
+            client.ask()
+        world.run(0.2)
+        assert all(client.answers for client in clients)
+        assert count_foreign(world) == 0
+
+    def test_a_guessed_flow_is_not_reset_with_its_supposed_upstream(self):
+        world = make_world(agents=2)
+        clients = open_flows(world, 20)
+        host = "10.2.0.1"
+        elsewhere = [c for c in clients if find_holder(world, c.flow) != host]
+        world.kill(host)
+        world.run(0.3)
+        world.add_agent(host, seeds=["10.1.0.1"], knows_all=False)
+        world.run(1.5)
+        upstream = world.upstream_by_host[host]
+        upstream.is_silent = True
+        node = world.node_by_host[host]
+        for client in elsewhere:
+            datagram = write_packet(client.flow, ACK, 2, 101, b"x")
+            carry = Carry(1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram)
+            effects = node.take_carry(carry, ("10.1.0.1", 7600), world.now)
+            world.perform(host, effects)
+        world.run(0.1)
+        upstream.restart()
+        upstream.report()
+        world.run(0.5)
+        assert elsewhere
+        assert all(client.resets == 0 for client in elsewhere)
+
+    def test_a_frozen_agents_flows_are_not_reset_by_others(self):
+        world = make_world(agents=4)
+        clients = open_flows(world, 30)
+        frozen = world.node_by_host["10.2.0.1"]
+        world.kill("10.2.0.1")
+        world.add_balancer("10.1.0.9", "a", ["10.1.0.1"])
+        for _ in range(10):
+            world.run(0.3)
+            for client in clients:
+                if not client.answers:
+                    client.ask("10.1.0.9")
+        world.node_by_host["10.2.0.1"] = frozen
+        frozen.pauses.note(world.now)
+        for _ in range(3):
+            world.run(0.5)
+            for client in clients:
+                if not client.answers:
+                    client.ask("10.1.0.9")
+        world.run(0.5)
+        assert all(client.resets == 0 for client in clients)
+        assert all(client.answers for client in clients)
+
+    def test_an_agent_that_wakes_does_not_take_others_for_gone(self):
+        world = make_world(agents=2)
+        node = world.node_by_host["10.2.0.1"]
+        peer = "10.2.0.2:7600"
+        node.silent.note_late(peer, world.now)
+        node.handle(Tick(), world.now + 5.0)
+        assert not node.silent.is_gone(peer, world.now + 5.0)
--- a/tests/coordination/test_planted_faults.py
+++ b/tests/coordination/test_planted_faults.py
@@ -9,12 +9,15 @@
 from bilberrypath.coordination.flow_places import FlowPlaces
 from bilberrypath.coordination.flow_search import Nowhere, Searches
 from bilberrypath.coordination.flow_seeker import FlowSeeker
+from bilberrypath.coordination.held_flows import HeldFlows
 from bilberrypath.coordination.own_pauses import OwnPauses
 from bilberrypath.coordination.route_keeper import RouteKeeper
 from bilberrypath.coordination.silent_peers import SilentPeers
 from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.coordination.upstream_watch import Unable, UpstreamWatch
-from tests.coordination import test_flow_world as scenarios
+from tests.coordination import test_flow_affinity as affinity
+from tests.coordination import test_flow_opens as opens
+from tests.coordination import test_flow_recovery as recovery
 from tests.coordination import test_route_keeper
 from tests.support.flow_world import make_table
 
@@ -43,52 +46,50 @@
         UpstreamWatch,
         "find_unable",
         ignore(Unable.DRAINING),
-        lambda: scenarios.TestGate().test_a_draining_upstream_gets_no_open_at_once(),
+        lambda: opens.TestGate().test_a_draining_upstream_gets_no_open_at_once(),
     ),
     "the gate ignores cold start": (
         UpstreamWatch,
         "find_unable",
         ignore(Unable.COLD),
-        lambda: scenarios.TestGate().test_a_cold_upstream_gets_what_it_bears(1.0),
+        lambda: opens.TestGate().test_a_cold_upstream_gets_what_it_bears(1.0),
     ),
     "the gate ignores data centres that are out": (
         FlowOpener,
         "_find_unable",
         lambda opener, now, copies: None,
-        lambda: scenarios.TestGate().test_a_data_centre_that_is_out_gets_no_open(),
+        lambda: opens.TestGate().test_a_data_centre_that_is_out_gets_no_open(),
     ),
     "agents trust balancers with older routes": (
         FlowOpener,
         "_check_routes",
         lambda opener, carry, packet: None,
-        lambda: scenarios.TestGate().test_a_stale_balancer_is_corrected_by_the_agent(),
+        lambda: opens.TestGate().test_a_stale_balancer_is_corrected_by_the_agent(),
     ),
     "redirects are not kept": (
         FlowPlaces,
         "note",
         lambda places, flow, holder, now: None,
-        lambda: (
-            scenarios.TestOpens().test_copies_through_any_balancer_meet_one_upstream()
-        ),
+        lambda: opens.TestOpens().test_copies_through_any_balancer_meet_one_upstream(),
     ),
     "unknown flows are reset without a search": (
         FlowFinder,
         "_ask",
         give_up_at_once,
-        lambda: scenarios.TestAffinity().test_new_agents_do_not_move_flows(),
+        lambda: affinity.TestAffinity().test_new_agents_do_not_move_flows(),
     ),
     "a restarted agent takes its flows for all": (
         UpstreamKeeper,
         "knows_all_flows",
         lambda keeper, now: True,
-        lambda: scenarios.TestAffinity().test_a_restarted_agent_regains_its_flows(),
+        lambda: affinity.TestAffinity().test_a_restarted_agent_regains_its_flows(),
     ),
     "flows of a restarted upstream are kept": (
         UpstreamKeeper,
         "_lose_flows",
         lambda keeper, reason, now: [],
         lambda: (
-            scenarios.TestAffinity().test_a_restarted_upstream_resets_its_flows_at_once()
+            affinity.TestAffinity().test_a_restarted_upstream_resets_its_flows_at_once()
         ),
     ),
     "a missing answer counts as a denial": (
@@ -96,7 +97,7 @@
         "conclude",
         lambda searches, flow: Nowhere(certain=True),
         lambda: (
-            scenarios.TestPauses().test_a_frozen_agents_flows_are_not_reset_by_others()
+            recovery.TestPauses().test_a_frozen_agents_flows_are_not_reset_by_others()
         ),
     ),
     "silent agents are waited for without end": (
@@ -104,35 +105,35 @@
         "is_gone",
         lambda silent, node_id, now: False,
         lambda: (
-            scenarios.TestGoneAgents().test_flows_of_an_agent_that_vanished_are_reset()
+            recovery.TestGoneAgents().test_flows_of_an_agent_that_vanished_are_reset()
         ),
     ),
     "a dead home is asked for ever": (
         FlowSeeker,
         "_ask_next",
         lambda seeker, flow, now: [],
-        lambda: scenarios.TestOpens().test_a_dead_home_costs_less_than_a_clients_copy(),
+        lambda: opens.TestOpens().test_a_dead_home_costs_less_than_a_clients_copy(),
     ),
     "an open that nobody accepts is left": (
         FlowOpener,
         "_give_up_opening",
         lambda opener, opening, now: [],
         lambda: (
-            scenarios.TestOpens().test_a_silent_upstream_costs_less_than_a_clients_copy()
+            opens.TestOpens().test_a_silent_upstream_costs_less_than_a_clients_copy()
         ),
     ),
     "opens do not wait for a first report": (
         UpstreamKeeper,
         "awaits_first_report",
         lambda keeper, now: False,
-        lambda: scenarios.TestAfterAStart().test_opens_wait_for_the_first_reports(),
+        lambda: recovery.TestAfterAStart().test_opens_wait_for_the_first_reports(),
     ),
     "opens that waited through a pause are taken": (
         OwnPauses,
         "reads_backlog",
         lambda pauses, now: False,
         lambda: (
-            scenarios.TestPauses().test_an_agent_that_wakes_takes_no_open_that_waited()
+            recovery.TestPauses().test_an_agent_that_wakes_takes_no_open_that_waited()
         ),
     ),
     "an older table of routes is taken": (
@@ -147,13 +148,53 @@
         FlowAgent,
         "_take_refused",
         lambda agent, packet, now: [],
-        lambda: scenarios.TestAffinity().test_all_processes_restart_and_flows_go_on(),
+        lambda: affinity.TestAffinity().test_all_processes_restart_and_flows_go_on(),
+    ),
+    "a machine that answers is taken for gone": (
+        SilentPeers,
+        "note_machine",
+        lambda silent, node_id, now: None,
+        lambda: (
+            recovery.TestGoneAgents().test_flows_of_an_agent_that_is_away_for_long_are_not_reset()
+        ),
+    ),
+    "guesses into the void are kept": (
+        FlowFinder,
+        "give_up_guesses",
+        lambda finder, now: [],
+        lambda: (
+            recovery.TestAfterAStart().test_flows_of_a_dark_upstream_are_reset_once_it_should_have_reported()
+        ),
+    ),
+    "flows of a power loss settle first": (
+        UpstreamKeeper,
+        "began_together",
+        lambda keeper, now: False,
+        lambda: (
+            recovery.TestAfterAStart().test_flows_of_before_a_power_loss_are_reset_at_once()
+        ),
+    ),
+    "an agent that ends takes opens": (
+        FlowOpener,
+        "_find_better",
+        FlowOpener._find_less_busy,
+        lambda: (
+            affinity.TestLeaving().test_an_agent_that_leaves_takes_no_opens_and_keeps_its_flows()
+        ),
+    ),
+    "every acceptance counts as chosen": (
+        HeldFlows,
+        "note_upstream",
+        lambda flows, held, packet, now: _note_chosen(flows, held, packet, now),
+        lambda: (
+            affinity.TestTwoAcceptances().test_an_upstream_that_was_not_chosen_resets_nothing()
+        ),
     ),
     "unknown addresses are not told": (
         FlowSeeker,
         "_refuse_unknown",
         lambda seeker, packet: [],
-        lambda: scenarios.TestOpens().test_no_route_is_told_at_once(),
+        lambda: opens.TestOpens().test_no_route_is_told_at_once(),
     ),
     "places are never told": (
         FlowBalancer,
@@ -161,7 +202,7 @@
         lambda balancer, packet, service, to, seeks, may_reset: _carry_silently(
             balancer, packet, service, to
         ),
-        lambda: scenarios.TestOpens().test_a_dead_home_costs_less_than_a_clients_copy(),
+        lambda: opens.TestOpens().test_a_dead_home_costs_less_than_a_clients_copy(),
     ),
 }
 
@@ -179,6 +220,14 @@
     return carry(balancer, packet, service, to, False, False)
 
 
+note_upstream = HeldFlows.note_upstream
+
+
+def _note_chosen(flows, held, packet, now):
+    note_upstream(flows, held, packet, now)
+    held.chosen = True
+
+
 class TestPlantedFaults:
     @pytest.mark.parametrize("name", FAULTS)
     def test_each_is_caught(self, name, monkeypatch):
