--- /dev/null
+++ b/benchmarks/experiment.py
@@ -0,0 +1,206 @@
+"""Compare policies of the datagram service in the model, seed by seed.
+
+    python -m benchmarks.experiment benchmarks/experiments/cold_crowd.toml
+
+An experiment names a load, a variable of it with its values, and policies: values
+of the product's constants, by module and name. Each policy plays each value with
+the same seeds, so that differences are of the policy. A table goes to standard
+output, a plot beside it to ``out/``.
+"""
+
+import argparse
+import importlib
+import math
+import tomllib
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from statistics import mean, stdev
+
+import matplotlib
+from attrs import asdict, define, frozen
+
+from tests.support.flow_world import make_world
+
+matplotlib.use("Agg")
+from matplotlib import pyplot
+
+OUT = Path("out")
+PACKAGE = "bilberrypath.coordination"
+CROWD_TIME = 0.2  # seconds in which the crowd comes
+LATER_TIME = 2.0  # seconds in which the others come
+CONFIDENCE = 1.96  # standard errors of a 95% interval
+
+
+class ExperimentError(ValueError):
+    """An experiment's file says something that can't be played."""
+
+
+@frozen
+class Load:
+    """What clients ask for and what upstreams bear; times in seconds."""
+
+    agents: int
+    balancers: int
+    work: float
+    room: int
+    cold_for: float
+    crowd: int
+    later: int
+    aim: float
+    deadline: float
+    late_worth: float
+    loss: float
+
+
+@define
+class Result:
+    """One play: shares of the requests, and the 99th percentile of the waits."""
+
+    worth: float
+    in_aim: float
+    answered: float
+    p99: float
+    imbalance: float
+
+
+def read_experiment(path):
+    """Return the title, variable, values, load and policies of a file."""
+    with open(path, "rb") as file:
+        document = tomllib.load(file)
+    known = set(Load.__annotations__)
+    unknown = set(document["load"]) - known
+    if unknown:
+        raise ExperimentError(f"load has no {sorted(unknown)}; it has {sorted(known)}")
+    if document["variable"] not in known:
+        raise ExperimentError(f"variable {document['variable']!r} is not of the load")
+    return document
+
+
+@contextmanager
+def use_constant(name, value):
+    """Set a constant of the product, as ``module.NAME``, for a while."""
+    module_name, _, constant = name.partition(".")
+    module = importlib.import_module(f"{PACKAGE}.{module_name}")
+    if not hasattr(module, constant):
+        raise ExperimentError(f"{module_name} has no constant {constant!r}")
+    before = getattr(module, constant)
+    setattr(module, constant, value)
+    try:
+        yield
+    finally:
+        setattr(module, constant, before)
+
+
+def play(load, seed):
+    """Play one load with one seed."""
+    world = make_world(load.agents, load.balancers, seed, load.loss)
+    for upstream in world.upstream_by_host.values():
+        upstream.restart()
+        upstream.work, upstream.room = load.work, load.room
+        upstream.cold_for = load.cold_for
+        upstream.report()
+    sent = send(world, load.crowd, CROWD_TIME) + send(world, load.later, LATER_TIME)
+    world.run(load.deadline)
+    ends = [(at, client.last_try) for at, client in sent]
+    waits = [end.answered_at - at for at, end in ends if end.answers]
+    waits = sorted(wait for wait in waits if wait <= load.deadline)
+    opens = [len(u.opens) for u in world.upstream_by_host.values()]
+    return measure(load, waits, opens)
+
+
+def send(world, count, seconds):
+    """Send requests evenly; return when each was sent, and its client."""
+    sent = []
+    for _ in range(count):
+        client = world.make_client()
+        client.request()
+        sent.append((world.now, client))
+        world.run(seconds / count)
+    return sent
+
+
+def measure(load, waits, opens):
+    """Return what the callers of one play got."""
+    total = load.crowd + load.later
+    in_aim = sum(wait <= load.aim for wait in waits)
+    late = len(waits) - in_aim
+    p99 = waits[math.ceil(0.99 * len(waits)) - 1] if waits else math.nan
+    worth = (in_aim + load.late_worth * late) / total
+    imbalance = max(opens) / mean(opens)
+    return Result(worth, in_aim / total, len(waits) / total, p99, imbalance)
+
+
+def play_policy(constants, load, seeds):
+    """Return the results of one policy, one a seed."""
+    with ExitStack() as stack:
+        for name, value in constants.items():
+            stack.enter_context(use_constant(name, value))
+        return [play(load, seed) for seed in seeds]
+
+
+def summarize(values):
+    """Return the mean and the half width of its 95% interval."""
+    spread = stdev(values) if len(values) > 1 else 0.0
+    return mean(values), CONFIDENCE * spread / math.sqrt(len(values))
+
+
+def run_experiment(document, seeds):
+    """Yield each value of the variable, policy, and that policy's results."""
+    for value in document["values"]:
+        load = Load(**document["load"] | {document["variable"]: value})
+        for name, constants in document["policies"].items():
+            yield value, name, play_policy(constants, load, seeds)
+
+
+def print_table(document, rows):
+    """Print means with their intervals, and the gain over the first policy."""
+    first_by_value = {}
+    print(f"{document['title']}; 95% intervals over seeds")
+    for value, name, results in rows:
+        first = first_by_value.setdefault(value, results)
+        cells = []
+        for field in asdict(results[0]):
+            middle, half = summarize([getattr(result, field) for result in results])
+            cells.append(f"{field} {middle:.3f}±{half:.3f}")
+        pairs = zip(results, first, strict=True)
+        gain, half = summarize([result.worth - base.worth for result, base in pairs])
+        cells.append(f"gain {gain:+.3f}±{half:.3f}")
+        print(f"{document['variable']}={value:<5} {name:<28} {'  '.join(cells)}")
+
+
+def plot_worth(document, rows, path):
+    """Draw the worth of each policy against the variable."""
+    for name in document["policies"]:
+        points = [
+            (value, *summarize([result.worth for result in results]))
+            for value, policy, results in rows
+            if policy == name
+        ]
+        values, middles, halves = zip(*points, strict=True)
+        pyplot.errorbar(values, middles, yerr=halves, label=name, capsize=3)
+    pyplot.title(document["title"])
+    pyplot.xlabel(document["variable"])
+    pyplot.ylabel("worth: in time 1, late less, else 0")
+    pyplot.legend()
+    path.parent.mkdir(exist_ok=True)
+    pyplot.savefig(path, dpi=90)
+    pyplot.close()
+
+
+def main():
+    """Play an experiment and show its results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("experiment", type=Path)
+    parser.add_argument("--seeds", type=int, default=10)
+    options = parser.parse_args()
+    try:
+        document = read_experiment(options.experiment)
+        rows = list(run_experiment(document, range(options.seeds)))
+    except ExperimentError as error:
+        parser.error(f"{options.experiment}: {error}")
+    print_table(document, rows)
+    plot_worth(document, rows, OUT / f"{options.experiment.stem}.png")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_experiment.py
@@ -0,0 +1,61 @@
+"""The experiment tool: same seeds, same results; constants are put back."""
+
+from pathlib import Path
+
+import pytest
+
+from benchmarks.experiment import (
+    ExperimentError,
+    Load,
+    play_policy,
+    read_experiment,
+    summarize,
+    use_constant,
+)
+from bilberrypath.coordination import upstream_keeper
+
+EXPERIMENTS = Path(__file__).parents[1] / "benchmarks" / "experiments"
+LOAD = Load(3, 2, 0.05, 8, 2.0, 40, 20, 0.2, 1.0, 0.3, 0.01)
+
+
+def _name(path):
+    return path.stem
+
+
+class TestExperiment:
+    def test_a_seed_gives_the_same_result_again(self):
+        constants = {"upstream_keeper.FIRST_QUEUE": 2.0}
+        first, again = (play_policy(constants, LOAD, [3]) for _ in range(2))
+        assert first == again
+        assert 0 < first[0].worth <= 1
+
+    def test_constants_are_put_back(self):
+        before = upstream_keeper.FIRST_QUEUE
+        with use_constant("upstream_keeper.FIRST_QUEUE", 9.0):
+            assert upstream_keeper.FIRST_QUEUE == 9.0
+        assert before == upstream_keeper.FIRST_QUEUE
+
+    def test_an_unknown_constant_is_named(self):
+        with (
+            pytest.raises(ExperimentError, match="has no constant 'QUEUE'"),
+            use_constant("upstream_keeper.QUEUE", 1),
+        ):
+            pass
+
+    def test_an_unknown_part_of_the_load_is_named(self, tmp_path):
+        path = tmp_path / "bad.toml"
+        path.write_text('variable = "crowd"\n[load]\ncrowds = 3\n')
+        with pytest.raises(ExperimentError, match="crowds"):
+            read_experiment(path)
+
+    def test_an_interval_narrows_with_seeds(self):
+        assert summarize([1.0, 2.0, 3.0, 2.0])[1] < summarize([1.0, 3.0])[1]
+
+    @pytest.mark.parametrize("path", sorted(EXPERIMENTS.glob("*.toml")), ids=_name)
+    def test_the_files_can_be_read(self, path):
+        document = read_experiment(path)
+        assert Load(**document["load"])
+        for constants in document["policies"].values():
+            for name, value in constants.items():
+                with use_constant(name, value):
+                    pass
