The limit on waiting requests outlives cold start by two seconds; loads in the log

Change: the limit holds until two seconds after cold start; a report that the upstream is warm ends cold start at once but is not taken for one. An open that is passed on is logged with the load that decided and its age.

--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -300,7 +300,13 @@
         agent.redirects.note(flow, to, now)
         self._passing_by_flow[flow] = Passing(carry, packet, to)
         agent.deadlines.set(("pass", flow), now + PASS_TIMEOUT)
-        fields = {"to": to, "reason": reason, "busy": agent.flows.busy_count}
+        fields = {
+            "to": to,
+            "reason": reason,
+            "busy": agent.flows.busy_count,
+            "revision": agent.routes.revision,
+            **agent.placement.describe(to, now),
+        }
         return [
             *agent.pass_to(to, carry, packet),
             fx.Count("open_passed_on", reason),
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -135,6 +135,14 @@
         """Return whether requests queue at an agent, as far as is known."""
         return self.peer_by_id[node_id].rate_pressure(now) > CROWDED
 
+    def describe(self, node_id: NodeId, now: Seconds) -> dict[str, float]:
+        """Return what is known of an agent's load, and how old that is, for the log."""
+        peer = self.peer_by_id[node_id]
+        if peer.report is None:
+            return {}
+        age = round(now - peer.heard_at, 3)
+        return {"pressure": round(peer.rate_pressure(now), 2), "pressure_age": age}
+
     def _send_to(self, peer: PeerAgent) -> NodeId:
         peer.sent_since += 1
         return peer.member.node_id
--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -31,6 +31,7 @@
 START_GAP = 1000  # ms; a process takes longer to end, start and accept an open
 FIRST_QUEUE = 3.0  # requests for each slot; with 4 most miss their aim in a crowd
 COPY_QUEUE = 2.0  # requests for each slot: one that runs, and one that waits
+CROWD_TIME: Seconds = 2.0  # after cold start; a crowd is served in about as long
 MANY_REPORTS = 10  # one that begins with its agent repeats its first report five times
 UNABLE_TO_SERVE = (Unable.ABSENT, Unable.DRAINING, Unable.LOST)
 
@@ -157,12 +158,12 @@
         return unable
 
     def _is_crowded(self, now: Seconds, copies: int) -> bool:
-        """Return whether too many requests queue at an upstream in cold start.
+        """Return whether too many requests queue at an upstream after its start.
 
         An open that comes for the first time can still be answered in time; one
         that waited before is late already, and gives way.
         """
-        if not self.watch.is_cold(now):
+        if not self.watch.was_cold(now, CROWD_TIME):
             return False
         flows = self.agent.flows
         ahead = flows.busy_count + flows.count_awaited(now)
--- a/bilberrypath/coordination/upstream_watch.py
+++ b/bilberrypath/coordination/upstream_watch.py
@@ -71,7 +71,7 @@
             self._cold_opens.clear()
         if kind is not ReportKind.REPEATED:
             self.report = report
-            self._cold_until = now + report.cold_for
+            self._note_cold(report.cold_for, now)
         self._reported_at = now
         self._heard_at = now
         self._late_opens = 0
@@ -79,6 +79,12 @@
         self.is_lost = False
         return kind
 
+    def _note_cold(self, cold_for: Seconds, now: Seconds) -> None:
+        if cold_for > 0:
+            self._cold_until = now + cold_for
+        else:
+            self._cold_until = min(self._cold_until, now)
+
     def forget(self) -> None:
         """Take the upstream for ended."""
         self.report = None
@@ -149,9 +155,9 @@
             return Unable.COLD
         return None
 
-    def is_cold(self, now: Seconds) -> bool:
-        """Return whether the upstream said that it is in cold start."""
-        return now < self._cold_until
+    def was_cold(self, now: Seconds, ago: Seconds) -> bool:
+        """Return whether the upstream is in cold start, or was some time ago."""
+        return now < self._cold_until + ago
 
     def note_open(self, now: Seconds) -> None:
         """Count an open that was handed to the upstream."""
--- a/tests/coordination/test_upstream_watch.py
+++ b/tests/coordination/test_upstream_watch.py
@@ -132,6 +132,17 @@
             within = [at for at in taken if start <= at < start + 1.0]
             assert len(within) <= int(rate) + COLD_SPARE
 
+    def test_is_remembered_for_a_while(self, cold):
+        cold.take_report(make_report(started_at=2000, sequence=2), 2.0)
+        assert not cold.was_cold(2.1, 0.0)
+        assert cold.was_cold(3.9, 2.0)
+        cold.take_report(make_report(started_at=2000, sequence=3), 3.9)
+        assert not cold.was_cold(4.1, 2.0)
+
+    def test_of_an_upstream_that_was_never_cold_is_none(self, watch):
+        watch.take_report(make_report(sequence=2), 1.0)
+        assert not watch.was_cold(1.1, 2.0)
+
     def test_ends_when_it_said(self, cold):
         for _ in range(20):
             cold.note_open(2.5)
