A chain of tries resets nothing unless its search asked all agents

The agent that searched had started 0.2 s before and had heard of one other agent only; it handed the packet there to be tried, and that one, settled for long, took the end of the chain for proof. Ruled out: lost answers (no question was sent to the holder). Change: the packet carries whether its search asked all agents that may have the flow, that is, whether the one who searched was settled too. Guesses that are given up begin a search of their own. The test fails without it.

--- a/bilberrypath/coordination/flow_finder.py
+++ b/bilberrypath/coordination/flow_finder.py
@@ -111,7 +111,10 @@
                 continue
             self.agent.flows.remove(flow, now)
             effects.append(fx.Count("flow_refused", "nothing_listens"))
-            effects += self._try_next(carry, packet, now)
+            anew = msgspec.structs.replace(
+                carry, tried=(), chained=False, unsure=(), asked_all=True
+            )
+            effects += self._ask(anew, packet, now)
         return effects
 
     def _try_next(
@@ -232,21 +235,24 @@
             self.agent.redirects.note(flow, end.holder, now)
             return self._hand_over(search, end.holder, "found")
         if isinstance(end, TryEach):
-            return self._hand_to_each(search, end)
+            return self._hand_to_each(search, end, now)
         return self._give_up(flow, search, end, now)
 
-    def _hand_to_each(self, search: Search, end: TryEach) -> list[FlowEffect]:
+    def _hand_to_each(
+        self, search: Search, end: TryEach, now: Seconds
+    ) -> list[FlowEffect]:
         """Have one packet tried by the agents that can't tell; drop the others.
 
         Each agent's upstream would hand each packet back, so that one is
-        enough; the client sends the others again.
+        enough; the client sends the others again. The last of them may reset
+        the flow only if all agents were asked here.
         """
         carry, packet = search.carries[0]
         passed = msgspec.structs.replace(
             carry,
             unsure=end.agents[1:],
             chained=True,
-            may_reset=carry.may_reset and end.complete,
+            asked_all=end.complete and self._is_settled(now),
         )
         kept = Search([(passed, packet)], search.tried, set())
         return self._hand_over(kept, end.agents[0], "try_each")
@@ -268,7 +274,7 @@
         carry, packet = search.carries[-1]
         told = agent.tell_place(carry, flow, "")
         settled = self._is_settled(now)
-        may_reset = all(kept.may_reset for kept, _ in search.carries)
+        may_reset = all(c.may_reset and c.asked_all for c, _ in search.carries)
         if end.certain and settled and may_reset and not packet.resets:
             return [*told, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
         self._note_denied(flow, now)
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -29,7 +29,8 @@
     ``may_reset`` says that no other service can have it. An open that
     ``waited`` for an upstream's report does not wait again. ``chained`` says
     that a search has ended with agents that can't tell; ``unsure`` are those
-    that are still to try their upstream. ``passed`` are the agents that passed
+    that are still to try their upstream, and ``asked_all`` that the search
+    reached every agent that may have the flow. ``passed`` are the agents that passed
     an open on for their load. ``near`` is the data centre of the balancer, and
     so of the client.
     """
@@ -48,6 +49,7 @@
     unsure: tuple[str, ...] = ()
     passed: tuple[str, ...] = ()
     near: str = ""
+    asked_all: bool = True
 
 
 class Placed(Struct, tag=21):
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -164,6 +164,32 @@
         assert elsewhere
         assert all(client.answers for client in elsewhere)
 
+    def test_an_agent_that_knows_few_others_has_nobody_reset_a_flow(self):
+        world = make_world(agents=3)
+        clients = open_flows(world, 30)
+        first, holder, late = "10.2.0.1", "10.2.0.2", "10.2.0.3"
+        kept = [c for c in clients if find_holder(world, c.flow) == holder]
+        seeds = ["10.1.0.1", "10.1.0.2"]
+        for host in (first, holder):
+            world.kill(host)
+            world.run(0.3)
+            world.add_agent(host, seeds=seeds, knows_all=False)
+        world.run(3.0)
+        world.kill(late)
+        world.run(0.3)
+        world.add_agent(late, seeds=seeds, knows_all=False)
+        world.run(0.6)
+        node = world.node_by_host[late]
+        del node.placement.peer_by_id[f"{holder}:7600"]
+        for client in kept:
+            datagram = write_packet(client.flow, ACK, 2, client.acknowledged, b"x")
+            carry = Carry(1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram)
+            effects = node.take_carry(carry, ("10.1.0.1", 7600), world.now)
+            world.perform(late, effects)
+        world.run(0.1)
+        assert kept
+        assert all(client.resets == 0 for client in kept)
+
     def restart_beside_a_dark_upstream(self, world, dark):
         """Restart all processes while one upstream is dead and says nothing."""
         hosts = [host for host in world.node_by_host if host.startswith("10.2.")]
--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -12,6 +12,7 @@
     2022: "an agent that had heard no list of agents took itself for all of them",
     5001: "an agent that woke took the others for gone, by its own absence",
     1023: "flows of an agent that was away beside a living upstream were reset",
+    7011: "an agent that knew few others had one of them reset a flow",
     7103: "an upstream that accepted an open too, and was not chosen, reset its flow",
     3002: "flows of an agent that was frozen for two seconds were reset by others",
 }
