An open that another agent may have taken is not refused for a crowd

Cause, found by reading: after a pass that was not answered in 25 ms an agent judges the open anew; with a crowd and the client's last copy it would have refused it by a reset, while the agent that was asked may have had it accepted. Change: such an open counts as one that comes for the first time, and is left to its client's next try. The test fails without it.

--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
@@ -314,14 +314,20 @@
         ]
 
     def _pass_again(self, passing: Passing, now: Seconds) -> list[FlowEffect]:
+        """Judge an open anew that nobody said to have taken.
+
+        Whoever was asked may have taken it all the same, so that a crowd here is
+        no reason to refuse it: it counts as one that comes for the first time.
+        """
         agent = self.agent
+        packet = evolve(passing.packet, copies=0)
         agent.redirects.forget(passing.packet.flow)
         carry = msgspec.structs.replace(
             passing.carry, tried=(*passing.carry.tried, passing.to)
         )
         return [
             *agent.silent.note_late(passing.to, now),
-            *self._judge(carry, passing.packet, "", now),
+            *self._judge(carry, packet, "", now),
         ]
 
     def _give_up_opening(self, opening: Opening, now: Seconds) -> list[FlowEffect]:
--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -4,7 +4,8 @@
 
 from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
-from bilberrypath.protocol.flow_messages import LoadReport
+from bilberrypath.platform.packet_head import SYN
+from bilberrypath.protocol.flow_messages import Carry, LoadReport
 from bilberrypath.state.routes import FlowRoute, Target
 from tests.support.flow_world import (
     REPORT_PERIOD,
@@ -12,6 +13,7 @@
     make_table,
     make_world,
     open_flows,
+    write_packet,
 )
 
 
@@ -255,6 +257,28 @@
         assert len(waits) > len(before)
         assert self.count_in_aim(waits) > 1.1 * self.count_in_aim(before)
 
+    def test_an_open_that_another_may_have_taken_is_not_refused(self):
+        world = make_world(agents=2)
+        home, other = "10.2.0.1", "10.2.0.2"
+        node = world.node_by_host[home]
+        for host in (home, other):
+            upstream = world.upstream_by_host[host]
+            upstream.restart()
+            upstream.cold_for = 3.0
+            upstream.report()
+        node.flows.busy_count = 9
+        report = LoadReport(1, "board", True, 0.0, 3)
+        node.placement.peer_by_id[f"{other}:7600"].take_report(report, world.now)
+        world.cut.add((other, home))
+        client = world.make_client()
+        datagram = write_packet(client.flow, SYN, 1, 2)
+        carry = Carry(1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram)
+        effects = node.take_carry(carry, ("10.1.0.1", 7600), world.now)
+        world.perform(home, effects)
+        world.run(0.1)
+        assert client.opened
+        assert client.resets == 0
+
     def test_a_load_that_is_borne_is_not_held_up(self):
         waits = self.play(60, 280)
         assert self.count_in_aim(waits) == 340
