--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -19,7 +19,7 @@
 import matplotlib
 from attrs import asdict, define, frozen
 
-from tests.support.flow_world import make_world
+from tests.support.flow_world import make_world, send_requests
 
 matplotlib.use("Agg")
 from matplotlib import pyplot
@@ -99,7 +99,8 @@
         upstream.work, upstream.room = load.work, load.room
         upstream.cold_for = load.cold_for
         upstream.report()
-    sent = send(world, load.crowd, CROWD_TIME) + send(world, load.later, LATER_TIME)
+    sent = send_requests(world, load.crowd, CROWD_TIME)
+    sent += send_requests(world, load.later, LATER_TIME)
     world.run(load.deadline)
     ends = [(at, client.last_try) for at, client in sent]
     waits = [end.answered_at - at for at, end in ends if end.answers]
@@ -108,17 +109,6 @@
     return measure(load, waits, opens)
 
 
-def send(world, count, seconds):
-    """Send requests evenly; return when each was sent, and its client."""
-    sent = []
-    for _ in range(count):
-        client = world.make_client()
-        client.request()
-        sent.append((world.now, client))
-        world.run(seconds / count)
-    return sent
-
-
 def measure(load, waits, opens):
     """Return what the callers of one play got."""
     total = load.crowd + load.later
--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -13,6 +13,7 @@
     make_table,
     make_world,
     open_flows,
+    send_requests,
     write_packet,
 )
 
@@ -233,20 +234,11 @@
             upstream.restart()
             upstream.work, upstream.room, upstream.cold_for = 0.055, 16, 3.0
             upstream.report()
-        sent = self.send(world, crowd, 0.2) + self.send(world, later, 2.0)
+        sent = send_requests(world, crowd, 0.2) + send_requests(world, later, 2.0)
         world.run(self.DEADLINE)
         ends = [(at, client.last_try) for at, client in sent]
         return [end.answered_at - at for at, end in ends if end.answers]
 
-    def send(self, world, count, seconds):
-        sent = []
-        for _ in range(count):
-            client = world.make_client()
-            client.request()
-            sent.append((world.now, client))
-            world.run(seconds / count)
-        return sent
-
     @pytest.mark.parametrize(("crowd", "later"), [(200, 280), (400, 280), (200, 400)])
     def test_more_are_answered_and_more_within_their_aim(
         self, crowd, later, monkeypatch
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -29,7 +29,6 @@
 REPORT_PERIOD = 1.0
 FLOW_LIFETIME = 60.0
 LINK_DELAY = 0.0005
-START_DELAY = 0.3
 ADDRESS = ("198.18.0.1", 443)
 
 
@@ -314,6 +313,17 @@
     return clients
 
 
+def send_requests(world, count, seconds):
+    """Send requests evenly; return when each was sent, and its client."""
+    sent = []
+    for _ in range(count):
+        client = world.make_client()
+        client.request()
+        sent.append((world.now, client))
+        world.run(seconds / count)
+    return sent
+
+
 def count_foreign(world):
     return sum(sum(u.foreign.values()) for u in world.upstream_by_host.values())
 
@@ -329,6 +339,7 @@
     "make_table",
     "make_world",
     "open_flows",
+    "send_requests",
     "pack_end",
     "write_packet",
 ]
