The last log lines are written though the writer is at others

On closing, the log handed nothing to its writer while an earlier batch still waited there, and took a writer for idle that had looked before the next batch came. Ruled out: the process did end by itself with code 0, so the line was written. Change: closing hands over what waits after the earlier batch, then an end mark, and joins the writer, all within the same limit. The test has a writer held up by a full pipe; it fails without the change.

--- a/bilberrypath/transport/line_log.py
+++ b/bilberrypath/transport/line_log.py
@@ -10,7 +10,9 @@
 import os
 import queue
 import threading
+import time
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -62,9 +64,7 @@
         self._output = output
         self._budget = LineBudget()
         self._waiting: deque[str] = deque(maxlen=MAX_WAITING)
-        self._batches: queue.Queue[list[str]] = queue.Queue(maxsize=1)
-        self._idle = threading.Event()
-        self._idle.set()
+        self._batches: queue.Queue[list[str] | None] = queue.Queue(maxsize=1)
         self._logger = structlog.wrap_logger(
             _Buffer(self._waiting, self._budget),
             processors=[
@@ -73,7 +73,8 @@
             ],
             wrapper_class=structlog.BoundLogger,
         ).bind(node=node, role=role)
-        threading.Thread(target=self._write_forever, daemon=True).start()
+        self._writer = threading.Thread(target=self._write_all_batches, daemon=True)
+        self._writer.start()
 
     def write(self, event: str, now: Seconds, **fields: Any) -> None:
         """Write a line, unless there were too many of its kind."""
@@ -82,27 +83,36 @@
 
     def flush(self) -> None:
         """Hand waiting lines to the writer, if it has written the last ones."""
+        if self._batches.full():
+            return
+        batch = self._take_waiting()
+        if batch:
+            self._batches.put_nowait(batch)
+
+    def close(self) -> None:
+        """Write what waits, at the end of the process, if somebody takes it.
+
+        The writer may be at a batch, with another one ready; both go before what
+        waits.
+        """
+        end = time.monotonic() + CLOSE_LIMIT
+        for batch in (self._take_waiting(), None):
+            with suppress(queue.Full):
+                self._batches.put(batch, timeout=_count_left(end))
+        self._writer.join(_count_left(end))
+
+    def _take_waiting(self) -> list[str]:
         dropped = self._budget.take_dropped()
         if dropped:
             self._logger.info("lines_dropped", **dropped)
-        if not self._waiting or self._batches.full():
-            return
         batch = list(self._waiting)
         self._waiting.clear()
-        self._idle.clear()
-        self._batches.put_nowait(batch)
+        return batch
 
-    def close(self) -> None:
-        """Write what waits, at the end of the process, if somebody takes it."""
-        self.flush()
-        self._idle.wait(CLOSE_LIMIT)
-
-    def _write_forever(self) -> None:
-        while True:
-            batch = self._batches.get()
-            _write_all(self._output, ("\n".join(batch) + "\n").encode())
-            if self._batches.empty():
-                self._idle.set()
+    def _write_all_batches(self) -> None:
+        while (batch := self._batches.get()) is not None:
+            if batch:
+                _write_all(self._output, ("\n".join(batch) + "\n").encode())
 
 
 class _Buffer:
@@ -119,6 +129,10 @@
         self._waiting.append(line)
 
 
+def _count_left(end: Seconds) -> Seconds:
+    return max(0.0, end - time.monotonic())
+
+
 def _write_all(output: int, data: bytes) -> None:
     """Write all of the data, or lose it if nobody takes it."""
     while data:
--- a/tests/transport/test_line_log.py
+++ b/tests/transport/test_line_log.py
@@ -8,6 +8,15 @@
 from bilberrypath.transport import line_log
 from bilberrypath.transport.line_log import LINES_PER_KIND, MAX_WAITING, LineLog
 
+PIPE_SIZE = 65536  # bytes that a pipe holds before its writer waits
+
+
+def _wait_until(happened):
+    end = time.monotonic() + 5.0
+    while not happened():
+        assert time.monotonic() < end
+        time.sleep(0.001)
+
 
 @pytest.fixture
 def written():
@@ -74,6 +83,30 @@
         (dropped,) = [line for line in lines if line["event"] == "lines_dropped"]
         assert dropped["oldest"] >= 5
 
+    def test_the_last_ones_are_written_though_the_writer_is_busy(self):
+        read_end, write_end = os.pipe()
+        log = LineLog("n", "agent", write_end)
+        log.write("started", 0.0, padding="x" * PIPE_SIZE)
+        log.flush()
+        _wait_until(lambda: not log._batches.full())
+        log.write("serving", 0.0)
+        log.flush()
+        log.write("stopped", 0.0)
+        taken = bytearray()
+
+        def take():
+            time.sleep(0.05)  # the end has begun by then
+            while chunk := os.read(read_end, 4 * PIPE_SIZE):
+                taken.extend(chunk)
+
+        thread = threading.Thread(target=take, daemon=True)
+        thread.start()
+        log.close()
+        os.close(write_end)
+        thread.join(5.0)
+        lines = [json.loads(line) for line in taken.decode().splitlines()]
+        assert [line["event"] for line in lines] == ["started", "serving", "stopped"]
+
     def test_a_closed_output_does_no_harm(self):
         log = LineLog("n", "agent", -1)
         log.write("started", 0.0)
