Store watches: short after a failure, and noticed as lost within the stable window

The users' stable window is 4 s, so that a change after it could be learnt late. Change: after a failure a watch waits 0.5 s (given up after 1 s) until one is answered; else 2.5 s (3.5 s).

--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -21,8 +21,10 @@
     from bilberrypath.types import Address, Seconds
 
 READ_TIMEOUT: Seconds = 1.0  # the store answers in milliseconds
-WATCH_WAIT: Seconds = 4.0  # a silent connection is noticed this much later
-WATCH_SLACK: Seconds = 1.0
+WATCH_WAIT: Seconds = 2.5  # with the slack below the users' shortest stable window
+WATCH_SLACK: Seconds = 1.0  # a slow store answers within this
+FIRST_WATCH_WAIT: Seconds = 0.5  # after a failure; the store may be back any moment
+FIRST_WATCH_SLACK: Seconds = 0.5  # twice the answers of a slow store seen so far
 OK = 200
 HISTORY_GONE = 410
 UNANSWERABLE = (429, 503)  # nothing was done; the same call may be made again
@@ -62,18 +64,22 @@
     def __init__(self, address: Address) -> None:
         self._client = HttpClient(address)
         self._watched_to = 0
+        self._has_failed = False
 
     async def follow(self, have: RouteTable) -> RouteTable | None:
         """Return the next table after ``have``, or None if none came in time."""
         if have.revision == 0:
             return await self._read_whole()
         after = max(self._watched_to, have.revision)
+        wait, slack = WATCH_WAIT, WATCH_SLACK
+        if self._has_failed:
+            wait, slack = FIRST_WATCH_WAIT, FIRST_WATCH_SLACK
         query = {
             "prefix": OPERATOR_PREFIX,
             "after": after,
-            "waitMs": round(WATCH_WAIT * 1000),
+            "waitMs": round(wait * 1000),
         }
-        status, body = await self._get("/v1/kv-watch", query, WATCH_WAIT + WATCH_SLACK)
+        status, body = await self._get("/v1/kv-watch", query, wait + slack)
         if status == HISTORY_GONE:
             return await self._read_whole()
         news = _decode(_decode_events, status, body)
@@ -108,8 +114,10 @@
                 "GET", f"{path}?{urlencode(query)}", timeout
             )
         except HttpCallFailed as error:
+            self._has_failed = True
             raise RoutesUnavailable(str(error)) from error
-        if response.status in UNANSWERABLE:
+        self._has_failed = response.status in UNANSWERABLE
+        if self._has_failed:
             raise RoutesUnavailable(f"{path} was answered by {response.status}")
         return response.status, response.body
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,9 +9,15 @@
 from tests.platform.test_documents import CONFIG
 from tests.standins.platform_store import PlatformStore
 
+WATCH_TIME = store_module.WATCH_WAIT + store_module.WATCH_SLACK
+FIRST_WATCH_TIME = store_module.FIRST_WATCH_WAIT + store_module.FIRST_WATCH_SLACK
+STABLE_WINDOW = 4.0  # the shorter one of the users' deployments
+
 
 @pytest.fixture
 async def store(monkeypatch):
+    monkeypatch.setattr(store_module, "FIRST_WATCH_WAIT", 0.05)
+    monkeypatch.setattr(store_module, "FIRST_WATCH_SLACK", 0.1)
     monkeypatch.setattr(store_module, "WATCH_WAIT", 0.2)
     monkeypatch.setattr(store_module, "WATCH_SLACK", 0.2)
     monkeypatch.setattr(store_module, "READ_TIMEOUT", 0.3)
@@ -104,6 +110,25 @@
         store.put("op/config", CONFIG | {"version": 8})
         assert (await source.follow(table)).version == 8
 
+    async def test_a_watch_after_a_failure_is_short_until_one_is_answered(
+        self, store, source
+    ):
+        store.put("op/config", CONFIG)
+        table = await source.follow(RouteTable())
+        store.mode = "silent"
+        for _ in range(2):
+            with pytest.raises(RoutesUnavailable):
+                await source.follow(table)
+        store.mode = ""
+        await source.follow(table)
+        await source.follow(table)
+        waits = [int(call.rpartition("=")[2]) for call in store.calls[1:]]
+        assert waits == [200, 50, 50, 200]
+
+    def test_a_lost_watch_is_noticed_while_the_store_counts_as_unstable(self):
+        assert WATCH_TIME < STABLE_WINDOW
+        assert FIRST_WATCH_TIME <= 1.0
+
     async def test_a_configuration_that_can_not_be_read_changes_nothing(
         self, store, source
     ):
