An agent that leaves does not announce that it serves again

The next report of the upstream, or the next tick, undid the announcement of the leave. Change: a leaving agent announces nothing more. The test fails without it.

--- a/bilberrypath/coordination/upstream_keeper.py
+++ b/bilberrypath/coordination/upstream_keeper.py
@@ -170,7 +170,12 @@
         return ahead >= (COPY_QUEUE if copies else FIRST_QUEUE) * self.slots
 
     def refresh_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
-        """Announce whether the upstream takes work, if that changed."""
+        """Announce whether the upstream takes work, if that changed.
+
+        An agent that leaves has said that it takes none, and says nothing else.
+        """
+        if self.agent.is_leaving:
+            return []
         unable = self.watch.find_unable(0.0, 0, 1, now)
         status = Status.DRAINING if unable in UNABLE_TO_SERVE else Status.SERVING
         if self.agent.presence.me.status in (status, Status.LEFT):
--- a/tests/coordination/test_flow_affinity.py
+++ b/tests/coordination/test_flow_affinity.py
@@ -6,8 +6,10 @@
 from bilberrypath.coordination.flow_events import UpstreamUnreachable
 from bilberrypath.platform.packet_head import SYN
 from bilberrypath.protocol.flow_messages import Carry
+from bilberrypath.state.members import Status
 from tests.support.flow_world import (
     ADDRESS,
+    REPORT_PERIOD,
     count_foreign,
     find_holder,
     make_table,
@@ -168,6 +170,13 @@
         assert all(client.opened for client in later)
         assert all(client.answers for client in clients)
 
+    def test_an_agent_that_leaves_does_not_say_that_it_serves_again(self):
+        world = make_world(agents=2)
+        node = world.node_by_host["10.2.0.1"]
+        world.feed("10.2.0.1", Leave())
+        world.run(2 * REPORT_PERIOD)
+        assert node.presence.me.status is Status.DRAINING
+
     def test_the_only_agent_takes_opens_until_it_ends(self):
         world = make_world(agents=1)
         world.feed("10.2.0.1", Leave())
