Sockets are bound before a process has loaded its modules

An agent started anew beside a living upstream lost its packets likewise. Ruled out: the store (routes were read 10 ms after the start), searches. Change: settings are read first, then all sockets bound; what comes waits in the kernel. A balancer begins to read clients' packets when it has routes and knows an agent, half a second after its start at the latest. The two servers of connections share how they start and close.

--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -80,6 +80,11 @@
         """Whether opens can be placed: routes are held and peers are known."""
         return self.routes.revision > 0 and self.fleet.is_joined
 
+    @property
+    def can_place(self) -> bool:
+        """Whether there are routes, and an agent to hand packets to."""
+        return self.routes.revision > 0 and self.members.table.has_agents
+
     @property
     def reads_store(self) -> bool:
         """Whether this balancer should watch the platform's service now."""
--- a/bilberrypath/platform/__main__.py
+++ b/bilberrypath/platform/__main__.py
@@ -1,7 +1,8 @@
 """Start a process on the platform: ``python3 -m bilberrypath.platform ROLE``.
 
 Each role imports only its own modules: what a process imports is most of the
-time that it takes to start, in which its flows wait.
+time that it takes to start, in which its flows wait. Its sockets are bound first,
+so that what comes meanwhile is not lost.
 """
 
 from __future__ import annotations
@@ -9,63 +10,90 @@
 import os
 import sys
 from functools import partial
+from typing import TYPE_CHECKING
 
-from bilberrypath.platform.lean_asyncio import run
-from bilberrypath.platform.packet_head import PacketHeads
-from bilberrypath.platform.upstream_reports import answer_ready, answer_report
+from bilberrypath.flow_settings import (
+    load_flow_agent_settings,
+    load_flow_balancer_settings,
+)
 from bilberrypath.settings_reader import SettingsError
-from bilberrypath.transport.http_server import HttpServer
+from bilberrypath.transport.bound_sockets import BoundSockets
+
+if TYPE_CHECKING:
+    from bilberrypath.transport.flow_daemon import FlowDaemon
 
 SETTINGS_VARIABLE = "BILBERRYPATH_BOOT"
 
 
-async def run_balancer(path: str) -> None:
-    """Run a balancer until it is asked to end."""
-    from bilberrypath.flow_settings import load_flow_balancer_settings
+def prepare_balancer(path: str) -> FlowDaemon:
+    """Return a balancer with its sockets bound."""
+    settings = load_flow_balancer_settings(path)
+    node = settings.node
+    sockets = BoundSockets()
+    sockets.receive(settings.packet_address, node.peer_address)
+    sockets.listen(node.ready_address, node.peer_address)
+
+    from bilberrypath.platform import lean_asyncio  # noqa: F401
+    from bilberrypath.platform.packet_head import PacketHeads
     from bilberrypath.platform.store import PlatformRoutes
+    from bilberrypath.platform.upstream_reports import answer_ready
     from bilberrypath.transport.flow_balancer_daemon import FlowBalancerDaemon
+    from bilberrypath.transport.http_server import HttpServer
 
-    settings = load_flow_balancer_settings(path)
     daemon = FlowBalancerDaemon(
         settings,
         PacketHeads(),
         PlatformRoutes(settings.store_address),
         lambda: load_flow_balancer_settings(path),
+        sockets,
     )
     ready = HttpServer(partial(answer_ready, lambda: daemon.is_ready))
-    daemon.serve_http(ready, settings.node.ready_address)
-    await daemon.run()
+    daemon.serve_http(ready, node.ready_address)
+    return daemon
 
 
-async def run_agent(path: str) -> None:
-    """Run an agent until it is asked to end."""
-    from bilberrypath.flow_settings import load_flow_agent_settings
+def prepare_agent(path: str) -> FlowDaemon:
+    """Return an agent with its sockets bound."""
+    settings = load_flow_agent_settings(path)
+    node = settings.node
+    sockets = BoundSockets()
+    sockets.receive(settings.outbound, node.peer_address)
+    sockets.listen(settings.report_address, node.ready_address, node.peer_address)
+
+    from bilberrypath.platform import lean_asyncio  # noqa: F401
+    from bilberrypath.platform.packet_head import PacketHeads
+    from bilberrypath.platform.upstream_reports import answer_ready, answer_report
     from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
+    from bilberrypath.transport.http_server import HttpServer
 
-    settings = load_flow_agent_settings(path)
     daemon = FlowAgentDaemon(
-        settings, PacketHeads(), lambda: load_flow_agent_settings(path)
+        settings, PacketHeads(), lambda: load_flow_agent_settings(path), sockets
     )
     ready = HttpServer(partial(answer_ready, lambda: daemon.is_ready))
-    daemon.serve_http(ready, settings.node.ready_address)
+    daemon.serve_http(ready, node.ready_address)
     reports = HttpServer(partial(answer_report, daemon.feed))
     daemon.serve_http(reports, settings.report_address)
-    await daemon.run()
+    return daemon
 
 
 def main() -> int:
     """Run the role named on the command line."""
-    run_by_role = {"balancer": run_balancer, "agent": run_agent}
+    prepare_by_role = {"balancer": prepare_balancer, "agent": prepare_agent}
     role = sys.argv[1] if len(sys.argv) > 1 else ""
-    if role not in run_by_role:
-        print(f"role {role!r} is none of {', '.join(run_by_role)}", file=sys.stderr)
+    if role not in prepare_by_role:
+        names = ", ".join(prepare_by_role)
+        print(f"role {role!r} is none of {names}", file=sys.stderr)
         return 2
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        run(run_by_role[role](path))
-    except SettingsError as error:
+        daemon = prepare_by_role[role](path)
+    except (SettingsError, OSError) as error:
         print(error, file=sys.stderr)
         return 1
+
+    from bilberrypath.platform.lean_asyncio import run
+
+    run(daemon.run())
     return 0
 
 
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -169,6 +169,11 @@
         self._ids_by_bucket[bucket].discard(node_id)
         self._unindex(known)
 
+    @property
+    def has_agents(self) -> bool:
+        """Whether any agent is known that is not gone."""
+        return bool(self._agents_by_service)
+
     def list_agents(self, service: ServiceName) -> Iterable[Member]:
         """Return the agents of a service that are not gone."""
         return self._agents_by_service.get(service, {}).values()
--- a/bilberrypath/transport/bulk_calls.py
+++ b/bilberrypath/transport/bulk_calls.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from bilberrypath.protocol.bulk import Struct, TableReply
+from bilberrypath.transport.stream_server import StreamServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,27 +59,19 @@
     """A call was not answered in time, or not by one of ours."""
 
 
-class BulkServer:
+class BulkServer(StreamServer):
     """Answer calls on the TCP side of the peer address."""
 
     def __init__(
         self, answer: Callable[[Request], RouteTable | TableReply | StatusReply]
     ) -> None:
+        super().__init__()
         self._answer = answer
-        self._server: asyncio.Server | None = None
 
-    async def start(self, address: Address) -> None:
-        """Begin to answer."""
-        self._server = await asyncio.start_server(self._serve, *address)
-
-    def close(self) -> None:
-        """Stop answering."""
-        if self._server is not None:
-            self._server.close()
-
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Answer the one call of a connection."""
         try:
             async with asyncio.timeout(CALL_TIMEOUT):
                 request = _decode_request(await _read_body(reader))
--- a/bilberrypath/transport/datagrams.py
+++ b/bilberrypath/transport/datagrams.py
@@ -6,6 +6,8 @@
 import socket
 from typing import TYPE_CHECKING
 
+from bilberrypath.transport.bound_sockets import BUFFER, bind_datagrams
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -13,7 +15,6 @@
 
 BATCH = 64  # datagrams read at each wake-up
 MAX_READ = 65536  # bytes
-BUFFER = 4 * 1024 * 1024  # bytes asked of the kernel for each direction
 
 
 class DatagramSocket:
@@ -21,18 +22,17 @@
 
     ``on_datagram`` is called with each datagram and its sender. What the
     kernel can't take at once is dropped and counted in ``dropped_count``, as
-    a network would.
+    a network would. It is bound here where an address is given.
     """
 
     def __init__(
-        self, address: Address, on_datagram: Callable[[bytes, Address], None]
+        self,
+        bound: Address | socket.socket,
+        on_datagram: Callable[[bytes, Address], None],
     ) -> None:
         self._on_datagram = on_datagram
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
-        self._socket.bind(address)
+        is_open = isinstance(bound, socket.socket)
+        self._socket = bound if is_open else bind_datagrams(bound)
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(self._socket.fileno(), self._read_batch)
         self.dropped_count = 0
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -23,6 +23,7 @@
     from bilberrypath.flow_settings import FlowAgentSettings
     from bilberrypath.protocol.flow_messages import Carry
     from bilberrypath.protocol.flow_packet import PacketCodec
+    from bilberrypath.transport.bound_sockets import BoundSockets
     from bilberrypath.types import Address, NodeId, Seconds
 
 LEAVE_TIME: Seconds = 0.05  # for the last heartbeats to go out
@@ -39,6 +40,7 @@
         settings: FlowAgentSettings,
         codec: PacketCodec,
         reload: Callable[[], FlowAgentSettings],
+        sockets: BoundSockets,
     ) -> None:
         node = settings.node
         me = make_own_record(
@@ -58,7 +60,7 @@
             settings.first_start,
         )
         core = FlowAgent(setup, codec, Random(), time.monotonic())
-        super().__init__(node, core, lambda: reload().node)
+        super().__init__(node, core, lambda: reload().node, sockets)
         self._agent_settings = settings
 
     @property
@@ -69,7 +71,9 @@
     async def open(self) -> None:
         """Open the sockets to and from the upstream."""
         settings = self._agent_settings
-        self._outbound = DatagramSocket(settings.outbound, self._take_upstream)
+        self._outbound = DatagramSocket(
+            self.sockets.take_datagrams(settings.outbound), self._take_upstream
+        )
         self._upstream = ConnectedSocket(settings.upstream, self._note_refused)
         core = self.core
         self.metrics.show("revision", lambda: core.routes.revision)
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -21,6 +21,7 @@
     from bilberrypath.flow_settings import FlowBalancerSettings
     from bilberrypath.protocol.flow_packet import PacketCodec
     from bilberrypath.state.routes import RouteTable
+    from bilberrypath.transport.bound_sockets import BoundSockets
     from bilberrypath.transport.bulk_calls import MembersRequest
     from bilberrypath.types import Address, Seconds
 
@@ -29,6 +30,8 @@
 LONGEST_PAUSE: Seconds = 1.0  # the service is used again within this
 LEAVE_TURNED_AWAY: Seconds = 1.5  # the fabric turns away after two misses of 0.5 s
 LEAVE_QUIET: Seconds = 0.5  # without a packet, when turned away
+FIRST_PACKETS_LIMIT: Seconds = 0.5  # a client gives an open up after 1.4 s
+FIRST_PACKETS_LOOK: Seconds = 0.005  # a fraction of a read of the routes
 
 
 class RoutesUnavailable(Exception):
@@ -56,6 +59,7 @@
         codec: PacketCodec,
         source: RouteSource,
         reload: Callable[[], FlowBalancerSettings],
+        sockets: BoundSockets,
     ) -> None:
         node = settings.node
         me = make_own_record(
@@ -67,7 +71,7 @@
             time.time_ns() // NANOSECONDS,
         )
         core = FlowBalancer(me, node.seeds, codec, Random(), time.monotonic())
-        super().__init__(node, core, lambda: reload().node)
+        super().__init__(node, core, lambda: reload().node, sockets)
         self._packet_address = settings.packet_address
         self._source = source
         self._last_packet_at = 0.0
@@ -80,13 +84,25 @@
 
     async def open(self) -> None:
         """Open the socket for clients' packets and begin to follow the routes."""
-        self._packets = DatagramSocket(self._packet_address, self._take_packet)
         core = self.core
         self.metrics.show("revision", lambda: core.routes.revision)
         self.metrics.show("members", lambda: len(core.members.table))
         self.metrics.show("places", lambda: len(core.places))
         self.metrics.show("silent_peers", lambda: len(core.silent.since_by_id))
         self.start(self._follow_routes())
+        self.start(self._read_packets())
+
+    async def _read_packets(self) -> None:
+        """Take clients' packets, once there is where to send them.
+
+        Until then they wait in the kernel: what comes just after a start would be
+        lost here, and its client would send it again much later.
+        """
+        bound = self.sockets.take_datagrams(self._packet_address)
+        end = time.monotonic() + FIRST_PACKETS_LIMIT
+        while not self.core.can_place and time.monotonic() < end:
+            await asyncio.sleep(FIRST_PACKETS_LOOK)
+        self._packets = DatagramSocket(bound, self._take_packet)
 
     async def leave(self) -> None:
         """Forward until the fabric has turned away."""
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -49,6 +49,7 @@
     from bilberrypath.coordination.flow_balancer import FlowBalancer
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.flow_settings import FlowNodeSettings
+    from bilberrypath.transport.bound_sockets import BoundSockets
     from bilberrypath.transport.bulk_calls import Request
     from bilberrypath.types import Address, NodeId, Seconds
 
@@ -67,7 +68,9 @@
         settings: FlowNodeSettings,
         core: FlowBalancer | FlowAgent,
         reload: Callable[[], FlowNodeSettings],
+        sockets: BoundSockets,
     ) -> None:
+        self.sockets = sockets
         self.settings = settings
         self.core = core
         self._reload = reload
@@ -83,13 +86,16 @@
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then leave without harm."""
-        self._peer = DatagramSocket(self.settings.peer_address, self._take_message)
-        await self._bulk.start(self.settings.peer_address)
+        peer = self.settings.peer_address
+        self._peer = DatagramSocket(
+            self.sockets.take_datagrams(peer), self._take_message
+        )
+        await self._bulk.start_on(self.sockets.take_listener(peer))
         if self.settings.metrics_address is not None:
             await self._metrics_server.start(self.settings.metrics_address)
         await self.open()
         for server, address in self._http_servers:
-            await server.start(address)
+            await server.start_on(self.sockets.take_listener(address))
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._note_exception)
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/bilberrypath/transport/http_server.py
+++ b/bilberrypath/transport/http_server.py
@@ -8,10 +8,12 @@
 import h11
 from attrs import frozen
 
+from bilberrypath.transport.stream_server import StreamServer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bilberrypath.types import Address, Seconds
+    from bilberrypath.types import Seconds
 
 IDLE_TIMEOUT: Seconds = 30.0  # far beyond the pause between two calls of a caller
 MAX_BODY = 65536  # bytes; a call to a process is below 1 KB
@@ -36,25 +38,17 @@
     content_type: str = "application/json"
 
 
-class HttpServer:
+class HttpServer(StreamServer):
     """Answer each request by one call of a function."""
 
     def __init__(self, answer: Callable[[HttpRequest], HttpResponse]) -> None:
+        super().__init__()
         self._answer = answer
-        self._server: asyncio.Server | None = None
-
-    async def start(self, address: Address) -> None:
-        """Begin to answer."""
-        self._server = await asyncio.start_server(self._serve, *address)
-
-    def close(self) -> None:
-        """Stop answering."""
-        if self._server is not None:
-            self._server.close()
 
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Answer requests until one is the last on its connection."""
         connection = h11.Connection(h11.SERVER)
         try:
             while await self._serve_one(connection, reader, writer):
--- /dev/null
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -0,0 +1,100 @@
+"""A balancer's daemon between its start and its first routes."""
+
+import asyncio
+import socket
+
+import pytest
+
+from bilberrypath.flow_settings import FlowBalancerSettings, FlowNodeSettings
+from bilberrypath.platform.packet_head import SYN, PacketHeads
+from bilberrypath.protocol.flow_messages import (
+    Carry,
+    FlowHeartbeat,
+    decode_message,
+    encode_message,
+)
+from bilberrypath.protocol.flow_packet import pack_flow
+from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.transport.bound_sockets import BoundSockets
+from bilberrypath.transport.datagrams import DatagramSocket
+from bilberrypath.transport.flow_balancer_daemon import FlowBalancerDaemon
+from tests.support.flow_model import write_packet
+from tests.support.flow_world import ADDRESS, make_table
+
+BALANCER = "127.83.0.1"
+AGENT = "127.83.0.2"
+PEER_PORT = 7720
+PACKET_PORT = 8172
+
+
+class LateRoutes:
+    """A source of routes that gives none until it is told."""
+
+    def __init__(self):
+        self.may_give = asyncio.Event()
+
+    async def follow(self, have):
+        await self.may_give.wait()
+        return make_table() if have.revision == 0 else await asyncio.sleep(3600)
+
+
+@pytest.fixture
+async def routes():
+    return LateRoutes()
+
+
+@pytest.fixture
+async def daemon(routes):
+    node = FlowNodeSettings(
+        (BALANCER, PEER_PORT), "a", (), (BALANCER, 8167), PACKET_PORT, None
+    )
+    settings = FlowBalancerSettings(node, (BALANCER, PACKET_PORT), (BALANCER, 8169))
+    sockets = BoundSockets()
+    sockets.receive((BALANCER, PACKET_PORT))
+    daemon = FlowBalancerDaemon(
+        settings, PacketHeads(), routes, lambda: settings, sockets
+    )
+    running = asyncio.create_task(daemon.run())
+    yield daemon
+    running.cancel()
+
+
+@pytest.fixture
+async def carried():
+    """Carries that come to a stand-in for an agent, which sends heartbeats."""
+    queue = asyncio.Queue()
+
+    def take(datagram, _sender):
+        message = decode_message(datagram)
+        if isinstance(message, Carry):
+            queue.put_nowait(message)
+
+    agent = DatagramSocket((AGENT, PEER_PORT), take)
+    member = Member(
+        f"{AGENT}:{PEER_PORT}", Role.AGENT, "a", "board", 1, 1, Status.SERVING
+    )
+
+    async def send_heartbeats():
+        for sequence in range(1, 500):
+            heartbeat = FlowHeartbeat(member, sequence, 0, 0)
+            agent.send(encode_message(heartbeat), (BALANCER, PEER_PORT))
+            await asyncio.sleep(0.01)
+
+    sending = asyncio.create_task(send_heartbeats())
+    yield queue
+    sending.cancel()
+    agent.close()
+
+
+class TestFirstPackets:
+    async def test_wait_until_there_is_where_to_send_them(
+        self, routes, carried, daemon
+    ):
+        flow = pack_flow(("100.64.0.1", 4000), ADDRESS)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+            client.sendto(write_packet(flow, SYN, 1), (BALANCER, PACKET_PORT))
+        await asyncio.sleep(0.1)
+        assert carried.empty()
+        routes.may_give.set()
+        message = await asyncio.wait_for(carried.get(), 5.0)
+        assert PacketHeads().read_from_client(message.datagram).flow == flow
