--- a/bilberrypath/transport/line_log.py
+++ b/bilberrypath/transport/line_log.py
@@ -1,8 +1,8 @@
 """A log of JSON lines on standard output that never blocks the process.
 
-Lines wait in a bounded buffer and are written by a thread. Each kind of line
-has a budget a second; what is above it, and what the buffer sheds, is counted
-and told in a line of its own.
+Lines wait in a bounded buffer; a thread renders and writes them, so that a packet
+waits for neither. Each kind of line has a budget a second; what is above it, and
+what the buffer sheds, is counted and told in a line of its own.
 """
 
 from __future__ import annotations
@@ -13,12 +13,14 @@
 import time
 from collections import deque
 from contextlib import suppress
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
-import structlog
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 if TYPE_CHECKING:
+    import structlog
+
     from bilberrypath.types import Seconds
 
 LINES_PER_KIND = 40  # a second; a balancer places about 30 opens a second today
@@ -43,43 +45,53 @@
             self._written_by_kind.clear()
         written = self._written_by_kind.get(kind, 0)
         if written >= self.limit:
-            self.dropped_by_kind[kind] = self.dropped_by_kind.get(kind, 0) + 1
+            self.note_dropped(kind)
             return False
         self._written_by_kind[kind] = written + 1
         return True
 
+    def note_dropped(self, kind: str) -> None:
+        """Count a line that is left out."""
+        self.dropped_by_kind[kind] = self.dropped_by_kind.get(kind, 0) + 1
+
     def take_dropped(self) -> dict[str, int]:
         """Return how many lines were left out since the last call, by kind."""
         dropped, self.dropped_by_kind = self.dropped_by_kind, {}
         return dropped
 
 
+@frozen
+class LogLine:
+    """A line that is not rendered yet; ``at`` is the time of day, in seconds."""
+
+    event: str
+    at: float
+    fields: dict[str, Any]
+
+
 class LineLog:
-    """Render lines at once, and write them in the background.
+    """Take lines at once, and render and write them in the background.
 
     ``output`` is the descriptor that they are written to.
     """
 
     def __init__(self, node: str, role: str, output: int = STANDARD_OUTPUT) -> None:
         self._output = output
+        self._origin = {"node": node, "role": role}
         self._budget = LineBudget()
-        self._waiting: deque[str] = deque(maxlen=MAX_WAITING)
-        self._batches: queue.Queue[list[str] | None] = queue.Queue(maxsize=1)
-        self._logger = structlog.wrap_logger(
-            _Buffer(self._waiting, self._budget),
-            processors=[
-                structlog.processors.TimeStamper(fmt="iso", utc=True),
-                structlog.processors.JSONRenderer(),
-            ],
-            wrapper_class=structlog.BoundLogger,
-        ).bind(node=node, role=role)
+        self._waiting: deque[LogLine] = deque()
+        self._batches: queue.Queue[list[LogLine] | None] = queue.Queue(maxsize=1)
         self._writer = threading.Thread(target=self._write_all_batches, daemon=True)
         self._writer.start()
 
     def write(self, event: str, now: Seconds, **fields: Any) -> None:
         """Write a line, unless there were too many of its kind."""
-        if self._budget.takes(event, now):
-            self._logger.info(event, **fields)
+        if not self._budget.takes(event, now):
+            return
+        if len(self._waiting) == MAX_WAITING:
+            self._waiting.popleft()
+            self._budget.note_dropped("oldest")
+        self._waiting.append(LogLine(event, time.time(), fields))
 
     def flush(self) -> None:
         """Hand waiting lines to the writer, if it has written the last ones."""
@@ -101,32 +113,38 @@
                 self._batches.put(batch, timeout=_count_left(end))
         self._writer.join(_count_left(end))
 
-    def _take_waiting(self) -> list[str]:
+    def _take_waiting(self) -> list[LogLine]:
         dropped = self._budget.take_dropped()
-        if dropped:
-            self._logger.info("lines_dropped", **dropped)
         batch = list(self._waiting)
         self._waiting.clear()
+        if dropped:
+            batch.append(LogLine("lines_dropped", time.time(), dropped))
         return batch
 
     def _write_all_batches(self) -> None:
+        logger = None
         while (batch := self._batches.get()) is not None:
-            if batch:
-                _write_all(self._output, ("\n".join(batch) + "\n").encode())
+            logger = logger or _make_logger(self._origin)
+            lines = [_render(logger, line) for line in batch]
+            if lines:
+                _write_all(self._output, ("\n".join(lines) + "\n").encode())
 
 
-class _Buffer:
-    """The logger that structlog calls with rendered lines."""
+def _make_logger(origin: dict[str, str]) -> structlog.BoundLogger:
+    """Return a logger that returns its lines; loaded when there is one to write."""
+    import structlog
 
-    def __init__(self, waiting: deque[str], budget: LineBudget) -> None:
-        self._waiting = waiting
-        self._budget = budget
+    return structlog.wrap_logger(
+        structlog.ReturnLogger(),
+        processors=[structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.BoundLogger,
+    ).bind(**origin)
 
-    def info(self, line: str) -> None:
-        if len(self._waiting) == MAX_WAITING:
-            dropped = self._budget.dropped_by_kind
-            dropped["oldest"] = dropped.get("oldest", 0) + 1
-        self._waiting.append(line)
+
+def _render(logger: structlog.BoundLogger, line: LogLine) -> str:
+    at = datetime.fromtimestamp(line.at, UTC).replace(tzinfo=None)
+    timestamp = at.isoformat(timespec="microseconds") + "Z"
+    return logger.info(line.event, **{**line.fields, "timestamp": timestamp})
 
 
 def _count_left(end: Seconds) -> Seconds:
--- a/tests/transport/test_line_log.py
+++ b/tests/transport/test_line_log.py
@@ -2,6 +2,7 @@
 import os
 import threading
 import time
+from datetime import datetime
 
 import pytest
 
@@ -51,6 +52,17 @@
         assert line["busy"] == 2
         assert line["node"] == "10.0.0.1:7600"
         assert line["timestamp"].endswith("Z")
+        told = datetime.fromisoformat(line["timestamp"]).timestamp()
+        assert abs(told - time.time()) < 5.0
+
+    def test_what_has_no_form_in_json_is_told_all_the_same(self, written):
+        log = LineLog("n", "agent", written.output)
+        log.write("odd", 0.0, value={1, 2}, key=b"x")
+        log.write("next", 0.0)
+        log.close()
+        odd, following = written()
+        assert odd["value"] == "{1, 2}"
+        assert following["event"] == "next"
 
     def test_of_one_kind_are_bounded_and_what_is_left_out_is_told(self, written):
         log = LineLog("n", "agent", written.output)
