--- a/bilberrypath/platform/__main__.py
+++ b/bilberrypath/platform/__main__.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import sys
 from functools import partial
@@ -86,15 +85,11 @@
         print(f"role {role!r} is none of {names}", file=sys.stderr)
         return 2
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    gc.disable()  # what is loaded does not become garbage
     try:
         daemon = prepare_by_role[role](path)
     except (SettingsError, OSError) as error:
         print(error, file=sys.stderr)
         return 1
-    finally:
-        gc.freeze()
-        gc.enable()
 
     from bilberrypath.platform.lean_asyncio import run
 
--- a/bilberrypath/transport/line_log.py
+++ b/bilberrypath/transport/line_log.py
@@ -13,7 +13,6 @@
 import time
 from collections import deque
 from contextlib import suppress
-from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
 from attrs import Factory, define, frozen
@@ -26,6 +25,7 @@
 LINES_PER_KIND = 40  # a second; a balancer places about 30 opens a second today
 MAX_WAITING = 2000  # lines, about 500 KB
 STANDARD_OUTPUT = 1
+MICROSECONDS = 1_000_000  # in a second
 CLOSE_LIMIT: Seconds = 0.3  # a small part of the time that a process has to end
 
 
@@ -142,8 +142,9 @@
 
 
 def _render(logger: structlog.BoundLogger, line: LogLine) -> str:
-    at = datetime.fromtimestamp(line.at, UTC).replace(tzinfo=None)
-    timestamp = at.isoformat(timespec="microseconds") + "Z"
+    seconds, fraction = divmod(line.at, 1)
+    second = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+    timestamp = f"{second}.{int(fraction * MICROSECONDS):06}Z"
     return logger.info(line.event, **{**line.fields, "timestamp": timestamp})
 
 
