Processes notice that their machine was suspended

Change: the daemons read the clock that runs on; timers of the loop are set by what is left, since the loop's own clock does not. A daemon closes what it opened, also where it is run in a test. The test fails with the steady clock.

--- a/bilberrypath/transport/bound_sockets.py
+++ b/bilberrypath/transport/bound_sockets.py
@@ -64,6 +64,13 @@
         for address in addresses:
             self._datagrams_by_address[address] = bind_datagrams(address)
 
+    def close(self) -> None:
+        """Close the sockets that nobody took."""
+        for waiting in (self._listener_by_address, self._datagrams_by_address):
+            while waiting:
+                _, bound = waiting.popitem()
+                bound.close()
+
     def take_listener(self, address: Address) -> socket.socket:
         """Return the socket that listens at an address, opened now if need be."""
         early = self._listener_by_address.pop(address, None)
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -12,6 +12,7 @@
 from bilberrypath.protocol.flow_messages import to_address
 from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
+from bilberrypath.transport.clock import read_clock
 from bilberrypath.transport.datagrams import ConnectedSocket, DatagramSocket
 from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
 from bilberrypath.transport.machine_probe import does_machine_answer
@@ -59,7 +60,7 @@
             settings.flow_lifetime,
             settings.first_start,
         )
-        core = FlowAgent(setup, codec, Random(), time.monotonic())
+        core = FlowAgent(setup, codec, Random(), read_clock())
         super().__init__(node, core, lambda: reload().node, sockets)
         self._agent_settings = settings
 
@@ -71,10 +72,10 @@
     async def open(self) -> None:
         """Open the sockets to and from the upstream."""
         settings = self._agent_settings
-        self._outbound = DatagramSocket(
-            self.sockets.take_datagrams(settings.outbound), self._take_upstream
-        )
-        self._upstream = ConnectedSocket(settings.upstream, self._note_refused)
+        outbound = self.sockets.take_datagrams(settings.outbound)
+        self.keep(DatagramSocket(outbound, self._take_upstream))
+        to_upstream = ConnectedSocket(settings.upstream, self._note_refused)
+        self._upstream = self.keep(to_upstream)
         core = self.core
         self.metrics.show("revision", lambda: core.routes.revision)
         self.metrics.show("flows", lambda: len(core.flows))
@@ -102,7 +103,7 @@
         return self.core.take_carry(carry, sender, now)
 
     def _take_upstream(self, datagram: bytes, _sender: Address) -> None:
-        now = time.monotonic()
+        now = read_clock()
         self.perform_all(self.core.take_upstream_packet(datagram, now), now)
 
     def _note_refused(self) -> None:
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -12,6 +12,7 @@
 from bilberrypath.protocol.bulk import TableReply
 from bilberrypath.state.members import Member, Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
+from bilberrypath.transport.clock import read_clock
 from bilberrypath.transport.datagrams import DatagramSocket
 from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
 
@@ -70,7 +71,7 @@
             Status.SERVING,
             time.time_ns() // NANOSECONDS,
         )
-        core = FlowBalancer(me, node.seeds, codec, Random(), time.monotonic())
+        core = FlowBalancer(me, node.seeds, codec, Random(), read_clock())
         super().__init__(node, core, lambda: reload().node, sockets)
         self._packet_address = settings.packet_address
         self._source = source
@@ -98,16 +99,16 @@
         Until then they wait in the kernel: what comes just after a start would be
         lost here, and its client would send it again much later.
         """
-        bound = self.sockets.take_datagrams(self._packet_address)
-        end = time.monotonic() + FIRST_PACKETS_LIMIT
-        while not self.core.can_place and time.monotonic() < end:
+        end = read_clock() + FIRST_PACKETS_LIMIT
+        while not self.core.can_place and read_clock() < end:
             await asyncio.sleep(FIRST_PACKETS_LOOK)
-        self._packets = DatagramSocket(bound, self._take_packet)
+        bound = self.sockets.take_datagrams(self._packet_address)
+        self.keep(DatagramSocket(bound, self._take_packet))
 
     async def leave(self) -> None:
         """Forward until the fabric has turned away."""
         await asyncio.sleep(LEAVE_TURNED_AWAY)
-        while time.monotonic() - self._last_packet_at < LEAVE_QUIET:
+        while read_clock() - self._last_packet_at < LEAVE_QUIET:
             await asyncio.sleep(0.1)
 
     def use_seeds(self, seeds: tuple[Address, ...]) -> None:
@@ -115,7 +116,7 @@
         self.core.fleet.seeds = seeds
 
     def _take_packet(self, datagram: bytes, _sender: Address) -> None:
-        now = time.monotonic()
+        now = read_clock()
         self._last_packet_at = now
         self.perform_all(self.core.take_packet(datagram, now), now)
 
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import signal
-import time
 import traceback
 from abc import ABC, abstractmethod
 from contextlib import suppress
 from functools import singledispatchmethod
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from attrs import evolve
 
@@ -37,7 +36,8 @@
     StatusRequest,
     call_bulk,
 )
-from bilberrypath.transport.datagrams import DatagramSocket
+from bilberrypath.transport.clock import read_clock
+from bilberrypath.transport.datagrams import ConnectedSocket, DatagramSocket
 from bilberrypath.transport.http_server import HttpRequest, HttpResponse, HttpServer
 from bilberrypath.transport.line_log import LineLog
 from bilberrypath.transport.metrics import Metrics
@@ -51,8 +51,10 @@
     from bilberrypath.flow_settings import FlowNodeSettings
     from bilberrypath.transport.bound_sockets import BoundSockets
     from bilberrypath.transport.bulk_calls import Request
+    from bilberrypath.transport.stream_server import StreamServer
     from bilberrypath.types import Address, NodeId, Seconds
 
+Socket = TypeVar("Socket", DatagramSocket, ConnectedSocket)
 NANOSECONDS = 1_000_000  # in a millisecond
 SETTINGS_PERIOD: Seconds = 2.0  # seeds are at most three seconds behind the fleet
 LEAVE_LIMIT: Seconds = 4.5  # below the six seconds that a process is given to end
@@ -79,17 +81,32 @@
         host, port = settings.peer_address
         self.log = LineLog(f"{host}:{port}", self.role)
         self._tasks: set[asyncio.Task] = set()
+        self._opened: list[DatagramSocket | ConnectedSocket | StreamServer] = []
         self._stopping = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: Seconds = 0.0
         self._bulk = BulkServer(self.answer)
         self._metrics_server = HttpServer(self._answer_metrics)
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then leave without harm."""
+        try:
+            await self._start()
+            await self._stopping.wait()
+            self.write_log("stopping")
+            self.feed(ev.Leave())
+            with suppress(TimeoutError):
+                async with asyncio.timeout(LEAVE_LIMIT):
+                    await self.leave()
+        finally:
+            self._close()
+        self.write_log("stopped")
+        self.log.close()
+
+    async def _start(self) -> None:
         peer = self.settings.peer_address
-        self._peer = DatagramSocket(
-            self.sockets.take_datagrams(peer), self._take_message
-        )
+        datagrams = self.sockets.take_datagrams(peer)
+        self._peer = self.keep(DatagramSocket(datagrams, self._take_message))
         await self._bulk.start_on(self.sockets.take_listener(peer))
         if self.settings.metrics_address is not None:
             await self._metrics_server.start(self.settings.metrics_address)
@@ -104,14 +121,14 @@
         self.write_log("started", data_centre=self.settings.data_centre)
         self.start(self._tick_forever())
         self.start(self._watch_settings())
-        await self._stopping.wait()
-        self.write_log("stopping")
-        self.feed(ev.Leave())
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LEAVE_LIMIT):
-                await self.leave()
-        self.write_log("stopped")
-        self.log.close()
+
+    def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        servers = [server for server, _ in self._http_servers]
+        for opened in [*self._opened, *servers, self._bulk, self._metrics_server]:
+            opened.close()
+        self.sockets.close()
 
     @abstractmethod
     async def open(self) -> None:
@@ -125,6 +142,11 @@
     def use_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Take over other seeds while running."""
 
+    def keep(self, opened: Socket) -> Socket:
+        """Return a socket, which is closed when the process ends."""
+        self._opened.append(opened)
+        return opened
+
     def serve_http(self, server: HttpServer, address: Address) -> None:
         """Have a server started with this process."""
         self._http_servers.append((server, address))
@@ -136,7 +158,7 @@
 
     def feed(self, event: ev.Event) -> None:
         """Give the core an event and do what it asks for."""
-        now = time.monotonic()
+        now = read_clock()
         self.perform_all(self.core.handle(event, now), now)
 
     def perform_all(self, effects: list[FlowEffect], now: Seconds) -> None:
@@ -146,7 +168,7 @@
                 self._peer.send(encode_message(effect.message), effect.to)
             else:
                 self.perform(effect, now)
-        self._set_timer()
+        self._set_timer(now)
 
     def start(self, work: Coroutine) -> None:
         """Run work beside the rest, as long as the process lives."""
@@ -156,7 +178,7 @@
 
     def write_log(self, event: str, **fields: object) -> None:
         """Write a line to the log."""
-        self.log.write(event, time.monotonic(), **fields)
+        self.log.write(event, read_clock(), **fields)
 
     def _end_task(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
@@ -210,7 +232,7 @@
         if message is None:
             self.metrics.count("control_dropped", "unreadable")
             return
-        now = time.monotonic()
+        now = read_clock()
         if type(message) is Carry:
             self.perform_all(self.take_carry(message, sender, now), now)
             return
@@ -223,21 +245,26 @@
         """Return what to do with a packet that another process handed here."""
         return [fx.Count("packet_dropped", "not_an_agent")]
 
-    def _set_timer(self) -> None:
+    def _set_timer(self, now: Seconds) -> None:
+        """Wake the core at its next deadline.
+
+        The loop's own clock stands still in a suspended machine, so that the time
+        of a timer is kept here.
+        """
         wake_at = self.core.next_wake()
-        timer = self._timer
-        if timer is not None:
-            if wake_at is not None and timer.when() <= wake_at:
+        if self._timer is not None:
+            if wake_at is not None and self._timer_at <= wake_at:
                 return
-            timer.cancel()
+            self._timer.cancel()
             self._timer = None
         if wake_at is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(wake_at, self._wake)
+            self._timer = loop.call_later(max(0.0, wake_at - now), self._wake)
+            self._timer_at = wake_at
 
     def _wake(self) -> None:
         self._timer = None
-        now = time.monotonic()
+        now = read_clock()
         self.perform_all(self.core.wake(now), now)
 
     # Effects
@@ -334,7 +361,7 @@
 
     @answer.register(StatusRequest)
     def _(self, request: StatusRequest) -> StatusReply:
-        return self.describe(request.flow, time.monotonic())
+        return self.describe(request.flow, read_clock())
 
     def list_members(self, request: MembersRequest) -> TableReply:
         """Return the records that another balancer lacks."""
--- a/tests/transport/test_flow_balancer_daemon.py
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from time import clock_gettime
 
 import pytest
 
@@ -15,6 +16,7 @@
 )
 from bilberrypath.protocol.flow_packet import pack_flow
 from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.transport import clock
 from bilberrypath.transport.bound_sockets import BoundSockets
 from bilberrypath.transport.datagrams import DatagramSocket
 from bilberrypath.transport.flow_balancer_daemon import FlowBalancerDaemon
@@ -57,6 +59,7 @@
     running = asyncio.create_task(daemon.run())
     yield daemon
     running.cancel()
+    await asyncio.wait([running])
 
 
 @pytest.fixture
@@ -86,13 +89,36 @@
     agent.close()
 
 
+async def _send_open(port):
+    flow = pack_flow(("100.64.0.1", port), ADDRESS)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+        client.sendto(write_packet(flow, SYN, 1), (BALANCER, PACKET_PORT))
+    return flow
+
+
+class TestSuspendedMachine:
+    async def test_opens_that_waited_are_dropped(
+        self, monkeypatch, routes, carried, daemon
+    ):
+        routes.may_give.set()
+        await _send_open(4001)
+        await asyncio.wait_for(carried.get(), 5.0)
+        ahead = 5.0
+        monkeypatch.setattr(
+            clock, "clock_gettime", lambda kind: clock_gettime(kind) + ahead
+        )
+        await _send_open(4002)
+        await asyncio.sleep(0.02)
+        dropped = daemon.metrics.render().decode()
+        assert 'reason="waited_through_pause"' in dropped
+        assert carried.empty()
+
+
 class TestFirstPackets:
     async def test_wait_until_there_is_where_to_send_them(
         self, routes, carried, daemon
     ):
-        flow = pack_flow(("100.64.0.1", 4000), ADDRESS)
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
-            client.sendto(write_packet(flow, SYN, 1), (BALANCER, PACKET_PORT))
+        flow = await _send_open(4000)
         await asyncio.sleep(0.1)
         assert carried.empty()
         routes.may_give.set()
