--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -14,6 +14,7 @@
     1023: "flows of an agent that was away beside a living upstream were reset",
     7011: "an agent that knew few others had one of them reset a flow",
     7103: "an upstream that accepted an open too, and was not chosen, reset its flow",
+    9117: "a watch begun while the store was silent outlasted the silence by far",
     3002: "flows of an agent that was frozen for two seconds were reset by others",
 }
 
