Requests that an upstream resets or leaves unanswered add to its load

One that resets them at once looks idle and is given more: in the model 6 agents, 600 opens, it gets more than its sixth.

--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -11,6 +11,8 @@
 
 from attrs import Factory, define
 
+from bilberrypath.coordination.failure_share import FailureShare
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -20,6 +22,7 @@
 PRESSURE_TIME: Seconds = 1.0  # constant of the moving mean of busy flows
 LINGER: Seconds = 5.0  # an ended flow's late packets come within three 1.6 s intervals
 BUSY_LIMIT: Seconds = 10.0  # a request without answer for so long was given up
+UNANSWERED_LIMIT: Seconds = 1.0  # a busy upstream answers in a third of it
 SEQUENCE_NUMBERS = 1 << 32  # the field has 32 bits
 MAX_ANSWER = 1 << 20  # bytes; more than an upstream sends on a flow before it is chosen
 FIRST_DATA: Seconds = 0.05  # several ways to a client and back
@@ -36,7 +39,8 @@
     with one: ``chosen`` is true once the client acknowledged this upstream's
     acceptance, whose number is ``accepted_sequence``, or the upstream sent more.
     ``acknowledged`` is the client's last, for a reset. ``counts`` is true until
-    the flow has ended.
+    the flow has ended. ``failed`` is true once its running request counts as one
+    that the upstream left unanswered.
     """
 
     seen_at: Seconds
@@ -49,6 +53,7 @@
     client_closed: bool = False
     upstream_closed: bool = False
     counts: bool = True
+    failed: bool = False
 
     @property
     def is_ended(self) -> bool:
@@ -71,6 +76,7 @@
     """The flows by key, how many are busy, and the mean of that of late."""
 
     flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
+    failures: FailureShare = Factory(FailureShare)
     busy_count: int = 0
     live_count: int = 0
     _mean_busy: float = 0.0
@@ -135,6 +141,7 @@
         if packet.accepts_open or packet.data_length:
             held.is_open = True
         if packet.data_length or packet.closes or packet.resets:
+            self._note_outcome(held, packet, now)
             self._end_busy(held, now)
         if packet.closes:
             held.upstream_closed = True
@@ -161,10 +168,12 @@
 
         The mean alone is blind for a second after a start; the number of this
         moment alone swings with each request. Flows that were just opened have
-        not shown their load yet: each counts for a little in any case.
+        not shown their load yet: each counts for a little in any case. Requests
+        that failed of late add to it.
         """
         busy = (self.busy_count + self.compute_mean_busy(now)) / 2
-        return max(busy, FLOW_LOAD * self.live_count) / max(1, slots)
+        load = max(busy, FLOW_LOAD * self.live_count) / max(1, slots)
+        return load + self.failures.rate_load(now)
 
     def sweep(self, idle_limit: Seconds, now: Seconds) -> None:
         """Drop some of the flows that ended or were idle for too long."""
@@ -175,12 +184,31 @@
             held = self.flow_by_key.get(flow)
             if held is None:
                 continue
-            if held.busy_since is not None and now - held.busy_since > BUSY_LIMIT:
-                self._end_busy(held, now)
+            self._judge_silence(held, now)
             limit = LINGER if held.is_ended else idle_limit
             if now - held.seen_at > limit:
                 self.remove(flow, now)
 
+    def _note_outcome(self, held: HeldFlow, packet: FlowPacket, now: Seconds) -> None:
+        """Record how a running request ended at the upstream."""
+        if held.busy_since is None:
+            return
+        if packet.data_length:
+            self.failures.note_answered(now)
+        elif not held.failed:
+            self.failures.note_failed(now)
+
+    def _judge_silence(self, held: HeldFlow, now: Seconds) -> None:
+        """Give up a request that the upstream leaves unanswered, by steps."""
+        if held.busy_since is None:
+            return
+        unanswered_for = now - held.busy_since
+        if unanswered_for > UNANSWERED_LIMIT and not held.failed:
+            held.failed = True
+            self.failures.note_failed(now)
+        if unanswered_for > BUSY_LIMIT:
+            self._end_busy(held, now)
+
     def _stop_counting(self, held: HeldFlow) -> None:
         if held.counts:
             held.counts = False
@@ -191,6 +219,7 @@
             return
         self._move_mean(now)
         held.busy_since = None
+        held.failed = False
         self.busy_count -= 1
 
     def _move_mean(self, now: Seconds) -> None:
--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -18,6 +18,35 @@
 )
 
 
+class TestFailingUpstreams:
+    def test_one_that_resets_its_requests_gets_few(self):
+        world = make_world(agents=6)
+        bad = world.upstream_by_host["10.2.0.1"]
+        bad.resets_requests = True
+        send_requests(world, 600, 4.0)
+        before = len(bad.opens)
+        send_requests(world, 600, 4.0)
+        assert len(bad.opens) - before < 600 / 6 / 3
+
+    def test_they_are_used_where_all_are_as_bad(self):
+        world = make_world(agents=3)
+        for upstream in world.upstream_by_host.values():
+            upstream.resets_requests = True
+        sent = send_requests(world, 200, 2.0)
+        assert all(client.opened for _, client in sent)
+
+    def test_one_that_is_well_again_gets_its_share(self):
+        world = make_world(agents=6)
+        bad = world.upstream_by_host["10.2.0.1"]
+        bad.resets_requests = True
+        send_requests(world, 600, 4.0)
+        bad.resets_requests = False
+        send_requests(world, 900, 6.0)
+        before = len(bad.opens)
+        send_requests(world, 600, 4.0)
+        assert len(bad.opens) - before > 600 / 6 / 2
+
+
 class TestOpens:
     def test_an_open_is_accepted_and_answered(self):
         world = make_world()
--- a/tests/coordination/test_held_flows.py
+++ b/tests/coordination/test_held_flows.py
@@ -1,5 +1,6 @@
 import pytest
 
+from bilberrypath.coordination.failure_share import FailureShare
 from bilberrypath.coordination.held_flows import (
     BUSY_LIMIT,
     FLOW_LOAD,
@@ -49,6 +50,32 @@
         assert flows.busy_count == 0
         assert len(flows) == 0
 
+    def test_requests_that_are_reset_add_to_the_load(self, flows):
+        for number in range(8):
+            held = flows.add(from_client(SYN), confirmed=True, now=1.0)
+            flows.note_client(held, from_client(ACK, b"request"), 1.0)
+            answer = from_upstream(RST) if number % 2 else from_upstream(ACK, b"a")
+            flows.note_upstream(held, answer, 1.0)
+        assert flows.compute_pressure(1, 1.0) > 1.0
+        assert flows.compute_pressure(1, 7.0) < 0.2
+
+    def test_a_flow_that_is_reset_between_requests_adds_nothing(self, flows):
+        for _ in range(8):
+            held = flows.add(from_client(SYN), confirmed=True, now=1.0)
+            flows.note_upstream(held, from_upstream(RST), 1.0)
+        assert flows.compute_pressure(1, 1.0) == 0.0
+
+    def test_a_request_without_an_answer_counts_once(self, flows, held):
+        flows.note_client(held, from_client(ACK, b"request"), 0.0)
+        flows.sweep(60.0, 0.9)
+        assert flows.failures.rate_load(0.9) == 0.0
+        for now in (1.1, 1.2, 1.3):
+            flows.sweep(60.0, now)
+        flows.note_upstream(held, from_upstream(RST), 1.3)
+        once = FailureShare()
+        once.note_failed(1.1)
+        assert flows.failures.rate_load(1.3) == once.rate_load(1.3)
+
     def test_the_mean_follows(self, flows, held):
         flows.note_client(held, from_client(ACK, b"request"), 1.0)
         assert flows.compute_mean_busy(1.0) == 0.0
--- a/tests/support/flow_model.py
+++ b/tests/support/flow_model.py
@@ -12,7 +12,7 @@
 from attrs import Factory, define, frozen
 
 from bilberrypath.coordination import flow_events as fev
-from bilberrypath.platform.packet_head import ACK, BOUNCED, FIN, SYN
+from bilberrypath.platform.packet_head import ACK, BOUNCED, FIN, RST, SYN
 from bilberrypath.protocol.flow_packet import END_LENGTH
 
 if TYPE_CHECKING:
@@ -65,6 +65,7 @@
     draining: bool = False
     is_up: bool = True
     is_silent: bool = False
+    resets_requests: bool = False
     flows: dict = Factory(dict)
     opens: list = Factory(list)
     opened: set = Factory(set)
@@ -104,7 +105,10 @@
         return packet.flow in self.flows
 
     def _take_request(self, packet):
-        if self.room is None or self.running < self.slots:
+        if self.resets_requests:
+            del self.flows[packet.flow]
+            self._send(write_packet(packet.flow, RST, 101, 2, back=True))
+        elif self.room is None or self.running < self.slots:
             self._run(packet)
         elif len(self.queue) < self.room:
             self.queue.append(packet)
