Routes spread by steps: a change costs what it changes

Change: whoever is behind names the digest of its table and gets the steps since, or the whole where it is not known. A step applies to the very table that it was made from, and the digest of the result is checked. Found while writing it: a whole read of several pages was taken as of the last page's revision, and a change of an earlier page in between would never be seen. It counts as of the first page now. Test with a change between two pages.

--- a/benchmarks/flow_capacity.py
+++ b/benchmarks/flow_capacity.py
@@ -10,10 +10,13 @@
 import tracemalloc
 from random import Random
 
+from msgspec.structs import replace
+
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination.flow_balancer import FlowBalancer
 from bilberrypath.coordination.flow_places import FlowPlaces
 from bilberrypath.coordination.held_flows import HeldFlows
+from bilberrypath.coordination.route_keeper import RouteKeeper
 from bilberrypath.platform.packet_head import ACK, SYN, PacketHeads
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_packet import pack_flow
@@ -132,6 +135,11 @@
     }
     for name, message in messages.items():
         print(f"{name}: {len(msg.encode_message(message))} bytes")
+    measure_routes()
+
+
+def measure_routes():
+    """Print what a table of the design size and one change of it take."""
     table = RouteTable(
         1 << 30,
         1 << 20,
@@ -145,6 +153,21 @@
     body = msg.encode_message(table)
     spent = time.process_time() - started_at
     print(f"table of 22,000 routes: {len(body)} bytes, {spent * 1000:.0f} ms to code")
+    route = FlowRoute(table.routes[0].address, (Target("service-1", 1),))
+    changed = replace(table, revision=2 << 30, routes=(route, *table.routes[1:]))
+    taker, giver = RouteKeeper(), RouteKeeper()
+    taker.offer(table)
+    giver.offer(table)
+    started_at = time.process_time()
+    giver.offer(changed)
+    making = time.process_time() - started_at
+    reply = giver.reply_since(taker.asks_since)
+    taker.take_reply(reply)
+    taking = time.process_time() - started_at - making
+    print(
+        f"one changed route of 22,000: {len(msg.encode_message(reply))} bytes, "
+        f"{making * 1000:.0f} ms to make the step, {taking * 1000:.0f} ms to take it"
+    )
 
 
 def main():
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -273,7 +273,7 @@
 
     @handle.register(fev.RoutesPulled)
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
-        effects = self.routes.offer(event.table)
+        effects = self.routes.take_reply(event.reply)
         self.presence.table_revision = self.routes.revision
         return effects + self.opener.retry_waiting(now)
 
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -169,7 +169,7 @@
 
     @handle.register(fev.RoutesPulled)
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
-        return self._adopt(self.routes.offer(event.table))
+        return self._adopt(self.routes.take_reply(event.reply))
 
     @handle.register(fev.RoutesRead)
     def _(self, event: fev.RoutesRead, now: Seconds) -> list[FlowEffect]:
--- a/bilberrypath/coordination/flow_events.py
+++ b/bilberrypath/coordination/flow_events.py
@@ -11,16 +11,17 @@
 from attrs import frozen
 
 if TYPE_CHECKING:
+    from bilberrypath.state.route_steps import RoutesReply
     from bilberrypath.state.routes import RouteTable
     from bilberrypath.types import Address, DataCentreName, NodeId, Seconds, ServiceName
 
 
 @frozen
 class RoutesPulled:
-    """Another process answered with its table of routes."""
+    """Another process answered with what is new in its table of routes."""
 
     peer: NodeId
-    table: RouteTable
+    reply: RoutesReply
 
 
 @frozen
--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -91,11 +91,18 @@
         return table if table.revision > have.revision else None
 
     async def _read_whole(self) -> RouteTable | None:
+        """Read all pages; what changes between two of them is watched from the first.
+
+        Pages are not a snapshot: a change of a page that was read already would be
+        missed by a watch that begins after the last one.
+        """
         table = RouteTable()
         query: dict[str, str | int] = {"prefix": OPERATOR_PREFIX}
+        revision = 0
         while True:
             status, body = await self._get("/v1/kv-range", query, READ_TIMEOUT)
             page = _decode(_decode_range, status, body)
+            revision = revision or page.current_rev
             for item in page.items:
                 table = _apply(table, item)
             if not page.has_more or not page.items:
@@ -103,8 +110,8 @@
             query["after"] = page.items[-1].key
         if not table.routes:
             return None
-        self._watched_to = page.current_rev
-        return msgspec.structs.replace(table, revision=page.current_rev)
+        self._watched_to = revision
+        return msgspec.structs.replace(table, revision=revision)
 
     async def _get(
         self, path: str, query: dict[str, str | int], timeout: Seconds
--- a/bilberrypath/transport/bulk_calls.py
+++ b/bilberrypath/transport/bulk_calls.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bilberrypath.state.routes import RouteTable
+    from bilberrypath.state.route_steps import RoutesReply
     from bilberrypath.types import Address, Seconds
 
 CALL_TIMEOUT: Seconds = 0.5  # a call takes a few ms; the next peer is asked then
@@ -28,7 +28,9 @@
 
 
 class RoutesRequest(Struct, tag=1):
-    """Ask for the table of routes in force."""
+    """Ask for what follows a table of routes; ``since`` is its digest, or 0."""
+
+    since: int
 
 
 class MembersRequest(Struct, tag=2):
@@ -63,7 +65,7 @@
     """Answer calls on the TCP side of the peer address."""
 
     def __init__(
-        self, answer: Callable[[Request], RouteTable | TableReply | StatusReply]
+        self, answer: Callable[[Request], RoutesReply | TableReply | StatusReply]
     ) -> None:
         super().__init__()
         self._answer = answer
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -26,7 +26,7 @@
 )
 from bilberrypath.protocol.flow_packet import describe_flow
 from bilberrypath.settings_reader import SettingsError
-from bilberrypath.state.routes import RouteTable
+from bilberrypath.state.route_steps import RoutesReply
 from bilberrypath.transport.bulk_calls import (
     BulkServer,
     CallFailed,
@@ -327,12 +327,13 @@
     async def _pull_routes(self, effect: ffx.PullRoutes) -> None:
         try:
             peer = to_address(effect.peer)
-            table = await call_bulk(peer, RoutesRequest(), RouteTable)
+            request = RoutesRequest(self.core.routes.asks_since)
+            reply = await call_bulk(peer, request, RoutesReply)
         except CallFailed as error:
             self.write_log("pull_failed", what="routes", error=str(error))
             self.feed(fev.RoutesPullFailed(effect.peer))
             return
-        self.feed(fev.RoutesPulled(effect.peer, table))
+        self.feed(fev.RoutesPulled(effect.peer, reply))
 
     async def _pull_table(self, effect: fx.PullTable) -> None:
         request = MembersRequest(effect.digests)
@@ -347,13 +348,13 @@
     # Calls
 
     @singledispatchmethod
-    def answer(self, request: Request) -> RouteTable | TableReply | StatusReply:
+    def answer(self, request: Request) -> RoutesReply | TableReply | StatusReply:
         """Answer a call of another process."""
         raise CallFailed(f"{type(request).__name__} is not answered by a {self.role}")
 
     @answer.register(RoutesRequest)
-    def _(self, request: RoutesRequest) -> RouteTable:
-        return self.core.routes.table
+    def _(self, request: RoutesRequest) -> RoutesReply:
+        return self.core.routes.reply_since(request.since)
 
     @answer.register(MembersRequest)
     def _(self, request: MembersRequest) -> TableReply:
--- a/tests/coordination/test_route_keeper.py
+++ b/tests/coordination/test_route_keeper.py
@@ -1,8 +1,15 @@
+import msgspec
 import pytest
 
+from bilberrypath.coordination.effects import Count
 from bilberrypath.coordination.flow_effects import PullRoutes
-from bilberrypath.coordination.route_keeper import PULL_TIMEOUT, RouteKeeper
+from bilberrypath.coordination.route_keeper import (
+    MAX_STEPS,
+    PULL_TIMEOUT,
+    RouteKeeper,
+)
 from bilberrypath.protocol.flow_packet import pack_flow
+from bilberrypath.state.route_steps import NO_TABLE, RoutesReply, index_table
 from tests.support.flow_world import ADDRESS, make_table
 
 
@@ -30,6 +37,69 @@
         assert keeper.revision == 6
 
 
+class TestSteps:
+    def offer_all(self, *tables):
+        keeper = RouteKeeper()
+        for table in tables:
+            keeper.offer(table)
+        return keeper
+
+    def test_lead_from_a_former_table_to_the_one_in_force(self):
+        tables = [make_table(n, out=("a",) * (n % 2)) for n in (5, 6, 8)]
+        source = self.offer_all(*tables)
+        asker = self.offer_all(tables[0])
+        reply = source.reply_since(asker.asks_since)
+        assert len(reply.steps) == 2 and reply.whole is None
+        asker.take_reply(reply)
+        assert asker.table == tables[-1]
+        assert asker.route_by_end == source.route_by_end
+        assert source.reply_since(asker.asks_since) == RoutesReply()
+
+    def test_one_that_asks_for_all_gets_all(self, keeper):
+        asker = RouteKeeper()
+        reply = keeper.reply_since(asker.asks_since)
+        assert reply.whole == keeper.table
+        asker.take_reply(reply)
+        assert asker.revision == 5
+
+    def test_routes_that_are_dropped_are_not_found_any_more(self, keeper):
+        asker = self.offer_all(make_table(5))
+        keeper.offer(make_table(6, routes=()))
+        asker.take_reply(keeper.reply_since(asker.asks_since))
+        flow = pack_flow(("100.64.0.1", 5), ADDRESS)
+        assert asker.find_route(flow) is None
+
+    def test_old_steps_change_nothing(self, keeper):
+        asker = self.offer_all(make_table(5))
+        keeper.offer(make_table(6))
+        late = keeper.reply_since(asker.asks_since)
+        asker.offer(make_table(7))
+        asker.take_reply(late)
+        assert asker.table == make_table(7)
+
+    def test_a_table_that_the_other_never_had_is_replaced_whole(self, keeper):
+        asker = self.offer_all(make_table(4, service="photo"))
+        assert keeper.reply_since(asker.asks_since).whole == keeper.table
+
+    def test_too_many_are_not_sent(self, keeper):
+        asker = self.offer_all(make_table(5))
+        for revision in range(6, 6 + MAX_STEPS + 1):
+            keeper.offer(make_table(revision))
+        assert keeper.reply_since(asker.asks_since).whole == keeper.table
+
+    def test_one_that_does_not_fit_leads_to_a_whole_table(self, keeper):
+        other = self.offer_all(make_table(5, service="photo"), make_table(6))
+        since = index_table(make_table(5, service="photo")).digest
+        (step,) = other.reply_since(since).steps
+        wrong = msgspec.structs.replace(step, digest=1)
+        counted = keeper.take_reply(RoutesReply((wrong,)))
+        assert counted == [Count("routes", "step_mismatch")]
+        assert keeper.revision == 5
+        assert keeper.asks_since == NO_TABLE
+        keeper.take_reply(other.reply_since(keeper.asks_since))
+        assert keeper.table == make_table(6)
+
+
 class TestNews:
     def test_leads_to_one_fetch_at_a_time(self, keeper):
         assert keeper.learn_of("x:1", 7, 0.0) == [PullRoutes("x:1")]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -89,6 +89,26 @@
         table = await source.follow(RouteTable())
         assert len(table.out) == 600
 
+    async def test_a_change_between_two_pages_is_not_missed(
+        self, store, source, monkeypatch
+    ):
+        store.put("op/config", CONFIG)
+        for number in range(600):
+            store.put(f"op/evacuate/z-{number:03}", {})
+        read_page = store._range
+
+        def change_after_the_first_page(query):
+            page = read_page(query)
+            if "after" not in query:
+                store.put("op/config", CONFIG | {"version": 8})
+            return page
+
+        monkeypatch.setattr(store, "_range", change_after_the_first_page)
+        table = await source.follow(RouteTable())
+        assert table.version == 7
+        table = await source.follow(table)
+        assert table.version == 8
+
 
 class TestTrouble:
     @pytest.mark.parametrize("mode", ["busy", "many", "silent", "reset", "garbage"])
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,6 +20,7 @@
 from attrs import Factory, define
 
 from bilberrypath.protocol.flow_packet import describe_flow
+from bilberrypath.state.route_steps import NO_TABLE, RoutesReply
 from bilberrypath.state.routes import RouteTable
 from bilberrypath.transport.bulk_calls import CallFailed, RoutesRequest, call_bulk
 from tests.standins.tcp_proxy import TcpProxy
@@ -144,13 +145,15 @@
 
     async def _look_at(self, host, pid):
         try:
-            table = await call_bulk((host, PEER_PORT), RoutesRequest(), RouteTable)
+            request = RoutesRequest(NO_TABLE)
+            reply = await call_bulk((host, PEER_PORT), request, RoutesReply)
         except CallFailed:
             return
         process = self.deployment.process_by_host.get(host)
         if process is None or process.pid != pid:
             return
         before = self.revision_by_process.get(pid, 0)
+        table = reply.whole or RouteTable()
         if table.revision < before:
             self._find("config", f"{host} fell from {before} to {table.revision}")
         self.revision_by_process[pid] = max(before, table.revision)
--- /dev/null
+++ b/tests/state/test_route_steps.py
@@ -0,0 +1,65 @@
+import msgspec
+import pytest
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bilberrypath.state.route_steps import (
+    StepMismatch,
+    apply_step,
+    index_table,
+    make_step,
+)
+from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
+
+SERVICES = st.sampled_from(["board", "photo", "map"])
+ROUTES = st.builds(
+    lambda port, service: FlowRoute(("198.18.0.1", port), (Target(service, 1),)),
+    st.integers(1, 9),
+    SERVICES,
+)
+LIMITS = st.builds(UpstreamLimits, SERVICES, st.integers(1, 3), st.just(0.0))
+TABLES = st.builds(
+    RouteTable,
+    st.integers(1, 99),
+    st.integers(1, 99),
+    st.lists(ROUTES, unique_by=lambda route: route.address).map(tuple),
+    st.lists(LIMITS, unique_by=lambda limits: limits.service).map(tuple),
+    st.sampled_from([(), ("a",), ("a", "b")]),
+    st.sampled_from([15.0, 30.0]),
+)
+
+
+class TestSteps:
+    @given(TABLES, TABLES)
+    def test_lead_from_any_table_to_any_other(self, before, after):
+        before, after = index_table(before), index_table(after)
+        step = make_step(before, after)
+        sent = msgspec.msgpack.decode(msgspec.msgpack.encode(step), type=type(step))
+        reached = apply_step(before, sent)
+        assert reached.digest == after.digest
+        assert reached.table.index() == after.table.index()
+        assert reached.route_by_address == after.route_by_address
+        assert reached == evolve(reached, digest=index_table(reached.table).digest)
+
+    def test_hold_only_what_changed(self):
+        routes = [FlowRoute(("198.18.0.1", n), (Target("a", 1),)) for n in range(1, 99)]
+        before = RouteTable(1, 1, tuple(routes))
+        after = RouteTable(2, 2, tuple(routes[1:]))
+        step = make_step(index_table(before), index_table(after))
+        assert step.routes == ()
+        assert step.removed_routes == (("198.18.0.1", 1),)
+
+    def test_made_from_another_table_are_refused(self):
+        before = index_table(RouteTable(1, 1, (FlowRoute(("198.18.0.1", 1), ()),)))
+        after = index_table(RouteTable(2, 2, (FlowRoute(("198.18.0.1", 2), ()),)))
+        step = make_step(index_table(RouteTable()), after)
+        with pytest.raises(StepMismatch, match="revision 2"):
+            apply_step(before, step)
+
+
+class TestDigest:
+    @given(TABLES)
+    def test_does_not_depend_on_the_order_of_rows(self, table):
+        turned = msgspec.structs.replace(table, routes=table.routes[::-1])
+        assert index_table(turned).digest == index_table(table).digest
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -208,10 +208,14 @@
     def _pull_routes(self, host, peer):
         def answer():
             node = self.node_by_host.get(to_address(peer)[0])
+            if host not in self.node_by_host:
+                return
             if node is None or (host, to_address(peer)[0]) in self.cut:
                 self.feed(host, fev.RoutesPullFailed(peer))
             else:
-                self.feed(host, fev.RoutesPulled(peer, node.routes.table))
+                since = self.node_by_host[host].routes.asks_since
+                reply = node.routes.reply_since(since)
+                self.feed(host, fev.RoutesPulled(peer, reply))
 
         self.after(4 * LINK_DELAY, answer)
 
