Copies of data that an upstream has do not make a flow busy; closing first is no failure

Packets of different size overtake each other on their way, so that clients send data again that arrived; such a copy came after the answer and made its flow busy until the flow was forgotten, 5 s later. Nearly each upload left one. Leaving agents waited for them, too. Change: data that the upstream has acknowledged begins nothing; only a reset, or a second without an answer, counts as failed. Tests with sequence numbers that wrap.

--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -1,7 +1,8 @@
 """The flows of one upstream, as its agent sees them pass.
 
-A request's bytes are never read. A flow is busy from the first data of its
-client until the upstream's next data, and the busy flows are the load.
+A request's bytes are never read. A flow is busy from the first new data of its
+client until the upstream's next data, and the busy flows are the load. Data that the
+upstream has acknowledged before is a copy, and begins nothing.
 """
 
 from __future__ import annotations
@@ -38,6 +39,7 @@
     the flow. An open may be accepted by two upstreams, and the client goes on
     with one: ``chosen`` is true once the client acknowledged this upstream's
     acceptance, whose number is ``accepted_sequence``, or the upstream sent more.
+    ``received`` is the upstream's last acknowledgement, None before the first.
     ``acknowledged`` is the client's last, for a reset. ``counts`` is true until
     the flow has ended. ``failed`` is true once its running request counts as one
     that the upstream left unanswered.
@@ -49,6 +51,7 @@
     confirmed: bool = False
     chosen: bool = False
     accepted_sequence: int | None = None
+    received: int | None = None
     busy_since: Seconds | None = None
     client_closed: bool = False
     upstream_closed: bool = False
@@ -60,6 +63,21 @@
         """Whether both ends have closed the flow."""
         return self.client_closed and self.upstream_closed
 
+    def is_new(self, packet: FlowPacket) -> bool:
+        """Return whether a packet of the client has data that the upstream lacks."""
+        if not packet.data_length or self.received is None:
+            return packet.data_length > 0
+        end = packet.sequence + packet.data_length
+        return 0 < (end - self.received) % SEQUENCE_NUMBERS <= SEQUENCE_NUMBERS // 2
+
+    def note_received(self, acknowledged: int) -> None:
+        """Record an acknowledgement of the upstream; older ones may come late."""
+        ahead = 0
+        if self.received is not None:
+            ahead = (acknowledged - self.received) % SEQUENCE_NUMBERS
+        if ahead <= SEQUENCE_NUMBERS // 2:
+            self.received = acknowledged
+
     def is_acknowledged(self, packet: FlowPacket) -> bool:
         """Return whether a packet of the client answers this upstream's acceptance.
 
@@ -125,7 +143,7 @@
             self._stop_counting(held)
         if packet.data_length:
             self._opened_at_by_key.pop(packet.flow, None)
-        if packet.data_length and held.busy_since is None:
+        if held.busy_since is None and held.is_new(packet):
             self._move_mean(now)
             held.busy_since = now
             self.busy_count += 1
@@ -134,6 +152,8 @@
         """Record a packet of the upstream."""
         held.seen_at = now
         held.confirmed = True
+        if not packet.resets:
+            held.note_received(packet.acknowledged)
         if packet.accepts_open:
             held.accepted_sequence = packet.sequence
         else:
@@ -193,7 +213,7 @@
         """Record how a running request ended at the upstream."""
         if held.busy_since is None:
             return
-        if packet.data_length:
+        if not packet.resets:
             self.failures.note_answered(now)
         elif not held.failed:
             self.failures.note_failed(now)
--- a/tests/coordination/test_held_flows.py
+++ b/tests/coordination/test_held_flows.py
@@ -15,12 +15,14 @@
 FLOW = pack_flow(("100.64.0.7", 40001), ("198.18.0.1", 443))
 
 
-def from_client(flags, data=b"", acknowledged=0):
-    return CODEC.read_from_client(write_packet(FLOW, flags, 1, acknowledged, data))
+def from_client(flags, data=b"", acknowledged=0, sequence=1):
+    packet = write_packet(FLOW, flags, sequence, acknowledged, data)
+    return CODEC.read_from_client(packet)
 
 
-def from_upstream(flags, data=b""):
-    return CODEC.read_from_upstream(write_packet(FLOW, flags, 1, 1, data, back=True))
+def from_upstream(flags, data=b"", received=1):
+    packet = write_packet(FLOW, flags, 1, received, data, back=True)
+    return CODEC.read_from_upstream(packet)
 
 
 @pytest.fixture
@@ -44,6 +46,32 @@
         flows.note_upstream(held, from_upstream(ACK, b"answer"), 1.3)
         assert flows.busy_count == 0
 
+    @pytest.mark.parametrize("start", [1, 2**32 - 3])
+    def test_a_copy_of_what_the_upstream_has_begins_nothing(self, flows, held, start):
+        request = from_client(ACK, b"request", sequence=start)
+        received = (start + 7) % 2**32
+        flows.note_client(held, request, 1.0)
+        flows.note_upstream(held, from_upstream(ACK, b"", received), 1.1)
+        flows.note_upstream(held, from_upstream(ACK, b"answer", received), 1.2)
+        flows.note_client(held, request, 1.3)
+        assert flows.busy_count == 0
+        flows.note_client(held, from_client(ACK, b"next", sequence=received), 1.4)
+        assert flows.busy_count == 1
+
+    def test_an_acknowledgement_that_comes_late_counts_for_nothing(self, flows, held):
+        flows.note_upstream(held, from_upstream(ACK, b"answer", 9), 1.0)
+        flows.note_upstream(held, from_upstream(ACK, b"", 5), 1.1)
+        flows.note_client(held, from_client(ACK, b"request", sequence=2), 1.2)
+        assert flows.busy_count == 0
+
+    def test_a_closing_packet_that_overtakes_the_answer_is_no_failure(
+        self, flows, held
+    ):
+        flows.note_client(held, from_client(ACK, b"request"), 1.0)
+        flows.note_upstream(held, from_upstream(ACK | FIN), 1.1)
+        flows.note_upstream(held, from_upstream(ACK, b"answer"), 1.1)
+        assert flows.failures.rate_load(1.1) == 0.0
+
     def test_a_removed_flow_is_not_busy(self, flows, held):
         flows.note_client(held, from_client(ACK, b"request"), 1.0)
         flows.remove(FLOW, 1.1)
