An open that agents were handed and said nothing of is not refused

Ruled out: routes (all had revision 8), upstreams (idle). Change: agents that were handed an open and did not answer are counted with it. It is handed to three such at most and never reset after one; where all others owe an answer they are asked all the same.

--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -31,6 +31,7 @@
 ROUTES_TIMEOUT: Seconds = 0.1  # half of a client's first wait for its open
 REPORT_TIMEOUT: Seconds = 0.5  # an upstream reports at once when it may
 LAST_COPY = 2  # copies that a client sends of an open
+MAX_UNANSWERED = 3  # agents that die at once beside each other are rarely more
 MAX_WAITING = 256  # opens that wait for a table of routes or for a report
 
 
@@ -203,6 +204,11 @@
             agent.routes.table.out,
         )
 
+    def _make_rules_for_silent(self, carry: Carry) -> OpenRules:
+        """Return the rules where all others owe an answer: asking costs little."""
+        out = self.agent.routes.table.out
+        return OpenRules(carry.near, {*carry.tried, self.agent.me}, out)
+
     def _accept(
         self, carry: Carry, packet: FlowPacket, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
@@ -232,7 +238,11 @@
         agent = self.agent
         tried = (*carry.tried, agent.me)
         carry = msgspec.structs.replace(carry, tried=tried)
+        if carry.unanswered >= MAX_UNANSWERED:
+            return self._leave(carry, packet)
         other = agent.placement.choose_any(self._make_rules(carry), now)
+        if other is None:
+            other = agent.placement.choose_any(self._make_rules_for_silent(carry), now)
         awaits = agent.upstream.awaits_first_report(now)
         if other is None and awaits:
             return self._await_report(carry, packet, now)
@@ -279,10 +289,24 @@
             ffx.Decided("open_deferred", packet.flow, fields),
         ]
 
+    def _leave(self, carry: Carry, packet: FlowPacket) -> list[FlowEffect]:
+        """Leave an open to those that were handed it and did not answer.
+
+        Their words may be lost on the way here while the open reached them and the
+        client has its acceptance. A reset might end a flow that is open.
+        """
+        fields = {"unanswered": carry.unanswered, "tried": list(carry.tried)}
+        return [
+            fx.Count("open", "left"),
+            ffx.Decided("open_left", packet.flow, fields),
+        ]
+
     def _refuse(
         self, carry: Carry, packet: FlowPacket, reason: str
     ) -> list[FlowEffect]:
-        """Tell the client at once that nobody can take its open."""
+        """Tell the client at once that nobody can take its open, if that is sure."""
+        if carry.unanswered:
+            return self._leave(carry, packet)
         agent = self.agent
         fields = {"reason": reason, "tried": list(carry.tried)}
         return [
@@ -316,14 +340,16 @@
     def _pass_again(self, passing: Passing, now: Seconds) -> list[FlowEffect]:
         """Judge an open anew that nobody said to have taken.
 
-        Whoever was asked may have taken it all the same, so that a crowd here is
-        no reason to refuse it: it counts as one that comes for the first time.
+        Whoever was asked may have taken it all the same, so that it is not refused
+        from now on, and a crowd here counts as for one that comes the first time.
         """
         agent = self.agent
         packet = evolve(passing.packet, copies=0)
         agent.redirects.forget(passing.packet.flow)
         carry = msgspec.structs.replace(
-            passing.carry, tried=(*passing.carry.tried, passing.to)
+            passing.carry,
+            tried=(*passing.carry.tried, passing.to),
+            unanswered=passing.carry.unanswered + 1,
         )
         return [
             *agent.silent.note_late(passing.to, now),
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -31,8 +31,9 @@
     that a search has ended with agents that can't tell; ``unsure`` are those
     that are still to try their upstream, and ``asked_all`` that the search
     reached every agent that may have the flow. ``passed`` are the agents that passed
-    an open on for their load. ``near`` is the data centre of the balancer, and
-    so of the client.
+    an open on for their load, and ``unanswered`` counts those that were handed it and
+    said nothing: each may have taken it all the same. ``near`` is the data centre of
+    the balancer, and so of the client.
     """
 
     revision: int
@@ -50,6 +51,7 @@
     passed: tuple[str, ...] = ()
     near: str = ""
     asked_all: bool = True
+    unanswered: int = 0
 
 
 class Placed(Struct, tag=21):
--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -1,7 +1,10 @@
 """Opens: where they go, who may take them, and what a crowd gets."""
 
+from collections import Counter
+
 import pytest
 
+from bilberrypath.coordination.flow_opener import MAX_UNANSWERED
 from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.coordination.upstream_watch import COLD_SPARE
 from bilberrypath.platform.packet_head import SYN
@@ -306,3 +309,34 @@
 
     def count_in_aim(self, waits):
         return sum(wait <= self.AIM for wait in waits)
+
+
+class TestOneWayCuts:
+    def cut_answers(self, world, host):
+        """Let nothing of the other agents reach an agent."""
+        for other in list(world.node_by_host):
+            if other.startswith("10.2.") and other != host:
+                world.cut.add((other, host))
+
+    def test_an_agent_that_hears_nobody_resets_nothing(self):
+        world = make_world(agents=6)
+        lonely = "10.2.0.1"
+        world.set_routes(make_table(2, out=("a",)))
+        world.run(1.0)
+        self.cut_answers(world, lonely)
+        sent = send_requests(world, 300, 3.0)
+        world.run(1.0)
+        assert sum(client.resets for _, client in sent) == 0
+        assert all(client.last_try.answers for _, client in sent)
+
+    def test_an_open_is_handed_to_few_that_do_not_answer(self):
+        world = make_world(agents=9)
+        lonely = "10.2.0.1"
+        world.set_routes(make_table(2, out=("a",)))
+        world.run(1.0)
+        self.cut_answers(world, lonely)
+        sent = send_requests(world, 300, 3.0)
+        accepted = Counter(
+            flow for u in world.upstream_by_host.values() for _, flow in u.opens
+        )
+        assert max(accepted[client.flow] for _, client in sent) <= MAX_UNANSWERED
