Planted faults: the older table goes in where tables are kept now; two more faults

The plant wrote the keeper's table, which is derived now; it writes what the table is derived from, and the same scenario catches it. New: opens that were handed on without an answer are refused; failed requests count for nothing.

--- a/tests/coordination/test_planted_faults.py
+++ b/tests/coordination/test_planted_faults.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bilberrypath.coordination.failure_share import FailureShare
 from bilberrypath.coordination.flow_agent import FlowAgent
 from bilberrypath.coordination.flow_balancer import FlowBalancer
 from bilberrypath.coordination.flow_finder import FlowFinder
@@ -15,6 +16,7 @@
 from bilberrypath.coordination.silent_peers import SilentPeers
 from bilberrypath.coordination.upstream_keeper import UpstreamKeeper
 from bilberrypath.coordination.upstream_watch import Unable, UpstreamWatch
+from bilberrypath.state.route_steps import index_table
 from tests.coordination import test_flow_affinity as affinity
 from tests.coordination import test_flow_opens as opens
 from tests.coordination import test_flow_recovery as recovery
@@ -139,11 +141,23 @@
     "an older table of routes is taken": (
         RouteKeeper,
         "offer",
-        lambda keeper, table: (
-            offer(RouteKeeper(), table) and setattr(keeper, "table", table) or []
-        ),
+        lambda keeper, table: setattr(keeper, "_held", index_table(table)) or [],
         lambda: test_route_keeper.TestTable().test_never_goes_back(_make_keeper(), 4),
     ),
+    "opens that were handed on unanswered are refused": (
+        FlowOpener,
+        "_leave",
+        lambda opener, carry, packet: opener.agent.reset(packet.flow, 0, "planted"),
+        lambda: opens.TestOneWayCuts().test_an_agent_that_hears_nobody_resets_nothing(),
+    ),
+    "failed requests count for nothing": (
+        FailureShare,
+        "note_failed",
+        lambda share, now: None,
+        lambda: (
+            opens.TestFailingUpstreams().test_one_that_resets_its_requests_gets_few()
+        ),
+    ),
     "handed-back packets are not looked at": (
         FlowAgent,
         "_take_refused",
