Tests: child processes end with the process that started them

Ruled out: a second accept (the command ran once), the stand-in's state. Change: the kernel ends the children of deployments with their parent; test.

--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -17,6 +17,7 @@
 from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
 
 from tests.standins.remote import command
+from tests.support.children import end_with_parent
 
 ROOT = Path(__file__).parents[2]
 PEER_PORT = 7000
@@ -179,7 +180,11 @@
     def start_process(self, name, arguments):
         log = open(self.folder / f"{name}.log", "ab")
         popen = subprocess.Popen(
-            [sys.executable, *arguments], cwd=ROOT, stdout=log, stderr=log
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+            preexec_fn=end_with_parent,
         )
         process = Process(name, popen, arguments)
         self.processes.append(process)
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -20,6 +20,7 @@
 from bilberrypath.protocol.flow_packet import pack_flow, unpack_end
 from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
 from tests.standins.platform_store import PlatformStore
+from tests.support.children import end_with_parent
 from tests.support.flow_world import write_packet
 
 PEER_PORT, READY_PORT, PACKET_PORT, METRICS_PORT = 7720, 7721, 7722, 7723
@@ -348,6 +349,7 @@
             env={**os.environ, "BILBERRYPATH_BOOT": str(path)},
             stdout=log,
             stderr=log,
+            preexec_fn=end_with_parent,
         )
         log.close()
 
