--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -312,30 +312,27 @@
 
 
 class TestOneWayCuts:
-    def cut_answers(self, world, host):
-        """Let nothing of the other agents reach an agent."""
-        for other in list(world.node_by_host):
-            if other.startswith("10.2.") and other != host:
-                world.cut.add((other, host))
+    def play(self, agents):
+        """Send requests in a world where one agent, which is out, hears no other.
 
-    def test_an_agent_that_hears_nobody_resets_nothing(self):
-        world = make_world(agents=6)
-        lonely = "10.2.0.1"
+        Return the world and the requests.
+        """
+        world = make_world(agents)
+        lonely, *others = [host for host in world.node_by_host if "10.2." in host]
         world.set_routes(make_table(2, out=("a",)))
         world.run(1.0)
-        self.cut_answers(world, lonely)
+        world.cut.update((other, lonely) for other in others)
         sent = send_requests(world, 300, 3.0)
         world.run(1.0)
+        return world, sent
+
+    def test_an_agent_that_hears_nobody_resets_nothing(self):
+        _, sent = self.play(agents=6)
         assert sum(client.resets for _, client in sent) == 0
         assert all(client.last_try.answers for _, client in sent)
 
     def test_an_open_is_handed_to_few_that_do_not_answer(self):
-        world = make_world(agents=9)
-        lonely = "10.2.0.1"
-        world.set_routes(make_table(2, out=("a",)))
-        world.run(1.0)
-        self.cut_answers(world, lonely)
-        sent = send_requests(world, 300, 3.0)
+        world, sent = self.play(agents=9)
         accepted = Counter(
             flow for u in world.upstream_by_host.values() for _, flow in u.opens
         )
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -8,7 +8,6 @@
 import contextlib
 import os
 import signal
-import socket
 import sys
 import time
 from collections import Counter
@@ -393,14 +392,4 @@
         return None
 
 
-def is_port_free(host, port):
-    """Return whether a UDP port can be bound."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
-    return True
-
-
 __all__ = ["RST", "FlowDeployment", "StandInUpstream", "make_config", "unpack_end"]
