--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -179,7 +179,7 @@
 
     @handle.register(fev.RoutesPullFailed)
     def _(self, event: fev.RoutesPullFailed, now: Seconds) -> list[FlowEffect]:
-        self.routes.note_pull_failed()
+        self.routes.allow_pull()
         return [fx.Count("pull_failed", "routes")]
 
     @handle.register(ev.Leave)
--- a/bilberrypath/coordination/flow_opener.py
+++ b/bilberrypath/coordination/flow_opener.py
@@ -239,7 +239,7 @@
         tried = (*carry.tried, agent.me)
         carry = msgspec.structs.replace(carry, tried=tried)
         if carry.unanswered >= MAX_UNANSWERED:
-            return self._leave(carry, packet)
+            return self._leave_to_those_asked(carry, packet)
         other = agent.placement.choose_any(self._make_rules(carry), now)
         if other is None:
             other = agent.placement.choose_any(self._make_rules_for_silent(carry), now)
@@ -289,7 +289,9 @@
             ffx.Decided("open_deferred", packet.flow, fields),
         ]
 
-    def _leave(self, carry: Carry, packet: FlowPacket) -> list[FlowEffect]:
+    def _leave_to_those_asked(
+        self, carry: Carry, packet: FlowPacket
+    ) -> list[FlowEffect]:
         """Leave an open to those that were handed it and did not answer.
 
         Their words may be lost on the way here while the open reached them and the
@@ -306,7 +308,7 @@
     ) -> list[FlowEffect]:
         """Tell the client at once that nobody can take its open, if that is sure."""
         if carry.unanswered:
-            return self._leave(carry, packet)
+            return self._leave_to_those_asked(carry, packet)
         agent = self.agent
         fields = {"reason": reason, "tried": list(carry.tried)}
         return [
--- a/bilberrypath/coordination/route_keeper.py
+++ b/bilberrypath/coordination/route_keeper.py
@@ -86,8 +86,8 @@
         self._pull_until = now + PULL_TIMEOUT
         return [PullRoutes(peer)]
 
-    def note_pull_failed(self) -> None:
-        """Allow the next fetch at once."""
+    def allow_pull(self) -> None:
+        """Allow the next fetch at once, as this one is over."""
         self._pull_until = float("-inf")
 
     def reply_since(self, digest: int) -> RoutesReply:
@@ -103,7 +103,7 @@
 
     def take_reply(self, reply: RoutesReply) -> list[FlowEffect]:
         """Take over what another process answered to a fetch."""
-        self.note_pull_failed()
+        self.allow_pull()
         if reply.whole is not None:
             return self.offer(reply.whole)
         effects: list[FlowEffect] = []
@@ -119,7 +119,7 @@
 
     def offer(self, table: RouteTable) -> list[FlowEffect]:
         """Take over a table unless the one in force is as new."""
-        self._pull_until = float("-inf")
+        self.allow_pull()
         if table.revision <= self.revision:
             return []
         after = index_table(table)
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -39,6 +39,7 @@
 from bilberrypath.protocol.outcome import Outcome, Reason, RefusedNotRun, Unknown
 from bilberrypath.protocol.token import TokenCodec
 from bilberrypath.state.members import Role, Status, make_own_record
+from bilberrypath.transport.clock import make_incarnation
 from bilberrypath.transport.control_calls import ControlServer
 from bilberrypath.transport.flow import Flow, RequestStream
 from bilberrypath.transport.metrics import Metrics
@@ -92,7 +93,7 @@
             node.data_centre,
             settings.service,
             Status.SERVING,
-            time.time_ns() // 1_000_000,
+            make_incarnation(),
         )
         setup = AgentSetup(me, node.seeds, settings.slots, settings.max_connections)
         self.core = AgentCore(setup, self._codec, Random())
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -20,6 +20,7 @@
 from bilberrypath.protocol.packet import PacketHeader, PacketKind, read_header
 from bilberrypath.protocol.token import TokenCodec
 from bilberrypath.state.members import Role, Status, make_own_record
+from bilberrypath.transport.clock import make_incarnation
 from bilberrypath.transport.control_calls import (
     CallFailed,
     ControlServer,
@@ -64,7 +65,7 @@
             node.data_centre,
             "",
             Status.SERVING,
-            time.time_ns() // 1_000_000,
+            make_incarnation(),
         )
         setup = BalancerSetup(me, node.seeds, node.store.address is not None)
         self.core = BalancerCore(setup, codec, Random(), time.monotonic())
--- a/bilberrypath/transport/clock.py
+++ b/bilberrypath/transport/clock.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from time import CLOCK_BOOTTIME, clock_gettime
+from time import CLOCK_BOOTTIME, clock_gettime, time_ns
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from bilberrypath.types import Seconds
+    from bilberrypath.types import Incarnation, Seconds
+
+NANOSECONDS = 1_000_000  # in a millisecond
 
 
 def read_clock() -> Seconds:
@@ -16,3 +18,8 @@
     in its sockets would seem to have come just now.
     """
     return clock_gettime(CLOCK_BOOTTIME)
+
+
+def make_incarnation() -> Incarnation:
+    """Return the time of day in milliseconds, which orders the starts of a process."""
+    return time_ns() // NANOSECONDS
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -12,9 +11,9 @@
 from bilberrypath.protocol.flow_messages import to_address
 from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
-from bilberrypath.transport.clock import read_clock
+from bilberrypath.transport.clock import make_incarnation, read_clock
 from bilberrypath.transport.datagrams import ConnectedSocket, DatagramSocket
-from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
+from bilberrypath.transport.flow_daemon import FlowDaemon
 from bilberrypath.transport.machine_probe import does_machine_answer
 
 if TYPE_CHECKING:
@@ -50,7 +49,7 @@
             node.data_centre,
             settings.service,
             Status.DRAINING,
-            time.time_ns() // NANOSECONDS,
+            make_incarnation(),
         )
         setup = FlowAgentSetup(
             me,
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
@@ -12,9 +11,9 @@
 from bilberrypath.protocol.bulk import TableReply
 from bilberrypath.state.members import Member, Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import StatusReply
-from bilberrypath.transport.clock import read_clock
+from bilberrypath.transport.clock import make_incarnation, read_clock
 from bilberrypath.transport.datagrams import DatagramSocket
-from bilberrypath.transport.flow_daemon import NANOSECONDS, FlowDaemon
+from bilberrypath.transport.flow_daemon import FlowDaemon
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,7 +68,7 @@
             node.data_centre,
             "",
             Status.SERVING,
-            time.time_ns() // NANOSECONDS,
+            make_incarnation(),
         )
         core = FlowBalancer(me, node.seeds, codec, Random(), read_clock())
         super().__init__(node, core, lambda: reload().node, sockets)
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -23,6 +23,7 @@
     decode_message,
     encode_message,
     to_address,
+    to_node_id,
 )
 from bilberrypath.protocol.flow_packet import describe_flow
 from bilberrypath.settings_reader import SettingsError
@@ -55,7 +56,6 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 Socket = TypeVar("Socket", DatagramSocket, ConnectedSocket)
-NANOSECONDS = 1_000_000  # in a millisecond
 SETTINGS_PERIOD: Seconds = 2.0  # seeds are at most three seconds behind the fleet
 LEAVE_LIMIT: Seconds = 4.5  # below the six seconds that a process is given to end
 
@@ -78,8 +78,7 @@
         self._reload = reload
         self._http_servers: list[tuple[HttpServer, Address]] = []
         self.metrics = Metrics()
-        host, port = settings.peer_address
-        self.log = LineLog(f"{host}:{port}", self.role)
+        self.log = LineLog(to_node_id(settings.peer_address), self.role)
         self._tasks: set[asyncio.Task] = set()
         self._opened: list[DatagramSocket | ConnectedSocket | StreamServer] = []
         self._stopping = asyncio.Event()
--- a/tests/coordination/test_planted_faults.py
+++ b/tests/coordination/test_planted_faults.py
@@ -146,7 +146,7 @@
     ),
     "opens that were handed on unanswered are refused": (
         FlowOpener,
-        "_leave",
+        "_leave_to_those_asked",
         lambda opener, carry, packet: opener.agent.reset(packet.flow, 0, "planted"),
         lambda: opens.TestOneWayCuts().test_an_agent_that_hears_nobody_resets_nothing(),
     ),
--- a/tests/coordination/test_route_keeper.py
+++ b/tests/coordination/test_route_keeper.py
@@ -109,7 +109,7 @@
 
     def test_a_failed_fetch_allows_the_next(self, keeper):
         keeper.learn_of("x:1", 7, 0.0)
-        keeper.note_pull_failed()
+        keeper.allow_pull()
         assert keeper.learn_of("y:1", 7, 0.1) == [PullRoutes("y:1")]
 
     def test_of_what_is_held_leads_to_nothing(self, keeper):
