Dispatch methods without rebuilding a wrapper at each call

Cause: functools.singledispatchmethod builds a function and copies its metadata at each access. Change: dispatchmethod keeps registration and lookup of the base class and returns a plain function. Ruled out: a dictionary of handlers by type, which finds no base class.

--- a/bilberrypath/caller/flow.py
+++ b/bilberrypath/caller/flow.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
@@ -13,6 +12,7 @@
 from aioquic.quic import events as quic_events
 from attrs import define, field
 
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol.http import AGENT_HEADER, encode_request_head
 from bilberrypath.protocol.stateless_reset import is_stateless_reset
 from bilberrypath.transport.quic import CallerConnection, GoawayH3Connection
@@ -189,7 +189,7 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore socket errors; a path is given up only after ``SILENCE_LIMIT``."""
 
-    @singledispatchmethod
+    @dispatchmethod
     def quic_event_received(self, event: quic_events.QuicEvent) -> None:
         """Handle an event of the QUIC connection."""
         self._feed_h3(event)
@@ -207,7 +207,7 @@
         for http_event in http_events:
             self._handle_http_event(http_event)
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle_http_event(self, event: Any) -> None:
         """Ignore other events; an answer consists of headers and data only."""
 
--- a/bilberrypath/coordination/agent.py
+++ b/bilberrypath/coordination/agent.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -20,6 +19,7 @@
     RelayOpen,
 )
 from bilberrypath.coordination.registration import Registration
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol.frame import FlowNotFoundFrame, ForwardFrame
 from bilberrypath.protocol.quic_header import PacketError, PacketKind, parse_quic_header
@@ -176,7 +176,7 @@
         view = self.registration.view
         return view is not None and route.service == view.service_number
 
-    @singledispatchmethod
+    @dispatchmethod
     def handle(
         self, event: Event, now: Seconds
     ) -> list[Effect | Deliver | OpenFlow | CloseAllFlows]:
--- a/bilberrypath/coordination/balancer.py
+++ b/bilberrypath/coordination/balancer.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -18,6 +17,7 @@
 from bilberrypath.coordination.gossiper import PUSH_FANOUT, Gossiper, send_to_node
 from bilberrypath.coordination.release_tracker import ReleaseTracker
 from bilberrypath.coordination.rendezvous import is_store_reader
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol.frame import FlowNotFoundFrame, ForwardFrame, ReturnFrame
 from bilberrypath.protocol.stateless_reset import MAX_RESET_BYTES
@@ -149,7 +149,7 @@
 
     # Events
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle(self, event: Event, now: Seconds) -> list[Effect]:
         raise TypeError(
             f"BalancerCore has no handler for event type {type(event).__name__}; "
@@ -303,7 +303,7 @@
 
     # Messages
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle_message(
         self, message: ctl.ControlMessage, sender: Address, now: Seconds
     ) -> list[Effect]:
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -29,6 +28,7 @@
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
 from bilberrypath.state.agents_digest import digest_agents
@@ -292,7 +292,7 @@
             ffx.LogDecision("flow_reset", flow, {"reason": reason}),
         ]
 
-    @singledispatchmethod
+    @dispatchmethod
     def handle(self, event: Event, now: Seconds) -> list[FlowEffect]:
         """Handle one event and return its effects."""
         raise TypeError(
@@ -359,7 +359,7 @@
 
     # Messages
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle_message(
         self, message: msg.FlowMessage, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 from bilberrypath.coordination import effects as fx
@@ -23,6 +22,7 @@
 from bilberrypath.coordination.rendezvous import is_store_reader
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
@@ -156,7 +156,7 @@
 
     # Events
 
-    @singledispatchmethod
+    @dispatchmethod
     def handle(self, event: Event, now: Seconds) -> list[FlowEffect]:
         """Handle one event and return its effects."""
         raise TypeError(
@@ -226,7 +226,7 @@
 
     # Messages
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle_message(
         self, message: msg.FlowMessage, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import time
-from functools import singledispatchmethod
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -22,6 +21,7 @@
     Deliver,
     OpenFlow,
 )
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import bulk
 from bilberrypath.protocol.frame import (
     FrameSealer,
@@ -305,7 +305,7 @@
         for effect in effects:
             self._perform(effect)
 
-    @singledispatchmethod
+    @dispatchmethod
     def _perform(self, effect: object) -> None:
         raise TypeError(
             f"unsupported effect {type(effect).__name__}; add a handler to _perform"
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import time
-from functools import singledispatchmethod
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
 from bilberrypath.coordination.release_store import ReleaseStore, StoreUnavailable
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import bulk
 from bilberrypath.protocol.frame import FrameSealer
 from bilberrypath.protocol.quic_header import (
@@ -208,7 +208,7 @@
         for effect in self.core.handle(event, time.monotonic()):
             self._perform(effect)
 
-    @singledispatchmethod
+    @dispatchmethod
     def _perform(self, effect: Effect) -> None:
         raise TypeError(
             f"unsupported effect {type(effect).__name__}; add a handler to _perform"
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -7,7 +7,6 @@
 import traceback
 from abc import ABC, abstractmethod
 from contextlib import suppress
-from functools import singledispatchmethod
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -17,6 +16,7 @@
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination import flow_events as fev
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol.bulk import MemberTableReply
 from bilberrypath.protocol.flow_messages import (
     ForwardedPacket,
@@ -288,7 +288,7 @@
 
     # Effects
 
-    @singledispatchmethod
+    @dispatchmethod
     def perform(self, effect: FlowEffect, now: Seconds) -> None:
         """Perform one effect."""
         raise TypeError(
@@ -368,7 +368,7 @@
 
     # Bulk calls
 
-    @singledispatchmethod
+    @dispatchmethod
     def handle_request(
         self, request: BulkRequest
     ) -> RouteTableReply | MemberTableReply | FlowStatusReply:
--- a/bilberrypath/transport/http3_flow.py
+++ b/bilberrypath/transport/http3_flow.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any, Protocol
 
 from aioquic.h3.connection import ErrorCode, ProtocolError
@@ -12,6 +11,7 @@
 from aioquic.quic import events as quic_events
 from attrs import define, field
 
+from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol.http import BadRequest, decode_request_head
 from bilberrypath.transport.quic import GoawayH3Connection, TokenConnection
 
@@ -196,7 +196,7 @@
             self._handle_event(event)
             event = self.connection.next_event()
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle_event(self, event: quic_events.QuicEvent) -> None:
         self._feed_h3(event)
 
@@ -244,7 +244,7 @@
         for http_event in http_events:
             self._handle_http_event(http_event)
 
-    @singledispatchmethod
+    @dispatchmethod
     def _handle_http_event(self, event: Any) -> None:
         """Ignore events other than headers and data, which requests do not cause."""
 
