Members of a service: a change costs an agent the change

Change: the table keeps each service's digest and its latest changes; the answer carries the records that changed since the agent's digest. Changes apply only to the list that they name. Found with it: an agent that ended without an upstream stayed a peer of the others for good, as its last load report was younger than 2 s when the list without it came and nothing else removed it. It is dropped once that report is old. test_agent_that_left_is_no_peer_once_its_reports_are_old[False] failed before; the others need what this change brings.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -31,7 +31,7 @@
 from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
-from bilberrypath.state.agents_digest import digest_agents
+from bilberrypath.state.member_digest import digest_agents
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
@@ -351,6 +351,7 @@
         effects += self.unresponsive_peers.probe_machines(now)
         effects += self.upstream.tick(now)
         idle_limit = self.routes.table.idle_timeout + IDLE_MARGIN
+        self.placement.drop_unlisted(now)
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
         if now >= self._next_load_report_at:
@@ -404,11 +405,7 @@
     ) -> list[FlowEffect]:
         if not self.registration.handle_flow_ack(message, sender, now):
             return []
-        if message.agents is not None:
-            changed = self.placement.update_agents(message.agents, self.node_id, now)
-            if changed or self.agents_changed_at > now:
-                self.agents_changed_at = now
-            self.registration.agents_digest = digest_agents(message.agents)
+        self._update_agents(message, now)
         balancer = format_node_id(sender)
         return self.routes.observe_revision(balancer, message.revision, now)
 
@@ -429,6 +426,26 @@
 
     # Shared
 
+    def _update_agents(self, ack: msg.FlowHeartbeatAck, now: Seconds) -> None:
+        """Adopt the list of agents in an acknowledgement, or the changes to it.
+
+        Changes to another list than the one held here are ignored: the next heartbeat
+        names the digest that they must apply to.
+        """
+        registration = self.registration
+        if ack.agents is not None:
+            changed = self.placement.update_agents(ack.agents, self.node_id, now)
+            registration.agents_digest = digest_agents(ack.agents)
+        elif ack.changed_agents and ack.base_digest == registration.agents_digest:
+            changed = self.placement.apply_changes(
+                ack.changed_agents, self.service, self.node_id, now
+            )
+            registration.agents_digest = ack.agents_digest
+        else:
+            return
+        if changed or self.agents_changed_at > now:
+            self.agents_changed_at = now
+
     def send_load_report(self, now: Seconds) -> list[FlowEffect]:
         """Send the upstream's load to a random sample of the other agents."""
         peers = list(self.placement.peer_by_id)
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
@@ -26,7 +28,6 @@
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
-from bilberrypath.state.agents_digest import digest_agents
 from bilberrypath.state.members import Role, Status
 
 if TYPE_CHECKING:
@@ -297,15 +298,22 @@
     def _make_heartbeat_ack(self, message: msg.FlowHeartbeat) -> msg.FlowHeartbeatAck:
         member = message.member
         table = self.members.table
-        agents = tuple(table.list_agents(member.service))
-        is_digest_equal = digest_agents(agents) == message.agents_digest
-        return msg.FlowHeartbeatAck(
+        ack = msg.FlowHeartbeatAck(
             message.sequence,
             self.routes.revision,
             table.get(member.node_id) or member,
             self.members.list_heartbeat_targets(member.node_id, member.data_centre),
-            agents if self.gossiper.is_joined and not is_digest_equal else None,
+            agents=None,
+            agents_digest=table.digest_agents(member.service),
+            base_digest=message.agents_digest,
         )
+        if ack.agents_digest == message.agents_digest or not self.gossiper.is_joined:
+            return ack
+        changed = table.list_changed_agents(member.service, message.agents_digest)
+        if changed is not None:
+            return msgspec.structs.replace(ack, changed_agents=tuple(changed))
+        agents = tuple(table.list_agents(member.service))
+        return msgspec.structs.replace(ack, agents=agents)
 
     def _observe_revision(
         self, sender: Address, revision: int, now: Seconds
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -18,7 +18,7 @@
 
     from bilberrypath.protocol.flow_messages import LoadReport
     from bilberrypath.state.members import Member
-    from bilberrypath.types import DataCentreName, NodeId, Seconds
+    from bilberrypath.types import DataCentreName, NodeId, Seconds, ServiceName
 
 SAMPLE_SIZE = 3  # agents compared per open; as many again near its client
 MIN_GAIN = 0.15  # of the slots; a smaller gain does not justify a relay
@@ -97,10 +97,15 @@
 
 @define
 class OpenPlacement:
-    """The known peers of an agent, and the choice among them for an open."""
+    """The known peers of an agent, and the choice among them for an open.
+
+    ``_unlisted_ids`` are peers that are gone by the list of agents, and are kept until
+    their last load report is old.
+    """
 
     rng: Random
     peer_by_id: dict[NodeId, PeerAgent] = Factory(dict)
+    _unlisted_ids: set[NodeId] = Factory(set)
 
     def update_agents(
         self, agents: tuple[Member, ...], own_id: NodeId, now: Seconds
@@ -108,23 +113,60 @@
         """Replace the list of peers; return whether one was added or removed.
 
         The list may be incomplete, from a balancer that has just started, so a peer
-        with a recent load report is kept.
+        with a recent load report is kept while it sends more of them.
         """
         previous = set(self.peer_by_id)
-        listed = {
-            member.node_id: member for member in agents if member.node_id != own_id
-        }
-        for node_id in previous - set(listed):
-            if now - self.peer_by_id[node_id].reported_at > MAX_REPORT_AGE:
-                del self.peer_by_id[node_id]
-        for node_id, member in listed.items():
-            peer = self.peer_by_id.get(node_id)
-            if peer is None:
-                self.peer_by_id[node_id] = PeerAgent(member)
-            else:
-                peer.member = member
+        listed_ids = {member.node_id for member in agents} - {own_id}
+        for member in agents:
+            if member.node_id != own_id:
+                self._set_member(member)
+        self._unlisted_ids = previous - listed_ids
+        self.drop_unlisted(now)
+        return previous != set(self.peer_by_id)
+
+    def apply_changes(
+        self,
+        changed: tuple[Member, ...],
+        service: ServiceName,
+        own_id: NodeId,
+        now: Seconds,
+    ) -> bool:
+        """Apply changed records to the list; return whether a peer came or went.
+
+        A peer that is gone gets no opens from now on. While its load reports are recent
+        it is still asked for flows, since its removal may be a mistake. One that runs
+        another service now is dropped at once.
+        """
+        previous = set(self.peer_by_id)
+        for member in changed:
+            if member.node_id == own_id:
+                continue
+            if member.service != service:
+                self.peer_by_id.pop(member.node_id, None)
+            elif not member.is_gone:
+                self._set_member(member)
+            elif member.node_id in self.peer_by_id:
+                self.peer_by_id[member.node_id].member = member
+                self._unlisted_ids.add(member.node_id)
+        self.drop_unlisted(now)
         return previous != set(self.peer_by_id)
 
+    def drop_unlisted(self, now: Seconds) -> None:
+        """Drop the unlisted peers whose last load report is old."""
+        for node_id in list(self._unlisted_ids):
+            peer = self.peer_by_id.get(node_id)
+            if peer is None or now - peer.reported_at > MAX_REPORT_AGE:
+                self.peer_by_id.pop(node_id, None)
+                self._unlisted_ids.discard(node_id)
+
+    def _set_member(self, member: Member) -> None:
+        self._unlisted_ids.discard(member.node_id)
+        peer = self.peer_by_id.get(member.node_id)
+        if peer is None:
+            self.peer_by_id[member.node_id] = PeerAgent(member)
+        else:
+            peer.member = member
+
     def choose_less_busy(
         self, own: OwnLoad, constraints: PlacementConstraints, now: Seconds
     ) -> NodeId | None:
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -115,7 +115,9 @@
 
     ``known_record`` is the member record that the balancer holds of the agent, and
     ``heartbeat_targets`` are the balancers to send the next heartbeats to. ``agents``
-    lists the live agents of the service, or is None if the agent already has this list.
+    lists the live agents of the service, or is None if the agent already has this list
+    or ``changed_agents`` brings it up to date: the records that differ from the list
+    whose digest is ``base_digest``. ``agents_digest`` is that of the whole list.
     """
 
     sequence: int
@@ -123,6 +125,9 @@
     known_record: Member
     heartbeat_targets: tuple[str, ...]
     agents: tuple[Member, ...] | None
+    agents_digest: int = 0
+    base_digest: int = 0
+    changed_agents: tuple[Member, ...] = ()
 
 
 class RoutesChanged(ControlStruct, tag=27):
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -16,6 +16,9 @@
 import xxhash
 from attrs import Factory, define
 
+from bilberrypath.state.member_digest import digest_member
+from bilberrypath.state.service_agents import ServiceAgents
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -104,12 +107,6 @@
     return member.incarnation, member.version, member.suspicion
 
 
-def digest_member(member: Member) -> int:
-    """Return a 64-bit hash of a record."""
-    order = "/".join(str(part) for part in _version_key(member))
-    return xxhash.xxh64_intdigest(f"{member.node_id}/{order}".encode())
-
-
 def compute_table_bucket_index(node_id: NodeId) -> int:
     """Return the index of the table bucket that holds a record."""
     return xxhash.xxh32_intdigest(node_id.encode()) % TABLE_BUCKET_COUNT
@@ -128,7 +125,7 @@
     _node_ids_by_bucket: list[set[NodeId]] = Factory(
         lambda: [set() for _ in range(TABLE_BUCKET_COUNT)]
     )
-    _agents_by_service: dict[ServiceName, dict[NodeId, Member]] = Factory(dict)
+    _agents_by_service: dict[ServiceName, ServiceAgents] = Factory(dict)
     _balancer_by_id: dict[NodeId, Member] = Factory(dict)
     _balancers_by_centre: dict[DataCentreName, dict[NodeId, Member]] = Factory(dict)
     _digest: int | None = None
@@ -155,7 +152,7 @@
         bucket = compute_table_bucket_index(member.node_id)
         if known is not None:
             self._toggle_digest(bucket, known)
-            self._unindex(known)
+            self._unindex_unless_replaced(known, member)
         self._toggle_digest(bucket, member)
         self._node_ids_by_bucket[bucket].add(member.node_id)
         self._member_by_id[member.node_id] = member
@@ -177,7 +174,28 @@
 
     def list_agents(self, service: ServiceName) -> Iterable[Member]:
         """Return the agents of a service that are not gone."""
-        return self._agents_by_service.get(service, {}).values()
+        agents = self._agents_by_service.get(service)
+        return () if agents is None else agents.member_by_id.values()
+
+    def digest_agents(self, service: ServiceName) -> int:
+        """Return the digest of the agents of a service that are not gone."""
+        agents = self._agents_by_service.get(service)
+        return 0 if agents is None else agents.digest
+
+    def list_changed_agents(
+        self, service: ServiceName, digest: int
+    ) -> list[Member] | None:
+        """Return the records that changed since the service's agents had a digest.
+
+        They include those of agents that are gone or run another service now. None
+        means that the changes are not known.
+        """
+        agents = self._agents_by_service.get(service)
+        changed_ids = None if agents is None else agents.list_changed_ids(digest)
+        if changed_ids is None:
+            return None
+        members = [self._member_by_id.get(node_id) for node_id in changed_ids]
+        return None if None in members else members
 
     def list_balancers(self) -> Iterable[Member]:
         """Return the balancers that are not gone."""
@@ -229,8 +247,19 @@
             balancers = self._balancers_by_centre.setdefault(member.data_centre, {})
             balancers[member.node_id] = member
         else:
-            agents = self._agents_by_service.setdefault(member.service, {})
-            agents[member.node_id] = member
+            agents = self._agents_by_service.get(member.service)
+            if agents is None:
+                agents = self._agents_by_service[member.service] = ServiceAgents()
+            agents.set(member)
+
+    def _unindex_unless_replaced(self, known: Member, member: Member) -> None:
+        """Remove a record from the index, unless indexing ``member`` replaces it.
+
+        Replacing it is one change to the agents of its service instead of two.
+        """
+        is_agent = known.role is Role.AGENT and member.role is Role.AGENT
+        if member.is_gone or not is_agent or known.service != member.service:
+            self._unindex(known)
 
     def _unindex(self, member: Member) -> None:
         if member.role is Role.BALANCER:
@@ -241,6 +270,6 @@
         agents = self._agents_by_service.get(member.service)
         if agents is None:
             return
-        agents.pop(member.node_id, None)
-        if not agents:
+        agents.discard(member.node_id)
+        if not agents.member_by_id:
             del self._agents_by_service[member.service]
