Lookups: notices that do not grow with the square of the agents, shared queries

Cause: each agent that tried a packet of an unknown flow told all agents that had tried it before. Change: only agents that tried an open are told where it went, as they wait for it; for an established flow the balancer, the home and the sender are. Flows that are looked up within 60 ms of a round of queries share the next one. Candidates in the client's data centre are tried first, as opens are placed there. Ruled out: no notices during a search (the client's other packets would each start at the home's own upstream again).

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -131,6 +131,8 @@
         for kind, flow in self.deadlines.pop_due(now):
             if kind == "lookup":
                 effects += self.locator.handle_timeout(flow, now)
+            elif kind == "query":
+                effects += self.locator.query_waiting(now)
             else:
                 effects += self.open_handler.handle_deadline(kind, flow, now)
         return effects
@@ -169,7 +171,10 @@
         held = self.flows.get(packet.flow)
         if held is not None:
             self.flows.record_client_packet(held, packet, now)
-            notices = self.send_location(forwarded, packet.flow, self.node_id, sender)
+            tried = forwarded.tried_agents if packet.is_syn else ()
+            notices = self.send_location(
+                forwarded, packet.flow, self.node_id, sender, tried
+            )
             return [ffx.SendToUpstream(packet.datagram), *notices]
         if self.locator.try_queue(forwarded, packet):
             return []
@@ -227,12 +232,17 @@
         flow: bytes,
         holder: NodeId,
         sender: NodeId = "",
+        tried_agents: tuple[NodeId, ...] = (),
     ) -> list[FlowEffect]:
         """Send a flow's location to the processes that handled its packet.
 
-        These are the origin balancer, the home agent, the sender and all agents that
-        relayed or tried the packet. Nothing is sent unless the location is wanted. An
-        empty ``holder`` means that no holder is known.
+        These are the origin balancer, the home agent, the sender, the agents that
+        relayed the packet for load, and ``tried_agents``. Nothing is sent unless the
+        location is wanted. An empty ``holder`` means that no holder is known.
+
+        The agents that tried an open wait for its location. Those that tried a packet
+        of an established flow do not: with a search through all agents of a service,
+        their notices would grow with the square of its size.
         """
         if not forwarded.wants_location:
             return []
@@ -241,7 +251,7 @@
             forwarded.home_agent,
             sender,
             *forwarded.relayed_by,
-            *forwarded.tried_agents,
+            *tried_agents,
         }
         recipients -= {"", self.node_id}
         message = msg.FlowLocation(flow, holder)
@@ -385,7 +395,7 @@
     def _(
         self, message: msg.FlowQuery, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        return [fx.SendControl(sender, self.locator.answer_query(message.flow, now))]
+        return [fx.SendControl(sender, self.locator.answer_query(message, now))]
 
     @_handle_message.register(msg.FlowQueryReply)
     def _(
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -24,9 +24,12 @@
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.protocol.flow_packet import FlowPacket
-    from bilberrypath.types import NodeId, Seconds
+    from bilberrypath.types import DataCentreName, NodeId, Seconds
 
 LOOKUP_TIMEOUT: Seconds = 0.05  # several round trips; clients retransmit after 200 ms
+# Between two rounds of queries. A lookup ends before its balancer stops waiting for it.
+QUERY_INTERVAL: Seconds = 0.06
+MAX_FLOWS_PER_QUERY = 64  # about 1 KB a query and 2 KB a reply
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 NOT_FOUND_TTL: Seconds = 0.4  # equals a client's second retransmission timeout
 MAX_REMEMBERED_FLOWS = 4096  # flows; the upstream returns a packet within 1 ms
@@ -39,12 +42,18 @@
     The metadata of each tentatively delivered packet is kept, so that the packet can
     be relayed if the upstream returns it. A flow that was not found is kept with the
     time of that lookup.
+
+    Many flows are looked up at once after a loss of power or of balancers. Those that
+    arrive within ``QUERY_INTERVAL`` of a round of queries wait in ``_waiting_flows``
+    for the next, which asks each agent for all of them in one message.
     """
 
     agent: FlowAgent = field(repr=False)
     lookups: ActiveLookups = Factory(ActiveLookups)
     _tentative_by_flow: dict[bytes, ForwardedPacket] = Factory(dict)
     _not_found_at_by_flow: dict[bytes, float] = Factory(dict)
+    _waiting_flows: list[bytes] = Factory(list)
+    _next_query_at: Seconds = float("-inf")
 
     def try_queue(self, forwarded: ForwardedPacket, packet: FlowPacket) -> bool:
         """Queue a packet if a lookup of its flow is running; return whether it was."""
@@ -166,35 +175,52 @@
             )
         return self._query_agents(forwarded, packet, now)
 
-    def answer_query(self, flow: bytes, now: Seconds) -> msg.FlowQueryReply:
-        """Return the reply to a query for a flow.
+    def answer_query(self, query: msg.FlowQuery, now: Seconds) -> msg.FlowQueryReply:
+        """Return the reply to a query for one or more flows."""
+        upstream = self.agent.upstream
+        others = [(flow, self._find_holder(flow, now)) for flow in query.other_flows]
+        holder = self._find_holder(query.flow, now)
+        return msg.FlowQueryReply(
+            query.flow,
+            holder,
+            not upstream.tracks_all_flows(now),
+            upstream.health.has_received_any,
+            tuple(others),
+        )
 
-        It names the holder: this agent if it has the flow, else that of its redirect.
-        Without one, it states whether this agent's upstream may have the flow.
-        """
+    def _find_holder(self, flow: bytes, now: Seconds) -> NodeId:
+        """Return this agent if it has a flow, else the holder of its redirect or ""."""
         agent = self.agent
         if agent.flows.get(flow) is not None:
-            return msg.FlowQueryReply(flow, agent.node_id, False)
+            return agent.node_id
         holder = agent.redirects.find(flow, now)
         is_known_peer = holder is not None and holder in agent.placement.peer_by_id
         if is_known_peer and not agent.unresponsive_peers.has_failed(holder, now):
-            return msg.FlowQueryReply(flow, holder, False)
-        may_hold = not agent.upstream.tracks_all_flows(now)
-        return msg.FlowQueryReply(
-            flow, "", may_hold, agent.upstream.health.has_received_any
-        )
+            return holder
+        return ""
 
     def handle_query_reply(
         self, reply: msg.FlowQueryReply, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
-        """Process another agent's reply, and finish the lookup if it settles it.
+        """Process another agent's reply, and finish the lookups that it settles.
 
         A holder that counts as failed at this agent is ignored.
         """
-        if self.agent.unresponsive_peers.has_failed(reply.holder, now):
-            reply = msgspec.structs.replace(reply, holder="")
-        result = self.lookups.handle_query_reply(reply, sender)
-        return [] if result is None else self._finish_lookup(reply.flow, result, now)
+        effects: list[FlowEffect] = []
+        for flow, holder in ((reply.flow, reply.holder), *reply.other_holders):
+            if self.agent.unresponsive_peers.has_failed(holder, now):
+                holder = ""
+            answer = msgspec.structs.replace(reply, flow=flow, holder=holder)
+            result = self.lookups.handle_query_reply(answer, sender)
+            if result is not None:
+                effects += self._finish_lookup(flow, result, now)
+        return effects
+
+    def query_waiting(self, now: Seconds) -> list[FlowEffect]:
+        """Start the queries for the flows that waited for the next round."""
+        waiting, self._waiting_flows = self._waiting_flows, []
+        flows = [flow for flow in waiting if self.lookups.get(flow) is not None]
+        return self._send_queries(flows, now) if flows else []
 
     def handle_timeout(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
         """Finish a lookup with the replies so far; mark the others unresponsive."""
@@ -251,12 +277,7 @@
         """
         agent = self.agent
         tried = tuple(dict.fromkeys((*forwarded.tried_agents, agent.node_id)))
-        others = [
-            node_id
-            for node_id in agent.placement.peer_by_id
-            if node_id not in tried
-            and not agent.unresponsive_peers.has_failed(node_id, now)
-        ]
+        others = self._list_queried_agents(tried, forwarded.client_data_centre, now)
         if may_hold:
             tried = forwarded.tried_agents
         lookup = self.lookups.begin(forwarded, packet, tried, others)
@@ -268,9 +289,46 @@
             return self._finish_lookup(
                 packet.flow, self.lookups.compute_result(packet.flow), now
             )
-        agent.deadlines.set(("lookup", packet.flow), now + LOOKUP_TIMEOUT)
-        query = msg.FlowQuery(packet.flow)
-        return [fx.SendControl(parse_address(node_id), query) for node_id in others]
+        if now >= self._next_query_at:
+            return self._send_queries([packet.flow], now)
+        self._waiting_flows.append(packet.flow)
+        agent.deadlines.set(("query", b""), self._next_query_at)
+        return []
+
+    def _list_queried_agents(
+        self,
+        tried: tuple[NodeId, ...],
+        client_data_centre: DataCentreName,
+        now: Seconds,
+    ) -> list[NodeId]:
+        """Return the agents to query, those in the client's data centre first.
+
+        Opens are placed in their client's data centre if its load allows it, so that an
+        agent there is the most likely holder.
+        """
+        peers = [
+            (peer.member.data_centre != client_data_centre, node_id)
+            for node_id, peer in self.agent.placement.peer_by_id.items()
+            if node_id not in tried
+            and not self.agent.unresponsive_peers.has_failed(node_id, now)
+        ]
+        return [node_id for _, node_id in sorted(peers)]
+
+    def _send_queries(self, flows: list[bytes], now: Seconds) -> list[FlowEffect]:
+        """Ask each agent for all flows whose lookups wait for it."""
+        self._next_query_at = now + QUERY_INTERVAL
+        flows_by_agent: dict[NodeId, list[bytes]] = {}
+        for flow in flows:
+            self.agent.deadlines.set(("lookup", flow), now + LOOKUP_TIMEOUT)
+            for node_id in self.lookups.lookup_by_flow[flow].queried_ids:
+                flows_by_agent.setdefault(node_id, []).append(flow)
+        effects: list[FlowEffect] = []
+        for node_id, asked_flows in flows_by_agent.items():
+            for start in range(0, len(asked_flows), MAX_FLOWS_PER_QUERY):
+                first, *others = asked_flows[start : start + MAX_FLOWS_PER_QUERY]
+                query = msg.FlowQuery(first, tuple(others))
+                effects.append(fx.SendControl(parse_address(node_id), query))
+        return effects
 
     def _finish_lookup(
         self, flow: bytes, result: LookupResult, now: Seconds
--- a/bilberrypath/coordination/flow_lookup.py
+++ b/bilberrypath/coordination/flow_lookup.py
@@ -1,6 +1,6 @@
 """Lookup of the agent that holds a flow, among all agents of the service.
 
-All other agents are queried at once. The first reply that names the holder ends the
+All other agents are queried. The first reply that names the holder ends the
 lookup. An agent that started after its upstream may not have seen all flows; such
 agents are candidates and are tried in turn, since an upstream returns the packets of
 flows that it does not hold. It is certain that no agent has the flow only if every
@@ -14,7 +14,7 @@
 from attrs import Factory, define, frozen
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from bilberrypath.protocol.flow_messages import FlowQueryReply, ForwardedPacket
     from bilberrypath.protocol.flow_packet import FlowPacket
@@ -60,12 +60,14 @@
     do not have the flow. ``pending_ids`` are the queried agents without a reply yet.
     ``possible_holders`` and ``silent_upstream_agents`` are agents whose upstream may
     have the flow. Agents in ``silent_upstream_agents`` have received nothing from
-    their upstream since they started.
+    their upstream since they started. ``queried_ids`` are the queried agents in the
+    order in which candidates among them are tried.
     """
 
     queued_packets: list[tuple[ForwardedPacket, FlowPacket]]
     tried_agents: tuple[NodeId, ...]
     pending_ids: set[NodeId]
+    queried_ids: tuple[NodeId, ...] = ()
     possible_holders: list[NodeId] = Factory(list)
     silent_upstream_agents: list[NodeId] = Factory(list)
 
@@ -92,19 +94,27 @@
         forwarded: ForwardedPacket,
         packet: FlowPacket,
         tried: tuple[NodeId, ...],
-        agents: Iterable[NodeId],
+        agents: Sequence[NodeId],
     ) -> FlowLookup | None:
-        """Start a lookup among agents; return None if ``MAX_LOOKUPS`` are running."""
+        """Start a lookup among agents; return None if ``MAX_LOOKUPS`` are running.
+
+        ``agents`` are in the order in which candidates are tried.
+        """
         if len(self.lookup_by_flow) >= MAX_LOOKUPS:
             return None
-        lookup = FlowLookup([(forwarded, packet)], tried, set(agents))
+        lookup = FlowLookup(
+            [(forwarded, packet)], tried, set(agents), queried_ids=tuple(agents)
+        )
         self.lookup_by_flow[packet.flow] = lookup
         return lookup
 
     def handle_query_reply(
         self, reply: FlowQueryReply, agent: NodeId
     ) -> LookupResult | None:
-        """Process an agent's reply; return the result if that ends the lookup."""
+        """Process a reply for its first flow; return the result if it ends the lookup.
+
+        The reply's other flows are ignored.
+        """
         lookup = self.lookup_by_flow.get(reply.flow)
         if lookup is None or agent not in lookup.pending_ids:
             return None
@@ -126,9 +136,14 @@
         it returns no packet, and the remaining candidates would not be tried.
         """
         lookup = self.lookup_by_flow[flow]
+        order = {node_id: rank for rank, node_id in enumerate(lookup.queried_ids)}
+
+        def rank(node_id: NodeId) -> int:
+            return order.get(node_id, len(order))
+
         candidates = (
-            *sorted(lookup.possible_holders),
-            *sorted(lookup.silent_upstream_agents),
+            *sorted(lookup.possible_holders, key=rank),
+            *sorted(lookup.silent_upstream_agents, key=rank),
         )
         if candidates:
             return TryCandidates(candidates, not lookup.pending_ids)
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -151,10 +151,22 @@
         """Send this agent as the flow's location, so that the sender does not retry."""
         flow = pending.packet.flow
         notices = self.agent.send_location(
-            pending.forwarded, flow, self.agent.node_id, pending.sender
+            pending.forwarded,
+            flow,
+            self.agent.node_id,
+            pending.sender,
+            pending.forwarded.tried_agents,
         )
         return [*notices, fx.Count("open_waits", reason)]
 
+    def _send_not_taken(
+        self, forwarded: ForwardedPacket, flow: bytes
+    ) -> list[FlowEffect]:
+        """Tell those that wait for the location of an open that it was not taken."""
+        return self.agent.send_location(
+            forwarded, flow, "", tried_agents=forwarded.tried_agents
+        )
+
     def _decide(
         self,
         forwarded: ForwardedPacket,
@@ -186,12 +198,12 @@
         """
         agent = self.agent
         if forwarded.service not in ("", agent.service):
-            notices = agent.send_location(forwarded, packet.flow, "")
+            notices = self._send_not_taken(forwarded, packet.flow)
             return [fx.Count("open_dropped", "other_service"), *notices]
         if forwarded.revision >= agent.routes.revision and forwarded.service:
             return None
         routes_notice = msg.RoutesChanged(agent.routes.revision)
-        notices = agent.send_location(forwarded, packet.flow, "")
+        notices = self._send_not_taken(forwarded, packet.flow)
         notices.append(
             fx.SendControl(parse_address(forwarded.origin_balancer), routes_notice)
         )
@@ -293,7 +305,9 @@
         }
         return [
             ffx.SendToUpstream(packet.datagram),
-            *agent.send_location(forwarded, flow, agent.node_id, sender),
+            *agent.send_location(
+                forwarded, flow, agent.node_id, sender, forwarded.tried_agents
+            ),
             fx.Count("open", "accepted"),
             ffx.LogDecision("open_accepted", flow, fields),
         ]
@@ -352,7 +366,7 @@
             pending, now + FIRST_REPORT_TIMEOUT
         ):
             return self._notify_queued(pending, "no_report")
-        notices = self.agent.send_location(forwarded, packet.flow, "")
+        notices = self._send_not_taken(forwarded, packet.flow)
         return [fx.Count("open_dropped", "no_report"), *notices]
 
     def _defer(
@@ -372,7 +386,7 @@
             "tried": list(forwarded.tried_agents),
         }
         return [
-            *self.agent.send_location(forwarded, packet.flow, ""),
+            *self._send_not_taken(forwarded, packet.flow),
             fx.Count("open", "deferred"),
             ffx.LogDecision("open_deferred", packet.flow, fields),
         ]
@@ -404,7 +418,7 @@
         agent = self.agent
         fields = {"reason": reason, "tried": list(forwarded.tried_agents)}
         return [
-            *agent.send_location(forwarded, packet.flow, ""),
+            *self._send_not_taken(forwarded, packet.flow),
             *agent.reset(packet.flow, packet.acknowledged, "nobody_able"),
             fx.Count("open", "refused"),
             ffx.LogDecision("open_refused", packet.flow, fields),
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -63,9 +63,10 @@
 
 
 class FlowQuery(ControlStruct, tag=22):
-    """A request to an agent for the holder of a flow."""
+    """A request to an agent for the holders of ``flow`` and ``other_flows``."""
 
     flow: bytes
+    other_flows: tuple[bytes, ...] = ()
 
 
 class FlowQueryReply(ControlStruct, tag=23):
@@ -74,13 +75,15 @@
     ``may_hold`` means that the agent started after its upstream, so that the upstream
     may have the flow without a record at the agent. ``has_upstream_reported`` means
     that a report or packet has arrived from the upstream since, and the upstream will
-    therefore return packets of flows that it does not hold.
+    therefore return packets of flows that it does not hold. Both apply to all flows of
+    the query; ``other_holders`` has the holder of each of its other flows.
     """
 
     flow: bytes
     holder: str
     may_hold: bool
     has_upstream_reported: bool = True
+    other_holders: tuple[tuple[bytes, str], ...] = ()
 
 
 class LoadReport(ControlStruct, tag=24):
