Sockets are read only once a daemon is complete

Cause: a datagram socket was read from its construction on. An agent whose metrics server starts between its peer socket and the socket to its upstream delivered a waiting packet to an attribute that did not exist yet. Change: start_reading is called when all sockets are open, in all four daemons. Test: test_packet_that_waited_in_the_peer_socket_is_delivered failed before.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -148,6 +148,7 @@
 
     egress = DatagramSocket((HOST, 0), lambda data, sender: None)
     ingress = DatagramSocket((HOST, 0), forward)
+    ingress.start_reading()
     seconds = await pump(packets, ingress.address, sink)
     ingress.close()
     egress.close()
@@ -173,6 +174,7 @@
     ingress = DatagramSocket(
         (HOST, 0), lambda data, caller: daemon._handle_packet(PORT, data, caller)
     )
+    ingress.start_reading()
     seconds = await pump(packets, ingress.address, sink)
     ingress.close()
     daemon._peer_socket.close()
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -155,6 +155,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._handle_signal)
         self._upstream.start()
+        self._peer_socket.start_reading()
         self.lifecycle.serve()
         tick_tasks = [
             asyncio.create_task(self._tick_forever()),
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -111,6 +111,7 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._handle_signal)
+        self._peer_socket.start_reading()
         _log.info("started", node=self.core.members.own_member.node_id)
         tick_task = asyncio.create_task(self._tick_forever())
         await self._stopping.wait()
@@ -278,12 +279,13 @@
 
         address = (self.settings.listen_host, port)
         try:
-            self._service_socket_by_port[port] = DatagramSocket(
-                address, handle_datagram
-            )
+            service_socket = DatagramSocket(address, handle_datagram)
         except OSError as error:
             _log.error("service_socket_failed", port=port, error=str(error))
             self.metrics.count("service_socket", "failed")
+            return
+        self._service_socket_by_port[port] = service_socket
+        service_socket.start_reading()
 
     # Control calls
 
--- a/bilberrypath/transport/datagrams.py
+++ b/bilberrypath/transport/datagrams.py
@@ -24,8 +24,10 @@
     """A UDP socket, owned by one task of a daemon.
 
     ``bound`` is a bound socket, or an address to bind a new one to. ``on_datagram`` is
-    called with each datagram and its sender. A datagram that the kernel does not accept
-    at once is dropped, as a network may do, and counted in ``dropped_count``.
+    called with each datagram and its sender once :meth:`start_reading` was called, so
+    that no datagram reaches an object that is not complete. A datagram that the kernel
+    does not accept at once is dropped, as a network may do, and counted in
+    ``dropped_count``.
     """
 
     def __init__(
@@ -37,9 +39,12 @@
         is_bound = isinstance(bound, socket.socket)
         self._socket = bound if is_bound else bind_datagram_socket(bound)
         self._loop = asyncio.get_running_loop()
-        self._loop.add_reader(self._socket.fileno(), self._read_batch)
         self.dropped_count = 0
 
+    def start_reading(self) -> None:
+        """Start to read datagrams; those that arrived before wait in the socket."""
+        self._loop.add_reader(self._socket.fileno(), self._read_batch)
+
     @property
     def address(self) -> Address:
         """The bound address."""
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -72,7 +72,7 @@
         """Open the sockets to and from the upstream, and register the gauges."""
         settings = self._agent_settings
         outbound = self.sockets.take_datagram_socket(settings.outbound)
-        self.close_on_stop(DatagramSocket(outbound, self._handle_upstream_datagram))
+        self.read_when_started(DatagramSocket(outbound, self._handle_upstream_datagram))
         to_upstream = ConnectedDatagramSocket(
             settings.upstream, self._handle_upstream_refused
         )
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -109,7 +109,8 @@
         while not self.core.can_forward and read_clock() < hold_until:
             await asyncio.sleep(PACKET_HOLD_POLL_PERIOD)
         bound = self.sockets.take_datagram_socket(self._packet_address)
-        self.close_on_stop(DatagramSocket(bound, self._handle_packet))
+        packet_socket = self.close_on_stop(DatagramSocket(bound, self._handle_packet))
+        packet_socket.start_reading()
 
     async def wait_until_drained(self) -> None:
         """Forward packets until the fabric sends this balancer no more of them."""
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -88,6 +88,7 @@
         self._sockets_to_close: list[
             DatagramSocket | ConnectedDatagramSocket | StreamServer
         ] = []
+        self._sockets_to_read: list[DatagramSocket] = []
         self._stopping = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: Seconds = 0.0
@@ -115,7 +116,7 @@
     async def _start(self) -> None:
         peer = self.settings.peer_address
         bound_socket = self.sockets.take_datagram_socket(peer)
-        self._peer_socket = self.close_on_stop(
+        self._peer_socket = self.read_when_started(
             DatagramSocket(bound_socket, self._handle_message)
         )
         await self._bulk_server.start_on(self.sockets.take_listener(peer))
@@ -129,6 +130,8 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        for opened in self._sockets_to_read:
+            opened.start_reading()
         self.write_log("started", data_centre=self.settings.data_centre)
         self.start(self._tick_forever())
         self.start(self._watch_settings())
@@ -163,6 +166,11 @@
         self._sockets_to_close.append(opened)
         return opened
 
+    def read_when_started(self, opened: DatagramSocket) -> DatagramSocket:
+        """Register a socket to be read once all sockets are open, and return it."""
+        self._sockets_to_read.append(opened)
+        return self.close_on_stop(opened)
+
     def add_http_server(self, server: HttpServer, address: Address) -> None:
         """Register an HTTP server that is started and closed with this process."""
         self._http_servers.append((server, address))
--- a/bilberrypath/transport/peer_socket.py
+++ b/bilberrypath/transport/peer_socket.py
@@ -38,6 +38,10 @@
         self._count = count
         self._socket = DatagramSocket(address, self._handle_datagram)
 
+    def start_reading(self) -> None:
+        """Start to read datagrams, once all that ``on_event`` needs exists."""
+        self._socket.start_reading()
+
     def send_frame(self, effect: SendFrame) -> None:
         """Seal a packet frame and send it."""
         self._socket.send(self._sealer.seal_packet(effect.frame), effect.to)
--- a/tests/transport/test_bound_sockets.py
+++ b/tests/transport/test_bound_sockets.py
@@ -22,6 +22,7 @@
             sockets.take_datagram_socket((HOST, 7720)),
             lambda data, _sender: received.set_result(data),
         )
+        reader.start_reading()
         assert await asyncio.wait_for(received, 5.0) == b"early"
         reader.close()
 
--- /dev/null
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -0,0 +1,58 @@
+"""Tests of packets that wait in the sockets of an agent's daemon while it starts."""
+
+import asyncio
+import socket
+
+import pytest
+
+from bilberrypath.flow_settings import FlowAgentSettings, FlowNodeSettings
+from bilberrypath.platform.packet_codec import ACK, PlatformPacketCodec
+from bilberrypath.protocol.flow_messages import ForwardedPacket, encode_flow_message
+from bilberrypath.protocol.flow_packet import pack_flow_key
+from bilberrypath.transport.bound_sockets import BoundSockets
+from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
+from tests.support.flow_model import write_packet
+from tests.support.flow_world import ADDRESS
+
+AGENT = "127.84.0.1"
+PEER = (AGENT, 7720)
+UPSTREAM = (AGENT, 7724)
+OUTBOUND = (AGENT, 7725)
+
+
+@pytest.fixture
+def daemon():
+    node = FlowNodeSettings(PEER, "a", (), (AGENT, 7721), 7722, (AGENT, 7723))
+    settings = FlowAgentSettings(
+        node, "board", UPSTREAM, OUTBOUND, (AGENT, 7726), 1.0, 60.0, False
+    )
+    sockets = BoundSockets()
+    sockets.receive(PEER, OUTBOUND)
+    return FlowAgentDaemon(settings, PlatformPacketCodec(), lambda: settings, sockets)
+
+
+class TestStart:
+    async def test_packet_that_waited_in_the_peer_socket_is_delivered(self, daemon):
+        """Guard against reading packets before the socket to the upstream exists."""
+        flow = pack_flow_key(("100.64.0.1", 40001), ADDRESS)
+        datagram = write_packet(flow, ACK, 2, 101, b"request")
+        forwarded = ForwardedPacket(
+            0, "board", "", False, "", (), 0, True, datagram, is_lookup_done=True
+        )
+        loop = asyncio.get_running_loop()
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as upstream,
+        ):
+            upstream.bind(UPSTREAM)
+            upstream.setblocking(False)
+            sender.sendto(encode_flow_message(forwarded), PEER)
+            run_task = asyncio.create_task(daemon.run())
+            received = await asyncio.wait_for(loop.sock_recv(upstream, 2048), 5.0)
+            run_task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await run_task
+        assert received == datagram
+        assert not any(
+            event == "internal_error" for event, _ in daemon.metrics.count_by_event
+        )
--- a/tests/transport/test_flow_balancer_daemon.py
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -82,6 +82,7 @@
             queue.put_nowait(message)
 
     agent = DatagramSocket((AGENT, PEER_PORT), queue_forwarded_packet)
+    agent.start_reading()
     member = Member(
         f"{AGENT}:{PEER_PORT}", Role.AGENT, "a", "board", 1, 1, Status.SERVING
     )
--- a/tests/transport/test_peer_socket.py
+++ b/tests/transport/test_peer_socket.py
@@ -28,6 +28,7 @@
         self.drops = []
         self.received = asyncio.Event()
         self.socket = PeerSocket(ADDRESS, SEALER, self._record_event, self._record_drop)
+        self.socket.start_reading()
 
     def _record_event(self, event):
         self.events.append(event)
