An agent started with its upstream only if its process did, within 0.15 s

An upstream that started up to 1 s before its agent counted as started together with it, so flows that a former process had opened in between were reset (the upstream was 0.88 s older). Change: its start is compared with the start of the process, taken before anything else is imported, not with the later moment when it has loaded. Ruled out: the machine's boot time (a random offset on these machines), the first-start flag (false after a loss of power). Tests: gaps of 0.2, 0.5 and 0.9 s failed before.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -60,6 +60,8 @@
     that heartbeats go to until heartbeat targets are known. ``upstream_address`` is
     the address at which the upstream receives packets. ``report_period`` is the time
     between upstream reports. ``flow_lifetime`` is the maximum lifetime of a flow.
+    ``process_started_at`` is the start of this process in Unix milliseconds; the
+    incarnation of ``own_member`` is later, by the time that the process loads.
     ``tracks_all_flows`` is true if this process has seen every flow of the upstream;
     otherwise this holds once ``flow_lifetime`` has passed since the start.
     """
@@ -69,6 +71,7 @@
     upstream_address: Address
     report_period: Seconds
     flow_lifetime: Seconds
+    process_started_at: int
     tracks_all_flows: bool = False
 
 
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -28,7 +28,9 @@
     from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamReport
     from bilberrypath.types import Seconds
 
-START_GAP_MS = 1000  # a process takes longer to end, restart and accept an open
+# An upstream starts up to 80 ms before its agent after a loss of power, as it loads
+# less. A former process that accepted an open of it takes longer to be started again.
+START_GAP_MS = 150
 MAX_QUEUE_FIRST_OPEN = (
     3.0  # per slot; with 4, most requests of a burst miss their latency target
 )
@@ -262,7 +264,7 @@
         Its start time is unreliable if the clock was set back since. A sequence number
         above ``MAX_EARLY_REPORTS`` shows an earlier start regardless of the clock.
         """
-        earliest = self.agent.setup.own_member.incarnation - START_GAP_MS
+        earliest = self.agent.setup.process_started_at - START_GAP_MS
         if report.sequence > MAX_EARLY_REPORTS:
             return True
         return report.sequence > 1 and report.started_at < earliest
--- a/bilberrypath/platform/__main__.py
+++ b/bilberrypath/platform/__main__.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from bilberrypath.platform.process_start import STARTED_AT_MS
+
+# isort: split
 import os
 import sys
 from functools import partial
@@ -70,7 +73,11 @@
     from bilberrypath.transport.http_server import HttpServer
 
     daemon = FlowAgentDaemon(
-        settings, PlatformPacketCodec(), lambda: load_flow_agent_settings(path), sockets
+        settings,
+        PlatformPacketCodec(),
+        lambda: load_flow_agent_settings(path),
+        sockets,
+        STARTED_AT_MS,
     )
     ready = HttpServer(partial(handle_ready_request, lambda: daemon.is_ready))
     daemon.add_http_server(ready, node.ready_address)
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -31,7 +31,10 @@
 
 
 class FlowAgentDaemon(FlowDaemon):
-    """The daemon of the local upstream's agent; its core is a :class:`FlowAgent`."""
+    """The daemon of the local upstream's agent; its core is a :class:`FlowAgent`.
+
+    ``process_started_at`` is the start of this process in Unix milliseconds.
+    """
 
     role = "agent"
 
@@ -41,6 +44,7 @@
         codec: PacketCodec,
         load_settings: Callable[[], FlowAgentSettings],
         sockets: BoundSockets,
+        process_started_at: int,
     ) -> None:
         node = settings.node
         own_member = make_own_record(
@@ -57,6 +61,7 @@
             settings.upstream,
             settings.report_period,
             settings.flow_lifetime,
+            process_started_at,
             settings.first_start,
         )
         core = FlowAgent(setup, codec, Random(), read_clock())
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -16,6 +16,38 @@
 )
 
 
+class TestAgentStartedSoonAfterItsUpstream:
+    """A former agent process may have had opens accepted in between."""
+
+    @pytest.mark.parametrize("gap", [0.2, 0.5, 0.9])
+    def test_flows_opened_in_between_are_not_reset(self, gap):
+        """Guard against taking both for started together (soak seed 3002)."""
+        world = make_world(agents=3)
+        upstreams = world.upstream_by_host.values()
+        restarted_at = world.now
+        for upstream in upstreams:
+            upstream.restart()
+            upstream.report()
+        clients = open_flows(world, 5)
+        for host in list(world.upstream_by_host):
+            world.kill(host)
+        world.run(restarted_at + gap - world.now)
+        hosts = [host for host in world.node_by_host]
+        for host in hosts:
+            world.kill(host)
+            world.add_balancer(host, "a", hosts)
+        for host in world.upstream_by_host:
+            world.add_agent(host, seeds=hosts, tracks_all_flows=False)
+        for upstream in upstreams:
+            upstream.report()
+        for _ in range(8):
+            for client in clients:
+                client.send_request()
+            world.run(0.25)
+        assert [client.resets for client in clients] == [0] * 5
+        assert all(client.answers > 0 for client in clients)
+
+
 class TestAfterRestart:
     def restart_everything(self, world, report_delay):
         """Restart all machines; upstreams report after ``report_delay`` seconds."""
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -103,6 +103,7 @@
             (host, 8080),
             REPORT_PERIOD,
             FLOW_LIFETIME,
+            own_member.incarnation,
             tracks_all_flows,
         )
         node = FlowAgent(setup, self.codec, Random(self.rng.random()), self.now)
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -28,7 +28,9 @@
     )
     sockets = BoundSockets()
     sockets.receive(PEER, OUTBOUND)
-    return FlowAgentDaemon(settings, PlatformPacketCodec(), lambda: settings, sockets)
+    return FlowAgentDaemon(
+        settings, PlatformPacketCodec(), lambda: settings, sockets, 1
+    )
 
 
 class TestStart:
