--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -16,7 +16,7 @@
     7103: "a flow was reset with an upstream that had accepted it but was not chosen",
     9117: "a watch started while the store did not answer lasted far longer than that",
     3002: "flows of an agent suspended for two seconds were reset by other agents; "
-    "later: an upstream that started 0.88 s before its agent counted as started with it",
+    "later: an upstream that was 0.88 s older than its agent counted as its age",
 }
 
 
