Store: one watch until there is a configuration; second copies of answers

Cause 1: before the first configuration each balancer read the whole range in a loop, as an empty table was followed by the next read at once. Change: after an empty read the next waits for a change by a watch. Cause 2: a second copy of an answer, arriving after its call, was taken for the answer to the next call on the connection (found for the operators' list: the watch then never saw another change). Change: the client opens a new connection if data or the end has arrived since the last response; a page that does not continue the one before is refused.

--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -18,7 +18,7 @@
 from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
 
 if TYPE_CHECKING:
-    from bilberrypath.types import Address, Seconds
+    from bilberrypath.types import Address, Revision, Seconds
 
 READ_TIMEOUT: Seconds = 1.0  # the store answers in milliseconds
 # The store answers a watch after at most this time. Together with the slack it is below
@@ -84,8 +84,28 @@
         Raises :class:`RoutesUnavailable` if the store gives no usable response.
         """
         if current_table.revision == 0:
-            return await self._read_all_pages()
+            return await self._read_first_table()
         after = max(self._watched_revision, current_table.revision)
+        reply = await self._watch(after)
+        if reply is None:
+            return await self._read_all_pages()
+        table = current_table
+        for item in reply.events:
+            if item.revision > table.revision:
+                table = _apply_item(table, item)
+        self._watched_revision = max(after, reply.current_rev)
+        return table if table.revision > current_table.revision else None
+
+    async def _read_first_table(self) -> RouteTable | None:
+        """Return the whole table; if there was none before, wait for a change first."""
+        if self._watched_revision:
+            reply = await self._watch(self._watched_revision)
+            if reply is not None and not reply.events:
+                return None
+        return await self._read_all_pages()
+
+    async def _watch(self, after: Revision) -> WatchReply | None:
+        """Wait for changes after a revision; None means that its history is gone."""
         wait, slack = WATCH_WAIT, WATCH_SLACK
         if self._has_failed:
             wait, slack = RETRY_WATCH_WAIT, RETRY_WATCH_SLACK
@@ -96,18 +116,15 @@
         }
         status, body = await self._get("/v1/kv-watch", query, wait + slack)
         if status == STATUS_HISTORY_GONE:
-            return await self._read_all_pages()
-        reply = _decode_reply(_decode_events, status, body)
-        table = current_table
-        for item in reply.events:
-            if item.revision > table.revision:
-                table = _apply_item(table, item)
-        self._watched_revision = max(after, reply.current_rev)
-        return table if table.revision > current_table.revision else None
+            return None
+        return _decode_reply(_decode_events, status, body)
 
     async def _read_all_pages(self) -> RouteTable | None:
         """Return the table from all pages, or None if there is no configuration.
 
+        A page that does not continue the one before is a second copy of an earlier
+        answer; the connection is closed then, as the right answer may follow.
+
         Pages are not a snapshot: a page may change after it was read. The next watch
         therefore starts after the revision of the first page; after that of the last
         page, it would miss such a change.
@@ -118,15 +135,21 @@
         while True:
             status, body = await self._get("/v1/kv-range", query, READ_TIMEOUT)
             page = _decode_reply(_decode_range, status, body)
+            if page.items and page.items[0].key <= query.get("after", ""):
+                self._client.close()
+                raise RoutesUnavailable(
+                    f"the store returned a page that starts at {page.items[0].key!r}, "
+                    f"expected keys after {query['after']!r}; the table is read again"
+                )
             revision = revision or page.current_rev
             for item in page.items:
                 table = _apply_item(table, item)
             if not page.has_more or not page.items:
                 break
             query["after"] = page.items[-1].key
+        self._watched_revision = revision
         if not table.routes:
             return None
-        self._watched_revision = revision
         return msgspec.structs.replace(table, revision=revision)
 
     async def _get(
--- a/bilberrypath/transport/http_client.py
+++ b/bilberrypath/transport/http_client.py
@@ -57,11 +57,29 @@
         self._reader = self._writer = self._connection = None
 
     async def _connect(self) -> None:
+        """Open a connection, unless the present one is as the last call left it.
+
+        Data that arrived since, such as a second copy of the last response, would be
+        taken for the next response, and an end would fail the next call.
+        """
+        if self._writer is not None and await self._has_received_more():
+            self.close()
         if self._writer is not None:
             return
         self._reader, self._writer = await asyncio.open_connection(*self._address)
         self._connection = h11.Connection(h11.CLIENT)
 
+    async def _has_received_more(self) -> bool:
+        """Return whether data or the end has arrived since the last response."""
+        if self._connection.trailing_data[0]:
+            return True
+        try:
+            async with asyncio.timeout(0):
+                await self._reader.read(1)
+        except TimeoutError:
+            return False
+        return True
+
     async def _send_request(self, method: str, path: str, body: bytes) -> HttpResponse:
         connection = self._connection
         host = f"{self._address[0]}:{self._address[1]}"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import pytest
 
@@ -44,6 +45,16 @@
     async def test_returns_none_before_the_first_configuration(self, store, source):
         assert await source.read_next_table(RouteTable()) is None
 
+    async def test_first_configuration_is_awaited_by_a_watch(self, store, source):
+        """Guard against reads in a loop: 59 balancers made 2,500 calls at a start."""
+        for _ in range(3):
+            assert await source.read_next_table(RouteTable()) is None
+        assert len(store.calls) == 3
+        pending_read = asyncio.create_task(source.read_next_table(RouteTable()))
+        await asyncio.sleep(0.02)
+        store.put("op/config", CONFIG)
+        assert (await pending_read).version == 7
+
     async def test_waits_for_changes(self, store, source):
         store.put("op/config", CONFIG)
         table = await source.read_next_table(RouteTable())
@@ -120,6 +131,27 @@
         store.mode = ""
         assert (await source.read_next_table(RouteTable())).version == 7
 
+    @pytest.mark.parametrize("mode", ["doubled", "doubled late"])
+    async def test_second_copy_of_an_answer_is_not_taken_for_the_next(
+        self, store, source, mode
+    ):
+        """Guard against answers of earlier calls on a connection in use again."""
+        store.put("op/config", CONFIG)
+        for number in range(1200):
+            store.put(f"op/evacuate/z-{number:04}", {})
+        store.mode = mode
+        tables = []
+        for version in (8, 9, 10, 11, 12, 13):
+            with contextlib.suppress(RoutesUnavailable):
+                table = await source.read_next_table(
+                    tables[-1] if tables else RouteTable()
+                )
+                tables += [] if table is None else [table]
+            store.put("op/config", CONFIG | {"version": version})
+            store.mode = mode if version < 10 else ""
+        assert all(len(table.data_centres_out) == 1200 for table in tables)
+        assert tables[-1].version == 12
+
     async def test_unanswered_watch_times_out(self, store, source):
         store.put("op/config", CONFIG)
         table = await source.read_next_table(RouteTable())
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -13,7 +13,8 @@
 
     ``mode`` selects a fault: "busy" answers with status 503, "many" with 429,
     "silent" never answers, "reset" resets the connection, "garbage" sends a body
-    that is not JSON; "" is normal service. A watch that starts before
+    that is not JSON, "doubled" sends each answer twice, and "doubled late" sends the
+    second copy with the next answer; "" is normal service. A watch that starts before
     ``compacted_revision`` is answered with 410, as its history is gone. ``calls``
     holds the target of each request, ``connections`` the number accepted.
     """
@@ -26,6 +27,7 @@
         self.mode = ""
         self.calls = []
         self.connections = 0
+        self._late_copy = b""
         self._changed = asyncio.Event()
         self._server = None
 
@@ -91,7 +93,11 @@
         if self.mode == "garbage":
             data = b"?" + data
         response_head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
-        writer.write(response_head.encode() + data)
+        answer = response_head.encode() + data
+        writer.write(self._late_copy + answer)
+        self._late_copy = answer if self.mode == "doubled late" else b""
+        if self.mode == "doubled":
+            writer.write(answer)
         await writer.drain()
         return True
 
