Lost flows are reset when their loss is proven, not at their clients' next copy

Cause: after a loss of power on the large site no dead flow was reset for two seconds (0 of about 1,000; 939 rider boards failed at their deadline). Change: a lookup without a holder is repeated each 0.25 s, up to 4 s, among agents not asked before (UnprovenLosses); an agent tries to connect to its upstream when it starts, and knows at once if nothing listens. A later report of an upstream that is older than the agent overrules that. Rounds of queries are a module of their own. Ruled out: starts that seem not together (121 upstreams began 28 to 40 ms before their agents).

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -136,6 +136,8 @@
                 effects += self.locator.handle_timeout(flow, now)
             elif kind == "query":
                 effects += self.locator.query_waiting(now)
+            elif kind == "retry":
+                effects += self.locator.retry(flow, now)
             else:
                 effects += self.open_handler.handle_deadline(kind, flow, now)
         return effects
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -17,6 +17,8 @@
     NoHolder,
     TryCandidates,
 )
+from bilberrypath.coordination.query_rounds import QueryRounds
+from bilberrypath.coordination.unproven_losses import UnprovenLosses
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import ForwardedPacket, parse_address
 
@@ -27,9 +29,6 @@
     from bilberrypath.types import DataCentreName, NodeId, Seconds
 
 LOOKUP_TIMEOUT: Seconds = 0.05  # several round trips; clients retransmit after 200 ms
-# Between two rounds of queries. A lookup ends before its balancer stops waiting for it.
-QUERY_INTERVAL: Seconds = 0.06
-MAX_FLOWS_PER_QUERY = 64  # about 1 KB a query and 2 KB a reply
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 NOT_FOUND_TTL: Seconds = 0.4  # equals a client's second retransmission timeout
 MAX_REMEMBERED_FLOWS = 4096  # flows; the upstream returns a packet within 1 ms
@@ -43,17 +42,16 @@
     be relayed if the upstream returns it. A flow that was not found is kept with the
     time of that lookup.
 
-    Many flows are looked up at once after a loss of power or of balancers. Those that
-    arrive within ``QUERY_INTERVAL`` of a round of queries wait in ``_waiting_flows``
-    for the next, which asks each agent for all of them in one message.
+    A flow that no agent has is reset as soon as that is proven, and looked up again
+    until then.
     """
 
     agent: FlowAgent = field(repr=False)
     lookups: ActiveLookups = Factory(ActiveLookups)
     _tentative_by_flow: dict[bytes, ForwardedPacket] = Factory(dict)
     _not_found_at_by_flow: dict[bytes, float] = Factory(dict)
-    _waiting_flows: list[bytes] = Factory(list)
-    _next_query_at: Seconds = float("-inf")
+    _unproven_losses: UnprovenLosses = Factory(UnprovenLosses)
+    _query_rounds: QueryRounds = Factory(QueryRounds)
 
     def try_queue(self, forwarded: ForwardedPacket, packet: FlowPacket) -> bool:
         """Queue a packet if a lookup of its flow is running; return whether it was."""
@@ -218,7 +216,7 @@
 
     def query_waiting(self, now: Seconds) -> list[FlowEffect]:
         """Start the queries for the flows that waited for the next round."""
-        waiting, self._waiting_flows = self._waiting_flows, []
+        waiting = self._query_rounds.take_waiting()
         flows = [flow for flow in waiting if self.lookups.get(flow) is not None]
         return self._send_queries(flows, now) if flows else []
 
@@ -289,10 +287,10 @@
             return self._finish_lookup(
                 packet.flow, self.lookups.compute_result(packet.flow), now
             )
-        if now >= self._next_query_at:
+        if self._query_rounds.may_start(now):
             return self._send_queries([packet.flow], now)
-        self._waiting_flows.append(packet.flow)
-        agent.deadlines.set(("query", b""), self._next_query_at)
+        self._query_rounds.waiting_flows.append(packet.flow)
+        agent.deadlines.set(("query", b""), self._query_rounds.next_at)
         return []
 
     def _list_queried_agents(
@@ -316,25 +314,23 @@
 
     def _send_queries(self, flows: list[bytes], now: Seconds) -> list[FlowEffect]:
         """Ask each agent for all flows whose lookups wait for it."""
-        self._next_query_at = now + QUERY_INTERVAL
-        flows_by_agent: dict[NodeId, list[bytes]] = {}
         for flow in flows:
             self.agent.deadlines.set(("lookup", flow), now + LOOKUP_TIMEOUT)
-            for node_id in self.lookups.lookup_by_flow[flow].queried_ids:
-                flows_by_agent.setdefault(node_id, []).append(flow)
-        effects: list[FlowEffect] = []
-        for node_id, asked_flows in flows_by_agent.items():
-            for start in range(0, len(asked_flows), MAX_FLOWS_PER_QUERY):
-                first, *others = asked_flows[start : start + MAX_FLOWS_PER_QUERY]
-                query = msg.FlowQuery(first, tuple(others))
-                effects.append(fx.SendControl(parse_address(node_id), query))
-        return effects
+        agents_by_flow = [
+            (flow, self.lookups.lookup_by_flow[flow].queried_ids) for flow in flows
+        ]
+        return [
+            fx.SendControl(parse_address(node_id), query)
+            for node_id, query in self._query_rounds.start(agents_by_flow, now)
+        ]
 
     def _finish_lookup(
         self, flow: bytes, result: LookupResult, now: Seconds
     ) -> list[FlowEffect]:
         self.agent.deadlines.clear(("lookup", flow))
         lookup = self.lookups.pop(flow)
+        if not isinstance(result, NoHolder):
+            self._unproven_losses.forget(flow)
         if isinstance(result, HolderFound):
             self.agent.redirects.record(flow, result.holder, now)
             return self._relay_queued(lookup, result.holder, "found")
@@ -374,6 +370,33 @@
         fields = {"to": target, "reason": reason, "tried": list(lookup.tried_agents)}
         return [*effects, ffx.LogDecision("flow_handed_over", flow, fields)]
 
+    def _retry_later(self, lookup: FlowLookup, now: Seconds) -> None:
+        """Have a lookup without a holder repeated among the agents not yet asked."""
+        forwarded, packet = lookup.queued_packets[-1]
+        denied_by = {*lookup.tried_agents, *lookup.queried_ids} - lookup.pending_ids
+        retry_at = self._unproven_losses.record(forwarded, packet, denied_by, now)
+        if retry_at is not None:
+            self.agent.deadlines.set(("retry", packet.flow), retry_at)
+
+    def retry(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
+        """Ask agents that were not asked before for a flow without a known holder."""
+        unproven = self._unproven_losses.get(flow)
+        is_known = self.agent.flows.get(flow) is not None or self.agent.redirects.find(
+            flow, now
+        )
+        if unproven is None or is_known or self.lookups.get(flow) is not None:
+            self._unproven_losses.forget(flow)
+            return []
+        restarted = msgspec.structs.replace(
+            unproven.forwarded,
+            tried_agents=tuple(sorted(unproven.denied_by)),
+            is_lookup_done=False,
+            possible_holders=(),
+            has_queried_all=True,
+            wants_location=False,  # the balancer was told of the first lookup
+        )
+        return self._query_agents(restarted, unproven.packet, now)
+
     def _handle_no_holder(
         self, flow: bytes, lookup: FlowLookup, result: NoHolder, now: Seconds
     ) -> list[FlowEffect]:
@@ -382,13 +405,15 @@
         forwarded, packet = lookup.queued_packets[-1]
         notices = agent.send_location(forwarded, flow, "")
         is_settled = self._is_agent_list_settled(now)
-        may_reset = all(
-            queued.may_reset and queued.has_queried_all
-            for queued, _ in lookup.queued_packets
-        )
-        if result.is_certain and is_settled and may_reset and not packet.is_rst:
+        queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
+        may_reset = all(f.may_reset for f in queued) and not packet.is_rst
+        is_proven = result.is_certain and all(f.has_queried_all for f in queued)
+        if is_proven and is_settled and may_reset:
+            self._unproven_losses.forget(flow)
             return [*notices, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
         self._record_not_found(flow, now)
+        if may_reset:
+            self._retry_later(lookup, now)
         fields = {
             "certain": result.is_certain,
             "settled": is_settled,
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -238,7 +238,8 @@
         """Handle the first report of an upstream since it started; reset older flows.
 
         An upstream that started well before this process may hold flows that an
-        earlier agent process opened, so these are not reset.
+        earlier agent process opened, so these are not reset. That holds also if
+        nothing seemed to listen at its address before.
         """
         fields = {
             "upstream": report.upstream_id,
@@ -247,10 +248,12 @@
             "slots": report.slots,
             "draining": report.draining,
             "cold_for": report.cold_for,
+            "ms_before_agent": self.agent.setup.process_started_at - report.started_at,
         }
         effects: list[FlowEffect] = [fx.LogStateChange("upstream_started", fields)]
         is_older = self._started_before_agent(report)
-        if is_first_report and is_older and not self._has_seen_all_flows:
+        if is_first_report and is_older and not self.agent.setup.tracks_all_flows:
+            self._has_seen_all_flows = False
             return effects
         self._has_seen_all_flows = True
         self._has_started_together = (
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -14,7 +14,7 @@
 from bilberrypath.transport.clock import make_incarnation, read_clock
 from bilberrypath.transport.datagrams import ConnectedDatagramSocket, DatagramSocket
 from bilberrypath.transport.flow_daemon import FlowDaemon
-from bilberrypath.transport.machine_probe import is_machine_reachable
+from bilberrypath.transport.machine_probe import is_machine_reachable, is_port_closed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -82,6 +82,7 @@
             settings.upstream, self._handle_upstream_refused
         )
         self._upstream = self.close_on_stop(to_upstream)
+        self.start(self._check_upstream())
         core = self.core
         self.metrics.register_gauge("revision", lambda: core.routes.revision)
         self.metrics.register_gauge("flows", lambda: len(core.flows))
@@ -91,6 +92,15 @@
             "searches", lambda: len(core.locator.lookups.lookup_by_flow)
         )
 
+    async def _check_upstream(self) -> None:
+        """Find out at the start whether anything listens at the upstream's address.
+
+        An upstream that is gone would otherwise count as one that may have any flow
+        until its reports are overdue, and packets of lost flows would be tried there.
+        """
+        if await is_port_closed(self._agent_settings.upstream):
+            self._handle_upstream_refused()
+
     async def wait_until_drained(self) -> None:
         """Wait until the upstream runs no request or is down.
 
--- a/bilberrypath/transport/machine_probe.py
+++ b/bilberrypath/transport/machine_probe.py
@@ -1,8 +1,9 @@
-"""A probe that distinguishes an unreachable machine from one with no process."""
+"""Probes by a TCP connection: is a machine up, and does a process listen there?"""
 
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,18 +12,35 @@
 PROBE_TIMEOUT: Seconds = 0.5  # the first two SYN packets of a connection may be lost
 
 
+class ProbeResult(Enum):
+    """How a machine responded to an attempt to connect."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
 async def is_machine_reachable(address: Address) -> bool:
     """Return whether a machine accepts or refuses a TCP connection.
 
     A refusal also shows that the machine is up, although nothing listens at the
     address. A timeout or a network error means that the machine is unreachable.
     """
+    return await _probe(address) is not ProbeResult.UNREACHABLE
+
+
+async def is_port_closed(address: Address) -> bool:
+    """Return whether a machine is up and nothing listens at an address on it."""
+    return await _probe(address) is ProbeResult.REFUSED
+
+
+async def _probe(address: Address) -> ProbeResult:
     try:
         async with asyncio.timeout(PROBE_TIMEOUT):
             _, writer = await asyncio.open_connection(*address)
     except ConnectionRefusedError:
-        return True
+        return ProbeResult.REFUSED
     except OSError:  # includes TimeoutError
-        return False
+        return ProbeResult.UNREACHABLE
     writer.transport.abort()
-    return True
+    return ProbeResult.ACCEPTED
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -48,6 +48,28 @@
         assert all(client.answers > 0 for client in clients)
 
 
+class TestUpstreamThatSeemedGone:
+    def test_flows_of_an_older_upstream_are_not_reset(self):
+        """Guard against trusting a refused connection more than a report.
+
+        The upstream refused the connection of an agent that was started again, but
+        reports that it started long before.
+        """
+        world = make_world(agents=2)
+        clients = open_flows(world, 6)
+        host = next(iter(world.upstream_by_host))
+        world.kill(host)
+        world.add_agent(host, seeds=["10.1.0.1"], tracks_all_flows=False)
+        world.feed(host, UpstreamUnreachable())
+        world.upstream_by_host[host].report()
+        world.run(2.0)
+        for client in clients:
+            client.send_request()
+        world.run(0.5)
+        assert [client.resets for client in clients] == [0] * 6
+        assert all(client.answers for client in clients)
+
+
 class TestAfterRestart:
     def restart_everything(self, world, report_delay):
         """Restart all machines; upstreams report after ``report_delay`` seconds."""
@@ -71,6 +93,36 @@
         for upstream in world.upstream_by_host.values():
             world.after(report_delay, lambda u=upstream: start_reporting(u))
 
+    def test_lost_flows_are_reset_before_their_clients_send_again(self):
+        """Guard against waiting for a client's next copy to prove a loss.
+
+        All machines start after a loss of power, but half of the upstreams are gone.
+        Their agents can not know at first whether others are still to join, and do not
+        find the flows that they are home of. The client's next copies come 0.8 and
+        1.6 s later, which is past the deadline of most requests.
+        """
+        world = make_world(agents=6)
+        clients = open_flows(world, 30)
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers)
+        for number, (host, upstream) in enumerate(world.upstream_by_host.items()):
+            upstream.restart()
+            upstream.is_up = number % 2 == 0
+            world.add_agent(host, seeds=balancers, tracks_all_flows=False)
+            if upstream.is_up:
+                upstream.report()
+            else:
+                world.feed(host, UpstreamUnreachable())
+        world.run(0.5)
+        for client in clients:
+            client.send_request()
+        world.run(1.3)
+        assert [client.resets for client in clients] == [1] * 30
+
     def test_opens_wait_for_the_first_upstream_reports(self):
         world = make_world(agents=3)
         self.restart_everything(world, report_delay=1.0)
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -116,6 +116,7 @@
     foreign: Counter = Factory(Counter)
     acked_draining_at: float | None = None
     _transport: asyncio.DatagramTransport | None = None
+    _health_server: asyncio.Server | None = None
     _reporting: asyncio.Task | None = None
     _codec: PlatformPacketCodec = Factory(PlatformPacketCodec)
     _starting: asyncio.Lock = Factory(asyncio.Lock)
@@ -136,6 +137,9 @@
         self.acked_draining_at = None
         self.is_silent = False
         self._transport = await bind_udp((self.host, APP_PORT), self._receive)
+        self._health_server = await asyncio.start_server(
+            lambda reader, writer: writer.close(), self.host, APP_PORT
+        )
         self._reporting = asyncio.create_task(self._report_forever())
 
     def stop(self):
@@ -143,6 +147,7 @@
         if self._transport is not None:
             self._transport.close()
             self._transport = None
+            self._health_server.close()
             self._reporting.cancel()
         self.flows.clear()
 
--- a/tests/transport/test_machine_probe.py
+++ b/tests/transport/test_machine_probe.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bilberrypath.transport import machine_probe
-from bilberrypath.transport.machine_probe import is_machine_reachable
+from bilberrypath.transport.machine_probe import is_machine_reachable, is_port_closed
 
 
 @pytest.fixture
@@ -32,3 +32,17 @@
 
         monkeypatch.setattr(machine_probe.asyncio, "open_connection", open_connection)
         assert not await is_machine_reachable(("127.0.0.1", 1))
+
+    async def test_only_a_refusal_shows_that_nothing_listens(
+        self, free_address, monkeypatch
+    ):
+        assert await is_port_closed(free_address)
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        async with server:
+            assert not await is_port_closed(server.sockets[0].getsockname())
+
+        async def time_out(*address):
+            raise TimeoutError
+
+        monkeypatch.setattr(machine_probe.asyncio, "open_connection", time_out)
+        assert not await is_port_closed(free_address)
