Opens wait for the list of agents after a start instead of being refused

Change: such an open is queued, for at most 0.5 s, and placed again when the list of agents comes; only within 3 s of the start, while agents still appear. Sockets are read 16 datagrams at a time instead of 64, so that a backlog of packets does not delay the first report of the upstream. Test: test_opens_wait_for_the_list_of_agents failed before.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -18,6 +18,7 @@
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination import flow_events as fev
 from bilberrypath.coordination.deadlines import Deadlines
+from bilberrypath.coordination.events import STARTUP_WINDOW
 from bilberrypath.coordination.flow_location_cache import FlowLocationCache
 from bilberrypath.coordination.flow_locator import FlowLocator
 from bilberrypath.coordination.flow_registration import FlowRegistration
@@ -49,6 +50,7 @@
 # A rise since the last report that is sent at once: an upstream that fails, or that has
 # a request waiting for each slot. A single request makes half of this with one slot.
 URGENT_RISE = 1.0
+JOIN_QUIET_TIME: Seconds = 0.3  # no new agent for longer than a heartbeat's period
 IDLE_MARGIN: Seconds = 5.0  # added to the idle timeout, to outlast both ends of a flow
 
 
@@ -94,6 +96,7 @@
         self.upstream = UpstreamMonitor(self, now)
         self.open_handler = OpenHandler(self)
         self.locator = FlowLocator(self)
+        self._started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
         self._next_load_report_at = now
         self._reported_utilization = 0.0
@@ -123,6 +126,11 @@
         """Whether a route table is known, so that opens can be placed."""
         return self.routes.revision > 0
 
+    def is_joining(self, now: Seconds) -> bool:
+        """Return whether this process just started and may learn of more agents."""
+        is_new = now - self._started_at < STARTUP_WINDOW
+        return is_new and now - self.agents_changed_at < JOIN_QUIET_TIME
+
     def next_timer_at(self) -> Seconds | None:
         """Return when :meth:`run_due_timers` is due next; None if no timer is set."""
         return self.deadlines.next_at()
@@ -424,9 +432,9 @@
     ) -> list[FlowEffect]:
         if not self.registration.handle_flow_ack(message, sender, now):
             return []
-        self._update_agents(message, now)
+        effects = self._update_agents(message, now)
         balancer = format_node_id(sender)
-        return self.routes.observe_revision(balancer, message.revision, now)
+        return effects + self.routes.observe_revision(balancer, message.revision, now)
 
     @_handle_message.register(msg.RoutesChanged)
     def _(
@@ -445,11 +453,13 @@
 
     # Shared
 
-    def _update_agents(self, ack: msg.FlowHeartbeatAck, now: Seconds) -> None:
+    def _update_agents(
+        self, ack: msg.FlowHeartbeatAck, now: Seconds
+    ) -> list[FlowEffect]:
         """Adopt the list of agents in an acknowledgement, or the changes to it.
 
         Changes to another list than the one held here are ignored: the next heartbeat
-        names the digest that they must apply to.
+        names the digest that they must apply to. Queued opens are placed again.
         """
         registration = self.registration
         if ack.agents is not None:
@@ -461,9 +471,11 @@
             )
             registration.agents_digest = ack.agents_digest
         else:
-            return
-        if changed or self.agents_changed_at > now:
-            self.agents_changed_at = now
+            return []
+        if not changed and self.agents_changed_at <= now:
+            return []
+        self.agents_changed_at = now
+        return self.open_handler.retry_queued(now)
 
     def send_load_report(self, now: Seconds) -> list[FlowEffect]:
         """Send the upstream's load to a random sample of the other agents."""
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -68,7 +68,7 @@
 
     Pending opens were sent to this agent's upstream and await its acceptance. Relayed
     opens were sent to another agent and await its flow location. Queued opens wait
-    for a route table or an upstream report.
+    for a route table, an upstream report or the list of agents.
     """
 
     agent: FlowAgent = field(repr=False)
@@ -94,7 +94,7 @@
         return self._decide(forwarded, packet, sender, now)
 
     def retry_queued(self, now: Seconds) -> list[FlowEffect]:
-        """Place the opens that are queued for a route table or an upstream report."""
+        """Place the opens that are queued for routes, a report or the other agents."""
         queued, self._queued_open_by_flow = self._queued_open_by_flow, {}
         effects: list[FlowEffect] = []
         for flow, pending in queued.items():
@@ -318,8 +318,9 @@
         """Relay an open that this agent cannot accept, or else defer or refuse it.
 
         ``reason`` is why it cannot. If no responsive agent can take the open, an
-        unresponsive one is tried. While the upstream's first report is awaited, the
-        open is queued for it rather than refused or relayed to a crowded upstream.
+        unresponsive one is tried. While the upstream's first report or the other agents
+        are awaited, the open is queued rather than refused or relayed to a crowded
+        upstream.
         """
         agent = self.agent
         tried = (*forwarded.tried_agents, agent.node_id)
@@ -333,7 +334,9 @@
             )
         is_awaiting = agent.upstream.awaits_first_report(now)
         if target is None and is_awaiting:
-            return self._queue_until_report(forwarded, packet, now)
+            return self._queue_briefly(forwarded, packet, "no_report", now)
+        if target is None and agent.is_joining(now) and not forwarded.has_waited:
+            return self._queue_briefly(forwarded, packet, "no_agents", now)
         is_crowded = reason == RejectReason.CROWDED.value
         if is_crowded and (target is None or forwarded.hops >= MAX_HOPS):
             return self._defer(forwarded, packet, reason)
@@ -344,17 +347,17 @@
             and not forwarded.has_waited
             and agent.placement.is_crowded(target, now)
         ):
-            return self._queue_until_report(forwarded, packet, now)
+            return self._queue_briefly(forwarded, packet, "no_report", now)
         return self._relay(forwarded, packet, target, reason, now)
 
-    def _queue_until_report(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, now: Seconds
+    def _queue_briefly(
+        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str, now: Seconds
     ) -> list[FlowEffect]:
-        """Queue an open until the upstream's first report after this agent's start.
+        """Queue an open for a report of the upstream, or for the list of agents.
 
-        No agent is known that can take the open, but reports may not have arrived
-        yet. An open that has waited before is dropped; the client's next
-        retransmission starts a new placement.
+        No agent is known that can take the open, but this agent has just started. An
+        open that has waited before is dropped; the client's next retransmission starts
+        a new placement.
         """
         tried = tuple(
             node for node in forwarded.tried_agents if node != self.agent.node_id
@@ -365,9 +368,9 @@
         if not forwarded.has_waited and self._try_queue(
             pending, now + FIRST_REPORT_TIMEOUT
         ):
-            return self._notify_queued(pending, "no_report")
+            return self._notify_queued(pending, reason)
         notices = self._send_not_taken(forwarded, packet.flow)
-        return [fx.Count("open_dropped", "no_report"), *notices]
+        return [fx.Count("open_dropped", reason), *notices]
 
     def _defer(
         self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str
--- a/bilberrypath/transport/datagrams.py
+++ b/bilberrypath/transport/datagrams.py
@@ -16,7 +16,9 @@
 
     from bilberrypath.types import Address
 
-READ_BATCH_SIZE = 64  # datagrams read for each readiness event
+# Datagrams read for each readiness event: 2 ms of work, so that a backlog after a start
+# does not delay the first report of an upstream on another socket.
+READ_BATCH_SIZE = 16
 READ_BUFFER_BYTES = 65536  # holds any UDP datagram
 
 
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -4,12 +4,13 @@
 
 from bilberrypath.coordination.events import Tick
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
-from bilberrypath.platform.packet_codec import ACK
+from bilberrypath.platform.packet_codec import ACK, SYN
 from bilberrypath.protocol.flow_messages import ForwardedPacket
 from tests.support.flow_world import (
     REPORT_PERIOD,
     count_foreign,
     find_holder,
+    make_table,
     make_world,
     open_flows,
     write_packet,
@@ -123,6 +124,34 @@
         world.run(1.3)
         assert [client.resets for client in clients] == [1] * 30
 
+    def test_opens_wait_for_the_list_of_agents(self):
+        """Guard against refusing an open while the other agents are not known yet.
+
+        An agent whose data centre is out has just started; others could take the open.
+        """
+        world = make_world(agents=3)
+        host = next(iter(world.upstream_by_host))
+        data_centre = world.upstream_by_host[host].data_centre
+        world.set_routes(make_table(revision=2, out=(data_centre,)))
+        world.run(1.0)
+        world.kill(host)
+        agent = world.add_agent(host, data_centre=data_centre, seeds=["10.1.0.1"])
+        agent.routes.adopt_if_newer(world.table)
+        world.upstream_by_host[host].report()
+        client = world.make_client()
+        datagram = write_packet(client.flow, SYN, 1, 2)
+        forwarded = ForwardedPacket(
+            2, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram
+        )
+        world.perform(
+            host,
+            agent.handle_forwarded_packet(forwarded, ("10.1.0.1", 7600), world.now),
+        )
+        world.run(0.6)
+        assert client.resets == 0
+        assert client.opened
+        assert find_holder(world, client.flow) not in (None, host)
+
     def test_opens_wait_for_the_first_upstream_reports(self):
         world = make_world(agents=3)
         self.restart_everything(world, report_delay=1.0)
