A silent upstream keeps its flows; an agent waits for requests just opened

Two of the troubles that operators of similar systems reported can happen here: - An upstream that was silent for 4 s, or left three opens unanswered within 0.4 s, had its flows reset, although it may be paused and run their requests. It now gets no opens, and is probed by a connection at once and each second: its flows are reset when the connection fails, when it starts anew, when its port is closed or when it says that it ended. - An agent asked to end waited for running requests only: one whose open had just been accepted and whose data had not come yet was cut off from its agent. It now waits for such flows too, 50 ms at most. Ruled out: a longer silence before the reset, as no time tells a paused process from one that is gone. Tests: TestSilentUpstream (two of three failed before; the third holds for both) and TestEndOfAnAgent (failed before).

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -113,13 +113,14 @@
         """The service that the upstream runs."""
         return self.registration.own_member.service
 
-    @property
-    def may_end(self) -> bool:
-        """Whether this process can exit without interrupting a request.
+    def may_end(self, now: Seconds) -> bool:
+        """Return whether this process can exit without interrupting a request.
 
-        True if no request is running, or if the upstream is not alive.
+        It can if no request is running and none is about to begin on a flow that was
+        just opened, or if the upstream is not alive.
         """
-        return self.flows.busy_count == 0 or not self.upstream.is_alive
+        is_idle = self.flows.busy_count + self.flows.count_awaiting_data(now) == 0
+        return is_idle or not self.upstream.is_alive
 
     @property
     def is_ready(self) -> bool:
--- a/bilberrypath/coordination/flow_effects.py
+++ b/bilberrypath/coordination/flow_effects.py
@@ -46,6 +46,11 @@
     node_id: NodeId
 
 
+@frozen
+class ProbeUpstream:
+    """Check whether this agent's upstream, which fell silent, still exists."""
+
+
 @frozen
 class RoutesAdopted:
     """Report that this process now uses a newer route table."""
@@ -79,6 +84,7 @@
     | SendToUpstream
     | PullRoutes
     | ProbeMachine
+    | ProbeUpstream
     | RoutesAdopted
     | LogDecision
     | RecordDuration
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -481,13 +481,13 @@
     ) -> list[FlowEffect]:
         """Relay or refuse an open that the upstream did not accept in time.
 
-        If the upstream is now judged lost, its flows are reset.
+        An upstream that did not accept several in a row is suspected to be gone.
         """
         agent = self.agent
         agent.flows.remove(pending.packet.flow, now)
         effects: list[FlowEffect] = [fx.Count("upstream_silent", "open")]
         if agent.upstream.health.record_open_timeout(now):
-            effects += agent.upstream.declare_lost("silent", now)
+            effects += agent.upstream.suspect("silent", now)
         effects += self._relay_or_refuse(
             pending.forwarded, pending.packet, "upstream_silent", now
         )
--- a/bilberrypath/coordination/upstream_health.py
+++ b/bilberrypath/coordination/upstream_health.py
@@ -2,7 +2,8 @@
 
 The upstream reports its status periodically, and each packet that it sends shows that
 it is alive. After an open without an answer it gets no opens for a backoff time. After
-several, with no report or packet in the meantime, it counts as lost.
+several, with no report or packet in the meantime, it counts as lost and gets none until
+it is heard again.
 """
 
 from __future__ import annotations
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -14,6 +14,7 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination.events import STARTUP_WINDOW
+from bilberrypath.coordination.flow_effects import ProbeUpstream
 from bilberrypath.coordination.upstream_health import (
     SILENT_AFTER_PERIODS,
     RejectReason,
@@ -39,6 +40,7 @@
 MAX_EARLY_REPORTS = (
     10  # an upstream that starts with its agent repeats its first report 5 times
 )
+UPSTREAM_PROBE_PERIOD: Seconds = 1.0  # while the upstream is silent
 NOT_SERVING_REASONS = (RejectReason.ABSENT, RejectReason.DRAINING, RejectReason.LOST)
 
 
@@ -47,6 +49,10 @@
 
     ``_has_seen_all_flows`` is true once this process has seen every flow of the
     upstream, and ``_has_started_together`` if both started at about the same time.
+
+    An upstream that is only silent may be paused or slow, and still run the requests of
+    its flows. It gets no opens, but its flows are reset only once it is known to be
+    gone: it said so, or a probe of its address failed. ``_is_gone`` states that.
     """
 
     def __init__(self, agent: FlowAgent, now: Seconds) -> None:
@@ -55,6 +61,8 @@
         self._started_at = now
         self._has_seen_all_flows = agent.setup.tracks_all_flows
         self._has_received_report = False
+        self._is_gone = False
+        self._next_probe_at = float("inf")
         self._has_started_together = False
 
     def awaits_first_report(self, now: Seconds) -> bool:
@@ -96,7 +104,9 @@
         """Detect an upstream that became absent, and announce a changed status."""
         effects: list[FlowEffect] = []
         if self.health.mark_lost_if_absent(now):
-            effects += self.declare_lost("absent", now)
+            effects += self.suspect("absent", now)
+        if now >= self._next_probe_at:
+            effects += self._probe_while_silent(now)
         if self.tracks_all_flows(now):
             effects += self.agent.locator.abandon_tentative_deliveries(now)
         return effects + self.announce_status("tick", now)
@@ -108,6 +118,7 @@
         is_first_report = not self._has_received_report
         self._has_received_report = True
         kind = self.health.handle_report(event, now)
+        self._is_gone = self._is_gone and kind is ReportKind.OUTDATED
         effects: list[FlowEffect] = []
         if kind is ReportKind.NEW_START:
             effects += self._handle_new_start(event, is_first_report, now)
@@ -132,27 +143,46 @@
             return [count, *self.announce_status("end_without_drain", now)]
         self.health.clear_report()
         self._has_seen_all_flows = True
-        return self.declare_lost("left", now)
+        return self._declare_gone("left", now)
 
     def handle_unreachable(self, now: Seconds) -> list[FlowEffect]:
-        """Handle a refused packet: nothing listens at the upstream's address.
+        """Handle a refused packet or a failed probe: the upstream does not exist.
 
         An upstream that listens there later has none of the earlier flows.
         """
         self._has_seen_all_flows = True
         effects = self.agent.locator.abandon_tentative_deliveries(now)
-        if self.health.report is None or not self.health.mark_lost():
+        if self.health.report is None or self._is_gone:
             return effects
-        return effects + self.declare_lost("nothing_listens", now)
+        self.health.mark_lost()
+        return effects + self._declare_gone("nothing_listens", now)
 
     def record_received(self, now: Seconds) -> list[FlowEffect]:
         """Record a packet of the upstream, and announce its status if it was lost."""
         was_lost = self.health.is_lost
         self.health.record_received(now)
+        self._is_gone = False
         return self.announce_status("heard", now) if was_lost else []
 
-    def declare_lost(self, reason: str, now: Seconds) -> list[FlowEffect]:
-        """Log that the upstream is lost, reset its flows, and announce the status."""
+    def suspect(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Give a silent upstream no more opens, and find out whether it is gone."""
+        self._next_probe_at = now + UPSTREAM_PROBE_PERIOD
+        return [
+            fx.LogStateChange("upstream_silent", {"reason": reason}),
+            ProbeUpstream(),
+            *self.announce_status(reason, now),
+        ]
+
+    def _probe_while_silent(self, now: Seconds) -> list[FlowEffect]:
+        if not self.health.is_lost or self._is_gone or self.health.report is None:
+            self._next_probe_at = float("inf")
+            return []
+        self._next_probe_at = now + UPSTREAM_PROBE_PERIOD
+        return [ProbeUpstream()]
+
+    def _declare_gone(self, reason: str, now: Seconds) -> list[FlowEffect]:
+        """Log that the upstream is gone, reset its flows, and announce the status."""
+        self._is_gone = True
         effects = [fx.LogStateChange("upstream_lost", {"reason": reason})]
         effects += self._reset_flows("upstream_lost", now)
         return effects + self.announce_status(reason, now)
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -14,7 +14,11 @@
 from bilberrypath.transport.clock import make_incarnation, read_clock
 from bilberrypath.transport.datagrams import ConnectedDatagramSocket, DatagramSocket
 from bilberrypath.transport.flow_daemon import FlowDaemon
-from bilberrypath.transport.machine_probe import is_machine_reachable, is_port_closed
+from bilberrypath.transport.machine_probe import (
+    ProbeResult,
+    is_machine_reachable,
+    probe_address,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -98,7 +102,8 @@
         An upstream that is gone would otherwise count as one that may have any flow
         until its reports are overdue, and packets of lost flows would be tried there.
         """
-        if await is_port_closed(self._agent_settings.upstream):
+        result = await probe_address(self._agent_settings.upstream)
+        if result is ProbeResult.REFUSED:
             self._handle_upstream_refused()
 
     async def wait_until_drained(self) -> None:
@@ -108,7 +113,7 @@
         stay here. Packets that arrive meanwhile wait for the next process.
         """
         await asyncio.sleep(FINAL_HEARTBEAT_DELAY)
-        while not self.core.may_end:
+        while not self.core.may_end(read_clock()):
             await asyncio.sleep(DRAIN_POLL_PERIOD)
 
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
@@ -132,6 +137,19 @@
         """Send a datagram to the local upstream."""
         self._upstream.send(datagram)
 
+    def probe_upstream(self) -> None:
+        """Start to check whether the upstream, which fell silent, still exists.
+
+        The core receives ``UpstreamUnreachable`` unless a connection is accepted; the
+        kernel accepts one for a process that is paused or slow.
+        """
+        self.start(self._probe_upstream())
+
+    async def _probe_upstream(self) -> None:
+        result = await probe_address(self._agent_settings.upstream)
+        if result is not ProbeResult.ACCEPTED:
+            self._handle_upstream_refused()
+
     def probe_machine(self, node_id: NodeId) -> None:
         """Start to check whether the machine of another agent is reachable.
 
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -341,6 +341,10 @@
     def _(self, effect: ffx.ProbeMachine, now: Seconds) -> None:
         self.probe_machine(effect.node_id)
 
+    @perform.register(ffx.ProbeUpstream)
+    def _(self, effect: ffx.ProbeUpstream, now: Seconds) -> None:
+        self.probe_upstream()
+
     @perform.register(fx.PullTable)
     def _(self, effect: fx.PullTable, now: Seconds) -> None:
         self.start(self._pull_table(effect))
@@ -349,6 +353,10 @@
         """Send a datagram to the local upstream; only an agent has one."""
         raise TypeError(f"a {self.role} has no upstream; only an agent sends to one")
 
+    def probe_upstream(self) -> None:
+        """Start to check whether the local upstream exists; only an agent has one."""
+        raise TypeError(f"a {self.role} has no upstream; only an agent can probe one")
+
     def probe_machine(self, node_id: NodeId) -> None:
         """Start to check whether the machine of another process is reachable."""
         raise TypeError(f"a {self.role} cannot probe machines; only an agent can")
--- a/bilberrypath/transport/machine_probe.py
+++ b/bilberrypath/transport/machine_probe.py
@@ -26,15 +26,11 @@
     A refusal also shows that the machine is up, although nothing listens at the
     address. A timeout or a network error means that the machine is unreachable.
     """
-    return await _probe(address) is not ProbeResult.UNREACHABLE
+    return await probe_address(address) is not ProbeResult.UNREACHABLE
 
 
-async def is_port_closed(address: Address) -> bool:
-    """Return whether a machine is up and nothing listens at an address on it."""
-    return await _probe(address) is ProbeResult.REFUSED
-
-
-async def _probe(address: Address) -> ProbeResult:
+async def probe_address(address: Address) -> ProbeResult:
+    """Try to connect to an address by TCP, and return how its machine responded."""
     try:
         async with asyncio.timeout(PROBE_TIMEOUT):
             _, writer = await asyncio.open_connection(*address)
--- a/tests/coordination/test_flow_affinity.py
+++ b/tests/coordination/test_flow_affinity.py
@@ -199,10 +199,10 @@
         client.send_request()
         world.run(0.01)
         world.feed("10.2.0.1", Leave())
-        assert not node.may_end
+        assert not node.may_end(world.now)
         world.run(0.1)
         assert client.answers
-        assert node.may_end
+        assert node.may_end(world.now)
 
     def test_agent_may_end_during_a_request_if_its_upstream_is_unreachable(self):
         world = make_world(agents=1)
@@ -210,7 +210,7 @@
         client.send_request()
         world.run(0.01)
         world.feed("10.2.0.1", UpstreamUnreachable())
-        assert world.node_by_host["10.2.0.1"].may_end
+        assert world.node_by_host["10.2.0.1"].may_end(world.now)
 
 
 class TestTwoAcceptances:
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bilberrypath.coordination.events import Tick
+from bilberrypath.coordination.events import Leave, Tick
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
 from bilberrypath.platform.packet_codec import ACK, SYN
 from bilberrypath.protocol.flow_messages import ForwardedPacket
@@ -49,6 +49,78 @@
         assert all(client.answers > 0 for client in clients)
 
 
+class TestSilentUpstream:
+    HOST = "10.2.0.1"
+
+    def send_opens(self, world, count):
+        for _ in range(count):
+            world.make_client().open()
+            world.run(0.1)
+
+    def make_world_with_flows(self):
+        world = make_world(agents=2)
+        clients = open_flows(world, 20)
+        held = [c for c in clients if find_holder(world, c.flow) == self.HOST]
+        assert held
+        return world, held
+
+    def test_flows_of_an_upstream_that_is_only_silent_are_kept(self):
+        """Guard against giving up the running requests of a paused upstream.
+
+        It neither reports nor answers for five seconds, but its address still takes
+        connections. The requests that it runs are answered later.
+        """
+        world, held = self.make_world_with_flows()
+        upstream = world.upstream_by_host[self.HOST]
+        upstream.service_time = 6.0
+        for client in held:
+            client.send_request()
+        world.run(0.1)
+        upstream.is_silent = True
+        self.send_opens(world, 50)
+        assert not world.node_by_host[self.HOST].upstream.is_alive
+        upstream.is_silent = False
+        upstream.report()
+        world.run(2.0)
+        assert [client.resets for client in held] == [0] * len(held)
+        assert all(client.answers == 1 for client in held)
+
+    def test_flows_of_a_silent_upstream_that_is_gone_are_reset(self):
+        world, held = self.make_world_with_flows()
+        world.upstream_by_host[self.HOST].is_up = False
+        self.send_opens(world, 20)
+        assert [client.resets for client in held] == [1] * len(held)
+
+    def test_upstream_that_goes_after_a_silence_is_noticed(self):
+        world, held = self.make_world_with_flows()
+        upstream = world.upstream_by_host[self.HOST]
+        upstream.is_silent = True
+        world.run(6.0)
+        assert sum(client.resets for client in held) == 0
+        upstream.is_up = False
+        world.run(2.0)
+        assert [client.resets for client in held] == [1] * len(held)
+
+
+class TestEndOfAnAgent:
+    def test_agent_waits_for_the_request_of_a_flow_that_was_just_opened(self):
+        """Guard against a planned stop between an open and its first data."""
+        world = make_world(agents=1)
+        agent = world.node_by_host["10.2.0.1"]
+        client = world.make_client()
+        client.open()
+        world.run(0.003)
+        assert client.opened
+        world.feed("10.2.0.1", Leave())
+        assert not agent.may_end(world.now)
+        client.send_request()
+        world.run(0.003)
+        assert not agent.may_end(world.now)
+        world.run(0.1)
+        assert client.answers == 1
+        assert agent.may_end(world.now)
+
+
 class TestUpstreamThatSeemedGone:
     def test_flows_of_an_older_upstream_are_not_reset(self):
         """Guard against trusting a refused connection more than a report.
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -195,6 +195,8 @@
             self._pull_table(host, effect)
         elif isinstance(effect, ffx.ProbeMachine):
             self._probe_machine(host, effect.node_id)
+        elif isinstance(effect, ffx.ProbeUpstream):
+            self._probe_upstream(host)
         elif isinstance(effect, fx.Count):
             self.counts[effect.event, effect.reason] += 1
         elif isinstance(effect, ffx.LogDecision):
@@ -253,6 +255,11 @@
             2 * LINK_DELAY, lambda: self.feed(host, fev.MachineAnswered(node_id))
         )
 
+    def _probe_upstream(self, host):
+        """Probe an upstream; one that is silent still accepts connections."""
+        if not self.upstream_by_host[host].is_up:
+            self.after(0.5, lambda: self.feed(host, fev.UpstreamUnreachable()))
+
     def _start(self, host, node):
         self.node_by_host[host] = node
 
--- a/tests/transport/test_machine_probe.py
+++ b/tests/transport/test_machine_probe.py
@@ -4,7 +4,11 @@
 import pytest
 
 from bilberrypath.transport import machine_probe
-from bilberrypath.transport.machine_probe import is_machine_reachable, is_port_closed
+from bilberrypath.transport.machine_probe import (
+    ProbeResult,
+    is_machine_reachable,
+    probe_address,
+)
 
 
 @pytest.fixture
@@ -36,13 +40,14 @@
     async def test_only_a_refusal_shows_that_nothing_listens(
         self, free_address, monkeypatch
     ):
-        assert await is_port_closed(free_address)
+        assert await probe_address(free_address) is ProbeResult.REFUSED
         server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
         async with server:
-            assert not await is_port_closed(server.sockets[0].getsockname())
+            address = server.sockets[0].getsockname()
+            assert await probe_address(address) is ProbeResult.ACCEPTED
 
         async def time_out(*address):
             raise TimeoutError
 
         monkeypatch.setattr(machine_probe.asyncio, "open_connection", time_out)
-        assert not await is_port_closed(free_address)
+        assert await probe_address(free_address) is ProbeResult.UNREACHABLE
