Upstream session: an answer says nothing of draining, no answer is no success

Removed: fields and constants that nothing read (agents_epoch, CHANGES_PER_SECOND, _joined in benchmarks/fleet.py).

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -31,7 +31,6 @@
 AGENTS, SERVICES, BALANCERS = 79_000, 22_000, 12_000  # the design size
 SIZE_SHARES = (0.25, 0.5, 1.0)  # shares of these numbers that are measured
 FLEET_SIZES = (150, 300, 600, 1200)  # balancers
-CHANGES_PER_SECOND = 14_000 / 86_400  # 14,000 changes a day
 
 
 def show(name, value, digits=2):
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -118,7 +118,6 @@
             core.members.balancers_epoch += 1
             core.releases.release = self.release
             core.router.apply_release(self.release)
-            core._joined = True
             self.cores[member.address] = core
             self._schedule(rng.uniform(0, ev.TICK_PERIOD), self._tick, core)
 
--- a/bilberrypath/coordination/membership.py
+++ b/bilberrypath/coordination/membership.py
@@ -41,10 +41,9 @@
 class Membership:
     """Merge member records, time suspicions, and queue changes for gossip.
 
-    ``balancers_epoch`` increases with each change of a balancer's record, and
-    ``agents_epoch`` with each change of an agent's record, which routing must take
-    into account. ``changed_services`` collects the services whose agents changed;
-    the core that uses it clears it.
+    ``balancers_epoch`` increases with each change of a balancer's record.
+    ``changed_services`` collects the services whose agents changed; the core that uses
+    it clears it.
     """
 
     own_member: Member
@@ -53,7 +52,6 @@
     heartbeat_monitor: HeartbeatMonitor = Factory(HeartbeatMonitor)
     data_centre_liveness: DataCentreLiveness = Factory(DataCentreLiveness)
     balancers_epoch: int = 0
-    agents_epoch: int = 0
     changed_services: set[str] = Factory(set)
     _suspected_at_by_id: dict[NodeId, float] = Factory(dict)
     _gone_at_by_id: dict[NodeId, float] = Factory(dict)
@@ -269,7 +267,6 @@
         if member.role is Role.BALANCER:
             self.balancers_epoch += 1
             return
-        self.agents_epoch += 1
         self.changed_services.add(member.service)
         if previous is not None:
             self.changed_services.add(previous.service)
--- a/bilberrypath/transport/agent_daemon.py
+++ b/bilberrypath/transport/agent_daemon.py
@@ -282,11 +282,12 @@
                 self.admission.back_off(BackoffReason.REPLACED, time.monotonic())
                 _log.info("upstream_replaced", boot_id=status.boot_id)
             self._boot_id = status.boot_id
-        if status.draining and not self._is_upstream_draining:
-            self._is_upstream_draining = True
+        if status.draining is None or status.draining is self._is_upstream_draining:
+            return
+        self._is_upstream_draining = status.draining
+        if status.draining:
             self._drain()
-        elif self._is_upstream_draining and not status.draining:
-            self._is_upstream_draining = False
+        else:
             self._resume()
 
     # Datagrams
--- a/bilberrypath/transport/upstream_session.py
+++ b/bilberrypath/transport/upstream_session.py
@@ -51,12 +51,12 @@
 class UpstreamStatus:
     """A status that the upstream reported.
 
-    ``boot_id`` changes when the upstream restarts. ``draining`` is False in a status
-    from the head of an answer, which has no such field; a reply to a poll has it.
+    ``boot_id`` changes when the upstream restarts. ``draining`` is None in a status
+    from the head of an answer, which does not state it; a reply to a poll does.
     """
 
     boot_id: str
-    draining: bool
+    draining: bool | None
 
 
 UpstreamEvent = UpstreamConnected | UpstreamDisconnected | UpstreamStatus
@@ -105,13 +105,13 @@
             timeout=timeout,
             metadata=_make_metadata(traceparent),
         )
-        status = 200
+        status = None
         parts = []
         try:
             async for part in call:
                 if part.WhichOneof("part") == "head":
                     status = part.head.status
-                    self._on_event(UpstreamStatus(part.head.boot_id, draining=False))
+                    self._on_event(UpstreamStatus(part.head.boot_id, draining=None))
                 else:
                     parts.append(part.body)
         except grpc.aio.AioRpcError as error:
@@ -119,6 +119,8 @@
         except asyncio.CancelledError:
             call.cancel()
             raise
+        if status is None:  # the call ended well, but without an answer
+            return Unknown(Reason.UPSTREAM_LOST)
         return Answered(status, b"".join(parts))
 
     async def stream(
