--- a/benchmarks/flow_capacity.py
+++ b/benchmarks/flow_capacity.py
@@ -91,7 +91,7 @@
             msg.decode_flow_message(body), sender, now
         ),
         "agent, lookup of a flow": lambda _: agent.locator.answer_query(
-            client.flow, now
+            msg.FlowQuery(client.flow), now
         ),
     }
     for name, action in rows.items():
