After a joint start a loss is proven only once agents have stopped joining

Cause: an agent that had started together with its upstream took its list of agents for complete at once. Change: the list counts as complete 0.4 s after its last change then, 1 s otherwise; the repeated lookups ask those that join in between. Ruled out: waiting 1 s as in other cases, since dead flows of the same moment are reset later by as much.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -30,6 +30,7 @@
 
 LOOKUP_TIMEOUT: Seconds = 0.05  # several round trips; clients retransmit after 200 ms
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
+JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
 NOT_FOUND_TTL: Seconds = 0.4  # equals a client's second retransmission timeout
 MAX_REMEMBERED_FLOWS = 4096  # flows; the upstream returns a packet within 1 ms
 
@@ -236,14 +237,14 @@
         """Return whether the list of agents is complete enough for a reset.
 
         Agents that start together are added to the list one by one, and one that is
-        not listed yet may have the flow. This does not matter after a power failure:
-        if the upstream started together with this process, so did the others.
+        not listed yet may have the flow. After a power failure, when the upstream
+        started together with this process, so did the others: only a flow that was
+        opened since can be at an agent that is not listed yet.
         """
-        if self.agent.agents_changed_at > now:
-            return False
+        settle_time = AGENTS_SETTLE_TIME
         if self.agent.upstream.started_together(now):
-            return True
-        return now - self.agent.agents_changed_at > AGENTS_SETTLE_TIME
+            settle_time = JOINT_START_SETTLE_TIME
+        return now - self.agent.agents_changed_at > settle_time
 
     def _record_not_found(self, flow: bytes, now: Seconds) -> None:
         self._not_found_at_by_flow[flow] = now
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -196,6 +196,43 @@
         world.run(1.3)
         assert [client.resets for client in clients] == [1] * 30
 
+    @pytest.mark.parametrize("seed", range(1, 7))
+    def test_flows_opened_while_agents_join_are_not_reset(self, seed):
+        """Guard against a proof among the few agents that are known so far.
+
+        All machines lost power, so that upstreams started with their agents. A flow is
+        opened at one agent, and its next packet reaches a home that does not know that
+        agent yet (33 such resets in a replay of the large site).
+        """
+        world = make_world(agents=10, balancers=4, seed=seed)
+        hosts = list(world.node_by_host)
+        for host in hosts:
+            world.kill(host)
+        balancers = [host for host in hosts if host.startswith("10.1.")]
+        for host in balancers:
+            world.add_balancer(host, "a", balancers[:2])
+
+        def start(host, upstream):
+            upstream.restart()
+            world.add_agent(host, seeds=balancers[:2], tracks_all_flows=False)
+            world.after(0.05, upstream.report)
+
+        for host, upstream in world.upstream_by_host.items():
+            upstream.is_up = False
+            world.after(
+                world.rng.uniform(0, 0.5), lambda h=host, u=upstream: start(h, u)
+            )
+        clients = []
+        for _ in range(100):
+            client = world.make_client()
+            client.request(tries_left=0)
+            clients.append(client)
+            world.run(0.01)
+        world.run(1.0)
+        assert [c.resets for c in clients if c.opened] == [0] * sum(
+            client.opened for client in clients
+        )
+
     def test_opens_wait_for_the_list_of_agents(self):
         """Guard against refusing an open while the other agents are not known yet.
 
