After a joint start a loss is also proven 0.6 s after a flow's first lookup

Change: the proof holds once no agent joined for 0.4 s, or 0.6 s after the flow's first lookup, which is repeated each 0.2 s among agents that joined in between: one that took the open just before is known by then. Model, 60 agents and 20 balancers that start within 0.3 s, 800 opens: 12 flows reset falsely at once, 1 after 0.4 s, none after 0.6 s. Ruled out: to tell old flows from new ones by the start of agents; machines start within 0.3 s of each other, which is as long as a process loads.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -31,6 +31,7 @@
 LOOKUP_TIMEOUT: Seconds = 0.05  # several round trips; clients retransmit after 200 ms
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
+NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
 NOT_FOUND_TTL: Seconds = 0.4  # equals a client's second retransmission timeout
 MAX_REMEMBERED_FLOWS = 4096  # flows; the upstream returns a packet within 1 ms
 
@@ -233,18 +234,28 @@
             flow, self.lookups.compute_result(flow), now
         )
 
-    def _is_agent_list_settled(self, now: Seconds) -> bool:
-        """Return whether the list of agents is complete enough for a reset.
+    def _is_agent_list_settled(self, flow: bytes, now: Seconds) -> bool:
+        """Return whether the list of agents is complete enough to reset a flow.
 
         Agents that start together are added to the list one by one, and one that is
         not listed yet may have the flow. After a power failure, when the upstream
         started together with this process, so did the others: only a flow that was
-        opened since can be at an agent that is not listed yet.
+        opened since can be at an agent that is not listed yet. Such an agent has
+        joined once no other did for ``JOINT_START_SETTLE_TIME``, or
+        ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow.
         """
-        settle_time = AGENTS_SETTLE_TIME
-        if self.agent.upstream.started_together(now):
-            settle_time = JOINT_START_SETTLE_TIME
-        return now - self.agent.agents_changed_at > settle_time
+        quiet_for = now - self.agent.agents_changed_at
+        if not self.agent.upstream.started_together(now):
+            return quiet_for > AGENTS_SETTLE_TIME
+        if quiet_for > JOINT_START_SETTLE_TIME:
+            return True
+        loss = self._unproven_losses.get(flow)
+        is_list_known = self.agent.agents_changed_at <= now
+        return (
+            is_list_known
+            and loss is not None
+            and now - loss.since >= NEW_FLOW_JOIN_TIME
+        )
 
     def _record_not_found(self, flow: bytes, now: Seconds) -> None:
         self._not_found_at_by_flow[flow] = now
@@ -353,7 +364,8 @@
             forwarded,
             possible_holders=result.candidates[1:],
             is_lookup_done=True,
-            has_queried_all=result.is_complete and self._is_agent_list_settled(now),
+            has_queried_all=result.is_complete
+            and self._is_agent_list_settled(packet.flow, now),
         )
         reduced = FlowLookup([(relayed, packet)], lookup.tried_agents, set())
         return self._relay_queued(reduced, result.candidates[0], "try_each")
@@ -405,7 +417,7 @@
         agent = self.agent
         forwarded, packet = lookup.queued_packets[-1]
         notices = agent.send_location(forwarded, flow, "")
-        is_settled = self._is_agent_list_settled(now)
+        is_settled = self._is_agent_list_settled(flow, now)
         queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
         may_reset = all(f.may_reset for f in queued) and not packet.is_rst
         is_proven = result.is_certain and all(f.has_queried_all for f in queued)
--- a/bilberrypath/coordination/unproven_losses.py
+++ b/bilberrypath/coordination/unproven_losses.py
@@ -17,7 +17,7 @@
     from bilberrypath.protocol.flow_packet import FlowPacket
     from bilberrypath.types import NodeId, Seconds
 
-RETRY_PERIOD: Seconds = 0.25
+RETRY_PERIOD: Seconds = 0.2
 RETRY_LIMIT: Seconds = 4.0  # by then an agent that does not answer counts as failed
 MAX_UNPROVEN_LOSSES = 4096  # flows
 
