Split: load reports, targets of opens, pending opens, memory of lookups, relays

The planted fault 'a leaving agent takes opens' names OpenTarget.choose_better, where that decision stands now.

--- a/bilberrypath/__init__.py
+++ b/bilberrypath/__init__.py
@@ -15,7 +15,8 @@
     from bilberrypath.caller.sse import StreamItem
     from bilberrypath.coordination.agent import AgentCore, AgentSetup
     from bilberrypath.coordination.balancer import BalancerCore, BalancerSetup
-    from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_agent_setup import FlowAgentSetup
     from bilberrypath.coordination.flow_balancer import FlowBalancer
     from bilberrypath.protocol.outcome import (
         Answered,
@@ -35,7 +36,7 @@
     "Caller": "caller.caller",
     "CallerOptions": "caller.caller",
     "FlowAgent": "coordination.flow_agent",
-    "FlowAgentSetup": "coordination.flow_agent",
+    "FlowAgentSetup": "coordination.flow_agent_setup",
     "FlowBalancer": "coordination.flow_balancer",
     "Outcome": "protocol.outcome",
     "Reason": "protocol.outcome",
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -10,8 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-from attrs import evolve, frozen
+from attrs import evolve
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
@@ -23,8 +22,10 @@
 from bilberrypath.coordination.flow_locator import FlowLocator
 from bilberrypath.coordination.flow_registration import FlowRegistration
 from bilberrypath.coordination.held_flows import HeldFlows
+from bilberrypath.coordination.load_reporter import LoadReporter
 from bilberrypath.coordination.open_handler import OpenHandler
 from bilberrypath.coordination.open_placement import OpenPlacement
+from bilberrypath.coordination.packet_relay import list_notified, make_relayed
 from bilberrypath.coordination.pause_detector import PauseDetector
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
@@ -39,44 +40,16 @@
     from random import Random
 
     from bilberrypath.coordination.events import Event
+    from bilberrypath.coordination.flow_agent_setup import FlowAgentSetup
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.coordination.held_flows import HeldFlow
     from bilberrypath.protocol.flow_packet import FlowPacket, PacketCodec
-    from bilberrypath.state.members import Member
     from bilberrypath.types import Address, NodeId, Seconds
 
-LOAD_REPORT_PERIOD: Seconds = 0.5  # ten times the duration of a request
-LOAD_REPORT_FANOUT = 4  # agents per period; each then knows nine fresh loads of others
-# A rise since the last report that is sent at once: an upstream that fails, or that has
-# a request waiting for each slot. A single request makes half of this with one slot.
-URGENT_RISE = 1.0
 JOIN_QUIET_TIME: Seconds = 0.3  # no new agent for longer than a heartbeat's period
 IDLE_MARGIN: Seconds = 5.0  # added to the idle timeout, to outlast both ends of a flow
 
 
-@frozen
-class FlowAgentSetup:
-    """The start parameters of an agent.
-
-    ``own_member`` is this process's member record, and ``seeds`` are the addresses
-    that heartbeats go to until heartbeat targets are known. ``upstream_address`` is
-    the address at which the upstream receives packets. ``report_period`` is the time
-    between upstream reports. ``flow_lifetime`` is the maximum lifetime of a flow.
-    ``process_started_at`` is the start of this process in Unix milliseconds; the
-    incarnation of ``own_member`` is later, by the time that the process loads.
-    ``tracks_all_flows`` is true if this process has seen every flow of the upstream;
-    otherwise this holds once ``flow_lifetime`` has passed since the start.
-    """
-
-    own_member: Member
-    seeds: tuple[Address, ...]
-    upstream_address: Address
-    report_period: Seconds
-    flow_lifetime: Seconds
-    process_started_at: int
-    tracks_all_flows: bool = False
-
-
 class FlowAgent:
     """The core of an agent: it guards one upstream, and places and looks up flows."""
 
@@ -98,8 +71,7 @@
         self.locator = FlowLocator(self)
         self._started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
-        self._next_load_report_at = now
-        self._reported_utilization = 0.0
+        self._load_reporter = LoadReporter(rng, now)
         self.is_leaving = False
         self.pause_detector = PauseDetector(now)
 
@@ -230,13 +202,8 @@
         self, agent: NodeId, forwarded: msg.ForwardedPacket, packet: FlowPacket
     ) -> list[FlowEffect]:
         """Return the effect that relays a packet to another agent."""
-        relayed = msgspec.structs.replace(
-            forwarded,
-            revision=max(forwarded.revision, self.routes.revision),
-            service=forwarded.service or self.service,
-            home_agent=forwarded.home_agent or self.node_id,
-            wants_location=True,
-            hops=forwarded.hops + 1,
+        relayed = make_relayed(
+            forwarded, self.node_id, self.service, self.routes.revision
         )
         return [fx.SendControl(parse_address(agent), relayed)]
 
@@ -250,28 +217,15 @@
     ) -> list[FlowEffect]:
         """Send a flow's location to the processes that handled its packet.
 
-        These are the origin balancer, the home agent, the sender, the agents that
-        relayed the packet for load, and ``tried_agents``. Nothing is sent unless the
-        location is wanted. An empty ``holder`` means that no holder is known.
-
-        The agents that tried an open wait for its location. Those that tried a packet
-        of an established flow do not: with a search through all agents of a service,
-        their notices would grow with the square of its size.
+        ``tried_agents`` are told too; see :func:`list_notified`. Nothing is sent unless
+        the location is wanted. An empty ``holder`` means that no holder is known.
         """
         if not forwarded.wants_location:
             return []
-        recipients = {
-            forwarded.origin_balancer,
-            forwarded.home_agent,
-            sender,
-            *forwarded.relayed_by,
-            *tried_agents,
-        }
-        recipients -= {"", self.node_id}
         message = msg.FlowLocation(flow, holder)
         return [
             fx.SendControl(parse_address(node_id), message)
-            for node_id in sorted(recipients)
+            for node_id in list_notified(forwarded, self.node_id, sender, tried_agents)
         ]
 
     def handle_upstream_packet(self, datagram: bytes, now: Seconds) -> list[FlowEffect]:
@@ -382,7 +336,7 @@
         self.placement.drop_unlisted(now)
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
-        if now >= self._next_load_report_at or self._has_load_risen(now):
+        if self._load_reporter.is_due(self._compute_utilization(now), now):
             effects += self.send_load_report(now)
         return effects
 
@@ -479,30 +433,18 @@
         return self.open_handler.retry_queued(now)
 
     def send_load_report(self, now: Seconds) -> list[FlowEffect]:
-        """Send the upstream's load to a random sample of the other agents."""
-        peers = list(self.placement.peer_by_id)
-        recipients = self.rng.sample(peers, min(LOAD_REPORT_FANOUT, len(peers)))
-        self._next_load_report_at = now + LOAD_REPORT_PERIOD
-        slots = self.upstream.slots
-        self._reported_utilization = self.flows.compute_utilization(slots, now)
-        message = msg.LoadReport(
+        """Send the upstream's load to some of the other agents."""
+        report = msg.LoadReport(
             self.routes.revision,
             self.service,
             not self.is_leaving and self.upstream.find_reject_reason(now) is None,
-            round(self._reported_utilization, 3),
-            slots,
+            round(self._compute_utilization(now), 3),
+            self.upstream.slots,
         )
-        return [
-            fx.SendControl(parse_address(node_id), message) for node_id in recipients
-        ]
+        return self._load_reporter.send(report, list(self.placement.peer_by_id), now)
 
-    def _has_load_risen(self, now: Seconds) -> bool:
-        """Return whether the load has risen so far that the others must know at once.
-
-        They would send opens to an upstream that fails or has a queue until then.
-        """
-        utilization = self.flows.compute_utilization(self.upstream.slots, now)
-        return utilization - self._reported_utilization > URGENT_RISE
+    def _compute_utilization(self, now: Seconds) -> float:
+        return self.flows.compute_utilization(self.upstream.slots, now)
 
     def _shift_for_pause(self, now: Seconds) -> None:
         pause = self.pause_detector.record(now)
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -17,6 +17,7 @@
     NoHolder,
     TryCandidates,
 )
+from bilberrypath.coordination.lookup_memory import LookupMemory
 from bilberrypath.coordination.query_rounds import QueryRounds
 from bilberrypath.coordination.unproven_losses import UnprovenLosses
 from bilberrypath.protocol import flow_messages as msg
@@ -26,32 +27,25 @@
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.protocol.flow_packet import FlowPacket
-    from bilberrypath.types import DataCentreName, NodeId, Seconds
+    from bilberrypath.types import NodeId, Seconds
 
 LOOKUP_TIMEOUT: Seconds = 0.05  # several round trips; clients retransmit after 200 ms
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
 NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
-NOT_FOUND_TTL: Seconds = 0.4  # equals a client's second retransmission timeout
-MAX_REMEMBERED_FLOWS = 4096  # flows; the upstream returns a packet within 1 ms
 
 
 @define
 class FlowLocator:
     """The part of an agent that finds a flow's holder, or proves that there is none.
 
-    The metadata of each tentatively delivered packet is kept, so that the packet can
-    be relayed if the upstream returns it. A flow that was not found is kept with the
-    time of that lookup.
-
     A flow that no agent has is reset as soon as that is proven, and looked up again
     until then.
     """
 
     agent: FlowAgent = field(repr=False)
     lookups: ActiveLookups = Factory(ActiveLookups)
-    _tentative_by_flow: dict[bytes, ForwardedPacket] = Factory(dict)
-    _not_found_at_by_flow: dict[bytes, float] = Factory(dict)
+    _memory: LookupMemory = Factory(LookupMemory)
     _unproven_losses: UnprovenLosses = Factory(UnprovenLosses)
     _query_rounds: QueryRounds = Factory(QueryRounds)
 
@@ -70,7 +64,9 @@
         dropped if a lookup within the last ``NOT_FOUND_TTL`` did not find its flow.
         """
         agent = self.agent
-        if forwarded.hops == 0 and self._was_recently_not_found(packet.flow, now):
+        if forwarded.hops == 0 and self._memory.was_recently_not_found(
+            packet.flow, now
+        ):
             notices = agent.send_location(forwarded, packet.flow, "")
             return [*notices, fx.Count("packet_dropped", "denied_before")]
         may_hold = agent.node_id not in forwarded.tried_agents
@@ -92,7 +88,7 @@
         was confirmed here is looked up, as the upstream has lost it.
         """
         agent = self.agent
-        forwarded = self._tentative_by_flow.pop(packet.flow, None)
+        forwarded = self._memory.tentative_by_flow.pop(packet.flow, None)
         if self.lookups.get(packet.flow) is not None:
             return []
         if forwarded is not None:
@@ -123,7 +119,7 @@
         agent = self.agent
         held = agent.flows.add(packet, is_confirmed=False, now=now)
         agent.flows.record_client_packet(held, packet, now)
-        self._record_tentative(packet.flow, forwarded)
+        self._memory.record_tentative(packet.flow, forwarded)
         return [
             ffx.SendToUpstream(packet.datagram),
             *agent.send_location(forwarded, packet.flow, agent.node_id),
@@ -132,7 +128,7 @@
 
     def abandon_tentative_deliveries(self, now: Seconds) -> list[FlowEffect]:
         """Look up the unconfirmed flows, which this agent's upstream cannot have."""
-        tentative, self._tentative_by_flow = self._tentative_by_flow, {}
+        tentative = self._memory.take_tentative()
         effects: list[FlowEffect] = []
         for flow, forwarded in tentative.items():
             held = self.agent.flows.get(flow)
@@ -257,22 +253,6 @@
             and now - loss.since >= NEW_FLOW_JOIN_TIME
         )
 
-    def _record_not_found(self, flow: bytes, now: Seconds) -> None:
-        self._not_found_at_by_flow[flow] = now
-        if len(self._not_found_at_by_flow) > MAX_REMEMBERED_FLOWS:
-            del self._not_found_at_by_flow[next(iter(self._not_found_at_by_flow))]
-
-    def _was_recently_not_found(self, flow: bytes, now: Seconds) -> bool:
-        """Return whether a lookup within ``NOT_FOUND_TTL`` did not find the flow."""
-        not_found_at = self._not_found_at_by_flow.get(flow, float("-inf"))
-        return now - not_found_at < NOT_FOUND_TTL
-
-    def _record_tentative(self, flow: bytes, forwarded: ForwardedPacket) -> None:
-        """Keep a packet's metadata for the case that the upstream returns it."""
-        self._tentative_by_flow[flow] = forwarded
-        if len(self._tentative_by_flow) > MAX_REMEMBERED_FLOWS:
-            del self._tentative_by_flow[next(iter(self._tentative_by_flow))]
-
     def _query_agents(
         self,
         forwarded: ForwardedPacket,
@@ -287,7 +267,13 @@
         """
         agent = self.agent
         tried = tuple(dict.fromkeys((*forwarded.tried_agents, agent.node_id)))
-        others = self._list_queried_agents(tried, forwarded.client_data_centre, now)
+        near_first = agent.placement.list_near_first(forwarded.client_data_centre)
+        others = [
+            node_id
+            for node_id in near_first
+            if node_id not in tried
+            and not agent.unresponsive_peers.has_failed(node_id, now)
+        ]
         if may_hold:
             tried = forwarded.tried_agents
         lookup = self.lookups.begin(forwarded, packet, tried, others)
@@ -305,25 +291,6 @@
         agent.deadlines.set(("query", b""), self._query_rounds.next_at)
         return []
 
-    def _list_queried_agents(
-        self,
-        tried: tuple[NodeId, ...],
-        client_data_centre: DataCentreName,
-        now: Seconds,
-    ) -> list[NodeId]:
-        """Return the agents to query, those in the client's data centre first.
-
-        Opens are placed in their client's data centre if its load allows it, so that an
-        agent there is the most likely holder.
-        """
-        peers = [
-            (peer.member.data_centre != client_data_centre, node_id)
-            for node_id, peer in self.agent.placement.peer_by_id.items()
-            if node_id not in tried
-            and not self.agent.unresponsive_peers.has_failed(node_id, now)
-        ]
-        return [node_id for _, node_id in sorted(peers)]
-
     def _send_queries(self, flows: list[bytes], now: Seconds) -> list[FlowEffect]:
         """Ask each agent for all flows whose lookups wait for it."""
         for flow in flows:
@@ -424,7 +391,7 @@
         if is_proven and is_settled and may_reset:
             self._unproven_losses.forget(flow)
             return [*notices, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
-        self._record_not_found(flow, now)
+        self._memory.record_not_found(flow, now)
         if may_reset:
             self._retry_later(lookup, now)
         fields = {
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -10,15 +10,13 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from attrs import Factory, define, evolve, field, frozen
+from attrs import Factory, define, evolve, field
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
-from bilberrypath.coordination.open_placement import (
-    MAX_HOPS,
-    OwnLoad,
-    PlacementConstraints,
-)
+from bilberrypath.coordination.open_placement import MAX_HOPS
+from bilberrypath.coordination.open_target import OpenTarget
+from bilberrypath.coordination.pending_opens import PendingOpen, RelayedOpen
 from bilberrypath.coordination.upstream_health import RejectReason
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import parse_address
@@ -39,29 +37,6 @@
 MAX_QUEUED_OPENS = 256  # opens that wait for a route table or an upstream report
 
 
-@frozen
-class PendingOpen:
-    """An open that is queued or awaits its acceptance, and its arrival time.
-
-    ``sender`` is the node ID of the process that sent it here, or empty if this agent
-    places the open again.
-    """
-
-    forwarded: ForwardedPacket
-    packet: FlowPacket
-    sender: NodeId
-    received_at: Seconds
-
-
-@frozen
-class RelayedOpen:
-    """An open that was relayed to ``target`` and is not yet reported as taken."""
-
-    forwarded: ForwardedPacket
-    packet: FlowPacket
-    target: NodeId
-
-
 @define
 class OpenHandler:
     """The part of an agent that places opens.
@@ -72,10 +47,14 @@
     """
 
     agent: FlowAgent = field(repr=False)
+    _target: OpenTarget = field(init=False)
     _pending_open_by_flow: dict[bytes, PendingOpen] = Factory(dict)
     _relayed_open_by_flow: dict[bytes, RelayedOpen] = Factory(dict)
     _queued_open_by_flow: dict[bytes, PendingOpen] = Factory(dict)
 
+    def __attrs_post_init__(self) -> None:
+        self._target = OpenTarget(self.agent)
+
     def place(
         self,
         forwarded: ForwardedPacket,
@@ -181,7 +160,7 @@
         reject_reason = self._find_reject_reason(now, packet.retransmit_count)
         if reject_reason is not None:
             return self._relay_or_refuse(forwarded, packet, reject_reason, now)
-        target = self._choose_better(forwarded, sender, now)
+        target = self._target.choose_better(forwarded, sender, now)
         if target is not None:
             relay_path = (*forwarded.relayed_by, self.agent.node_id)
             forwarded = msgspec.structs.replace(forwarded, relayed_by=relay_path)
@@ -223,65 +202,6 @@
         reject_reason = agent.upstream.find_reject_reason(now, retransmit_count)
         return None if reject_reason is None else reject_reason.value
 
-    def _choose_better(
-        self, forwarded: ForwardedPacket, sender: NodeId, now: Seconds
-    ) -> NodeId | None:
-        """Return another agent that should take an open, or None to accept it here.
-
-        While this agent is leaving, any other agent that can take it is preferred.
-        """
-        agent = self.agent
-        if agent.is_leaving:
-            constraints = self._make_constraints(
-                forwarded, sender, agent.node_id, *forwarded.relayed_by
-            )
-            return agent.placement.choose_any(constraints, now)
-        return self._choose_less_busy(forwarded, sender, now)
-
-    def _choose_less_busy(
-        self, forwarded: ForwardedPacket, sender: NodeId, now: Seconds
-    ) -> NodeId | None:
-        """Return an agent with less load that should take an open, or None.
-
-        An open that was relayed ``MAX_HOPS`` times, or by this agent before, is not
-        relayed for load.
-        """
-        agent = self.agent
-        if forwarded.hops >= MAX_HOPS or agent.node_id in forwarded.relayed_by:
-            return None
-        slots = agent.upstream.slots
-        busy = agent.flows.busy_count
-        utilization = agent.flows.compute_utilization(slots, now)
-        own = OwnLoad(busy, slots, utilization, agent.setup.own_member.data_centre)
-        constraints = self._make_constraints(forwarded, sender, *forwarded.relayed_by)
-        return agent.placement.choose_less_busy(own, constraints, now)
-
-    def _make_constraints(
-        self, forwarded: ForwardedPacket, *excluded: NodeId
-    ) -> PlacementConstraints:
-        """Return constraints that exclude tried, unresponsive and given agents."""
-        agent = self.agent
-        return PlacementConstraints(
-            forwarded.client_data_centre,
-            {*excluded, *forwarded.tried_agents, *agent.unresponsive_peers.since_by_id},
-            agent.routes.table.data_centres_out,
-        )
-
-    def _make_fallback_constraints(
-        self, forwarded: ForwardedPacket
-    ) -> PlacementConstraints:
-        """Return constraints that admit unresponsive peers.
-
-        They apply if no responsive agent can take the open: trying one more agent
-        costs little.
-        """
-        out = self.agent.routes.table.data_centres_out
-        return PlacementConstraints(
-            forwarded.client_data_centre,
-            {*forwarded.tried_agents, self.agent.node_id},
-            out,
-        )
-
     def _accept(
         self,
         forwarded: ForwardedPacket,
@@ -327,11 +247,7 @@
         forwarded = msgspec.structs.replace(forwarded, tried_agents=tried)
         if forwarded.unanswered_count >= MAX_UNANSWERED_RELAYS:
             return self._drop_without_reset(forwarded, packet)
-        target = agent.placement.choose_any(self._make_constraints(forwarded), now)
-        if target is None:
-            target = agent.placement.choose_any(
-                self._make_fallback_constraints(forwarded), now
-            )
+        target = self._target.choose_any(forwarded, now)
         is_awaiting = agent.upstream.awaits_first_report(now)
         if target is None and is_awaiting:
             return self._queue_briefly(forwarded, packet, "no_report", now)
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -167,6 +167,18 @@
         else:
             peer.member = member
 
+    def list_near_first(self, client_data_centre: DataCentreName) -> list[NodeId]:
+        """Return all peers, those in a client's data centre first.
+
+        Opens are placed there if the load allows it, so that a peer there is the most
+        likely holder of a flow of that client.
+        """
+        ranked = [
+            (peer.member.data_centre != client_data_centre, node_id)
+            for node_id, peer in self.peer_by_id.items()
+        ]
+        return [node_id for _, node_id in sorted(ranked)]
+
     def choose_less_busy(
         self, own: OwnLoad, constraints: PlacementConstraints, now: Seconds
     ) -> NodeId | None:
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from bilberrypath.coordination import flow_events as fev
-from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
+from bilberrypath.coordination.flow_agent import FlowAgent
+from bilberrypath.coordination.flow_agent_setup import FlowAgentSetup
 from bilberrypath.protocol.flow_messages import parse_address
 from bilberrypath.state.members import Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import FlowStatusReply
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import signal
-import traceback
 from abc import ABC, abstractmethod
 from contextlib import suppress
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from attrs import evolve
@@ -40,7 +38,7 @@
 from bilberrypath.transport.clock import read_clock
 from bilberrypath.transport.datagrams import ConnectedDatagramSocket, DatagramSocket
 from bilberrypath.transport.http_server import HttpRequest, HttpResponse, HttpServer
-from bilberrypath.transport.json_log import JsonLog
+from bilberrypath.transport.json_log import JsonLog, describe_loop_error
 from bilberrypath.transport.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -216,14 +214,7 @@
         """Count and log an unexpected exception; the process continues."""
         error = context.get("exception")
         self.metrics.count("internal_error", type(error).__name__)
-        frames = traceback.extract_tb(error.__traceback__) if error else []
-        locations = [f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames]
-        self.write_log(
-            "internal_error",
-            message=context.get("message"),
-            error=repr(error),
-            where=locations[-4:],
-        )
+        self.write_log("internal_error", **describe_loop_error(context))
 
     def _reload_settings(self) -> None:
         """Apply changed seeds; log whether other changes require a restart."""
--- a/bilberrypath/transport/json_log.py
+++ b/bilberrypath/transport/json_log.py
@@ -15,8 +15,10 @@
 import queue
 import threading
 import time
+import traceback
 from collections import deque
 from contextlib import suppress
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from attrs import Factory, define, frozen
@@ -27,6 +29,7 @@
 MAX_LINES_PER_SECOND = 40  # of one event; a balancer places about 30 opens per second
 MAX_BUFFERED_LINES = 2000  # about 500 KB
 STDOUT_FD = 1
+MAX_LOGGED_FRAMES = 4  # the innermost ones of an error
 MICROSECONDS_PER_SECOND = 1_000_000
 CLOSE_TIMEOUT: Seconds = 0.3  # a small part of the time a process is given to end
 
@@ -138,6 +141,18 @@
                 _write_all(self._output_fd, ("\n".join(lines) + "\n").encode())
 
 
+def describe_loop_error(context: dict[str, Any]) -> dict[str, Any]:
+    """Return the log fields of an error that an event loop reports."""
+    error = context.get("exception")
+    frames = traceback.extract_tb(error.__traceback__) if error else []
+    locations = [f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames]
+    return {
+        "message": context.get("message"),
+        "error": repr(error),
+        "where": locations[-MAX_LOGGED_FRAMES:],
+    }
+
+
 def _format_line(bound_fields: dict[str, str], line: LogLine) -> str:
     """Return a line as JSON; values without a JSON form are written as their text."""
     whole_seconds, fraction = divmod(line.unix_time, 1)
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -15,6 +15,7 @@
 from bilberrypath.coordination.flow_resolver import FlowResolver
 from bilberrypath.coordination.held_flows import HeldFlows
 from bilberrypath.coordination.open_handler import OpenHandler
+from bilberrypath.coordination.open_target import OpenTarget
 from bilberrypath.coordination.pause_detector import PauseDetector
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
@@ -225,9 +226,9 @@
         ),
     ),
     "a leaving agent takes opens": (
-        OpenHandler,
-        "_choose_better",
-        OpenHandler._choose_less_busy,
+        OpenTarget,
+        "choose_better",
+        OpenTarget._choose_less_busy,
         lambda: (
             affinity.TestLeaving().test_leaving_agent_takes_no_opens_and_keeps_its_flows()
         ),
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -15,7 +15,8 @@
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination import flow_events as fev
-from bilberrypath.coordination.flow_agent import FlowAgent, FlowAgentSetup
+from bilberrypath.coordination.flow_agent import FlowAgent
+from bilberrypath.coordination.flow_agent_setup import FlowAgentSetup
 from bilberrypath.coordination.flow_balancer import FlowBalancer
 from bilberrypath.platform.packet_codec import FIN, RST, PlatformPacketCodec
 from bilberrypath.protocol import flow_messages as msg
