Heartbeats state whether the sender applies changes to its list of agents

Cause: found on running an old build beside the new: a balancer answers a heartbeat with changes, which an agent of an older build skips, so that it would not learn of new agents while both builds run. Change: only an agent that says so is sent changes; others get the whole list. Test: test_agent_of_an_older_build_is_sent_the_whole_list failed before.

--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -310,7 +310,7 @@
         if ack.agents_digest == message.agents_digest or not self.gossiper.is_joined:
             return ack
         changed = table.list_changed_agents(member.service, message.agents_digest)
-        if changed is not None:
+        if changed is not None and message.takes_changes:
             return msgspec.structs.replace(ack, changed_agents=tuple(changed))
         agents = tuple(table.list_agents(member.service))
         return msgspec.structs.replace(ack, agents=agents)
--- a/bilberrypath/coordination/flow_registration.py
+++ b/bilberrypath/coordination/flow_registration.py
@@ -50,6 +50,7 @@
                     self.freshness.start_exchange(now),
                     self.routes_revision,
                     self.agents_digest,
+                    takes_changes=True,
                 ),
             )
             for target in self._list_targets(now)
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -105,12 +105,15 @@
     """An agent's liveness message to its heartbeat targets.
 
     ``agents_digest`` is the digest of the sender's list of its service's agents.
+    ``takes_changes`` states that the sender applies changes to that list; an agent of
+    an older build needs the whole list.
     """
 
     member: Member
     sequence: int
     revision: int
     agents_digest: int
+    takes_changes: bool = False
 
 
 class FlowHeartbeatAck(ControlStruct, tag=26):
--- a/tests/coordination/test_agent_list.py
+++ b/tests/coordination/test_agent_list.py
@@ -56,6 +56,23 @@
         assert not any(ack.agents for ack in acks)
         assert max(len(ack.changed_agents) for ack in acks) == 1
 
+    def test_agent_of_an_older_build_is_sent_the_whole_list(self, sent_acks):
+        """Guard against an agent that never learns of others, as it skips changes."""
+        world = make_world(agents=4)
+        world.run(2.0)
+        registration = world.node_by_host[HOST].registration
+        heartbeat = msg.FlowHeartbeat(
+            registration.own_member, 900, 1, registration.agents_digest
+        )
+        world.add_agent("10.2.0.99", seeds=["10.1.0.1"])
+        world.run(2.0)
+        sent_acks.clear()
+        event = ev.ControlReceived((HOST, 7600), heartbeat)
+        world.feed("10.1.0.1", event)
+        (ack,) = [ack for ack in sent_acks if ack.sequence == 900]
+        assert len(ack.agents) == 5
+        assert ack.changed_agents == ()
+
     def test_changes_to_another_list_are_ignored(self, sent_acks):
         world = make_world(agents=4)
         world.run(2.0)
