Open connections are closed when a process ends

Cause: the loop ends by cancelling the tasks that serve connections. Nothing closed the transport of a cancelled one, so the writer did it when it was collected, after the loop.

Change: StreamServer aborts a connection whose task is cancelled, and a balancer closes its connection to the store with the task that reads it.

--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -96,6 +96,10 @@
         self._watched_revision = max(after, reply.current_rev)
         return table if table.revision > current_table.revision else None
 
+    def close(self) -> None:
+        """Close the connection to the store."""
+        self._client.close()
+
     async def _read_first_table(self) -> RouteTable | None:
         """Return the whole table; if there was none before, wait for a change first."""
         if self._watched_revision:
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -48,6 +48,9 @@
         Raises :class:`RoutesUnavailable` when the source cannot be read.
         """
 
+    def close(self) -> None:
+        """Close the connection to the store."""
+
 
 class FlowBalancerDaemon(FlowDaemon):
     """A daemon that forwards clients' packets and keeps routes and members current.
@@ -128,6 +131,12 @@
         self.perform_all(self.core.handle_client_packet(datagram, now), now)
 
     async def _watch_routes(self) -> None:
+        try:
+            await self._read_routes_forever()
+        finally:
+            self._source.close()
+
+    async def _read_routes_forever(self) -> None:
         backoff = INITIAL_BACKOFF
         while True:
             if not self.core.should_read_store:
--- a/bilberrypath/transport/stream_server.py
+++ b/bilberrypath/transport/stream_server.py
@@ -26,13 +26,26 @@
 
     async def start_on(self, listener: socket) -> None:
         """Start to serve on a socket that already listens."""
-        self._server = await asyncio.start_server(self.serve, sock=listener)
+        self._server = await asyncio.start_server(self._serve_connection, sock=listener)
 
     def close(self) -> None:
         """Stop listening."""
         if self._server is not None:
             self._server.close()
 
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection, and abort it if that is cancelled.
+
+        A process that ends cancels the tasks of connections that are still open.
+        """
+        try:
+            await self.serve(reader, writer)
+        finally:
+            if not writer.is_closing():
+                writer.transport.abort()
+
     @abstractmethod
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/transport/test_flow_balancer_daemon.py
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -38,6 +38,10 @@
 
     def __init__(self):
         self.are_available = asyncio.Event()
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
 
     async def read_next_table(self, current_table):
         await self.are_available.wait()
@@ -134,3 +138,12 @@
         routes.are_available.set()
         message = await asyncio.wait_for(forwarded_packets.get(), 5.0)
         assert PlatformPacketCodec().parse_client_packet(message.datagram).flow == flow
+
+
+class TestStop:
+    async def test_connection_to_the_store_is_closed(self, daemon, routes):
+        await asyncio.sleep(0.05)
+        for task in list(daemon._tasks):
+            task.cancel()
+        await asyncio.sleep(0.05)
+        assert routes.is_closed
--- a/tests/transport/test_http.py
+++ b/tests/transport/test_http.py
@@ -1,7 +1,11 @@
 import asyncio
+import gc
+import sys
+from socket import create_connection
 
 import pytest
 
+from bilberrypath.transport.bound_sockets import bind_listener
 from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
 from bilberrypath.transport.http_server import HttpResponse, HttpServer
 
@@ -73,3 +77,25 @@
         with pytest.raises(HttpCallFailed):
             await client.call("PUT", "/", 1.0, b"x" * 70000)
         assert server.requests == []
+
+
+class TestEndOfProcess:
+    def test_connection_left_open_writes_no_traceback_when_the_loop_ends(
+        self, monkeypatch
+    ):
+        """Guard against a process whose last log lines are not JSON."""
+        unraisable = []
+        monkeypatch.setattr(sys, "unraisablehook", unraisable.append)
+
+        async def leave_a_connection_open():
+            server = HttpServer(lambda request: HttpResponse(200))
+            listener = bind_listener(("127.0.0.1", 0))
+            await server.start_on(listener)
+            client = create_connection(listener.getsockname())
+            await asyncio.sleep(0.05)
+            server.close()
+            return client
+
+        with asyncio.run(leave_a_connection_open()):
+            gc.collect()
+        assert [error.exc_value for error in unraisable] == []
