Log and measure the epoch of the store and tables that are older than the one in force

The timeline of the incident could not tell a reader that lost the store from one whose answers are discarded: both end with store_regained and silence. The line store_epoch, the gauges store_epoch and history_gaps, and routes{older} tell them apart.

The test of a connection left open collects the garbage of earlier tests first, whose errors it took for its own.

--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -137,7 +137,9 @@
     def adopt_if_newer(self, table: RouteTable) -> list[FlowEffect]:
         """Adopt a table if its revision is higher than the one in force."""
         self.allow_pull()
-        if table.revision <= self.revision:
+        if table.revision < self.revision:
+            return [Count("routes", "older")]
+        if table.revision == self.revision:
             return []
         new_indexed = index_route_table(table)
         return self._adopt(
--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -30,6 +30,7 @@
 # of another watch is detected sooner.
 RETRY_WATCH_WAIT: Seconds = 0.5
 RETRY_WATCH_SLACK: Seconds = 0.5  # twice the response times seen with a slow store
+EPOCH_HEADER = "store-era"  # rises by one when the store is restored from a copy
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
 RETRYABLE_STATUSES = (429, 503)  # the call was not executed and may be repeated
@@ -68,12 +69,17 @@
 
     The next watch starts after ``_watched_revision``. ``_has_failed`` is set if the
     last call failed or may be repeated; the next watch is then shorter.
+
+    ``epoch`` is that of the store's last answer, and ``history_gaps`` counts the
+    watches that started at a revision which the store does not have.
     """
 
     def __init__(self, address: Address) -> None:
         self._client = HttpClient(address)
         self._watched_revision = 0
         self._has_failed = False
+        self.epoch = 0
+        self.history_gaps = 0
 
     async def read_next_table(self, current_table: RouteTable) -> RouteTable | None:
         """Return the table after ``current_table``, or None if there is none yet.
@@ -120,6 +126,7 @@
         }
         status, body = await self._get("/v1/kv-watch", query, wait + slack)
         if status == STATUS_HISTORY_GONE:
+            self.history_gaps += 1
             return None
         return _decode_reply(_decode_events, status, body)
 
@@ -172,9 +179,21 @@
                 f"the store returned status {response.status} for {path}; "
                 "the call is retried"
             )
+        self.epoch = _parse_epoch(response.header_by_name.get(EPOCH_HEADER))
         return response.status, response.body
 
 
+def _parse_epoch(text: str | None) -> int:
+    """Return the epoch in a header; 0 for a store that does not send one."""
+    if text is None:
+        return 0
+    if not text.isdecimal():
+        raise RoutesUnavailable(
+            f"the store's header {EPOCH_HEADER} is {text!r}, expected a whole number"
+        )
+    return int(text)
+
+
 def _apply_item(table: RouteTable, item: StoreItem) -> RouteTable:
     value = None if item.deleted else base64.b64decode(item.value)
     try:
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -40,7 +40,15 @@
 
 
 class RouteSource(Protocol):
-    """The durable store of the configuration, as a balancer reads it."""
+    """The durable store of the configuration, as a balancer reads it.
+
+    ``epoch`` numbers the store's histories: it increases when the store is restored
+    from an older copy of itself. ``history_gaps`` counts the reads that could not
+    continue where the last one ended.
+    """
+
+    epoch: int
+    history_gaps: int
 
     async def read_next_table(self, current_table: RouteTable) -> RouteTable | None:
         """Return the table after ``current_table``, or None if there is none in time.
@@ -83,6 +91,7 @@
         self._source = source
         self._last_packet_at = 0.0
         self._is_store_unavailable = False
+        self._logged_epoch = 0
 
     @property
     def is_ready(self) -> bool:
@@ -93,6 +102,8 @@
         """Register the gauges, and start to watch the routes and receive packets."""
         core = self.core
         self.metrics.register_gauge("revision", lambda: core.routes.revision)
+        self.metrics.register_gauge("store_epoch", lambda: self._source.epoch)
+        self.metrics.register_gauge("history_gaps", lambda: self._source.history_gaps)
         self.metrics.register_gauge("members", lambda: len(core.members.table))
         self.metrics.register_gauge("places", lambda: len(core.location_cache))
         self.metrics.register_gauge(
@@ -151,8 +162,25 @@
                 continue
             self._record_store_call("")
             backoff = INITIAL_BACKOFF
+            self._log_epoch(table)
             self.handle_event(fev.RoutesRead(table))
 
+    def _log_epoch(self, table: RouteTable | None) -> None:
+        """Log that the store was restored, with its table and the one in force."""
+        if self._source.epoch == self._logged_epoch:
+            return
+        in_force = self.core.routes.table
+        fields = {} if table is None else {"read": table.revision}
+        self.write_log(
+            "store_epoch",
+            epoch=self._source.epoch,
+            before=self._logged_epoch,
+            revision=in_force.revision,
+            version=in_force.version,
+            **fields,
+        )
+        self._logged_epoch = self._source.epoch
+
     def _record_store_call(self, error: str) -> None:
         """Count a read of the store, and log when the store's availability changes.
 
--- a/bilberrypath/transport/http_client.py
+++ b/bilberrypath/transport/http_client.py
@@ -100,6 +100,7 @@
 
     async def _read_response(self) -> HttpResponse:
         status = 0
+        header_by_name: dict[str, str] = {}
         body = bytearray()
         while True:
             event = self._connection.next_event()
@@ -107,10 +108,14 @@
                 self._connection.receive_data(await self._reader.read(READ_SIZE))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                header_by_name = {
+                    name.decode(): value.decode("latin-1")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(status, bytes(body))
+                return HttpResponse(status, bytes(body), header_by_name=header_by_name)
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError(
                     "connection closed before the response was complete"
--- a/bilberrypath/transport/http_server.py
+++ b/bilberrypath/transport/http_server.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import h11
-from attrs import frozen
+from attrs import Factory, frozen
 
 from bilberrypath.transport.stream_server import StreamServer
 
@@ -31,11 +31,16 @@
 
 @frozen
 class HttpResponse:
-    """A response with its complete body."""
+    """A response with its complete body.
+
+    ``header_by_name`` has the headers of a received response, by name in lower case; a
+    server adds its own.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    header_by_name: dict[str, str] = Factory(dict)
 
 
 class HttpServer(StreamServer):
--- a/tests/coordination/test_route_tracker.py
+++ b/tests/coordination/test_route_tracker.py
@@ -30,9 +30,11 @@
         assert tracker.find_route(flow).allows("board")
         assert tracker.find_route(flow[:-1] + b"\0") is None
 
-    @pytest.mark.parametrize("revision", [4, 5])
-    def test_older_or_equal_revision_is_not_adopted(self, tracker, revision):
-        assert tracker.adopt_if_newer(make_table(revision, service="photo")) == []
+    @pytest.mark.parametrize(
+        ("revision", "effects"), [(4, [Count("routes", "older")]), (5, [])]
+    )
+    def test_older_or_equal_revision_is_not_adopted(self, tracker, revision, effects):
+        assert tracker.adopt_if_newer(make_table(revision, service="photo")) == effects
         assert tracker.limits_by_service.keys() >= {"board"}
         assert tracker.revision == 5
 
--- a/tests/transport/test_flow_balancer_daemon.py
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -39,6 +39,8 @@
     def __init__(self):
         self.are_available = asyncio.Event()
         self.is_closed = False
+        self.epoch = 0
+        self.history_gaps = 0
 
     def close(self):
         self.is_closed = True
--- a/tests/transport/test_http.py
+++ b/tests/transport/test_http.py
@@ -84,6 +84,7 @@
         self, monkeypatch
     ):
         """Guard against a process whose last log lines are not JSON."""
+        gc.collect()
         unraisable = []
         monkeypatch.setattr(sys, "unraisablehook", unraisable.append)
 
