--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -16,7 +16,8 @@
     that is not JSON, "doubled" sends each answer twice, and "doubled late" sends the
     second copy with the next answer; "" is normal service. A watch that starts before
     ``compacted_revision`` is answered with 410, as its history is gone. ``calls``
-    holds the target of each request, ``connections`` the number accepted.
+    holds the target of each request, ``connections`` the number accepted. ``epoch`` is
+    sent in each answer and rises with each :meth:`restore`.
     """
 
     def __init__(self):
@@ -24,6 +25,7 @@
         self.items = {}
         self.history = []
         self.compacted_revision = 0
+        self.epoch = 1
         self.mode = ""
         self.calls = []
         self.connections = 0
@@ -64,8 +66,22 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def copy(self):
+        """Return a copy of the store, for a later :meth:`restore`."""
+        return self.revision, dict(self.items), list(self.history)
+
+    def restore(self, copy):
+        """Go back to a copy: later writes are lost, their revisions given out again."""
+        self.revision, items, history = copy
+        self.items, self.history = dict(items), list(history)
+        self.epoch += 1
+        self._wake_watches()
+
     def _append_event(self, event):
         self.history.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -92,7 +108,10 @@
         data = json.dumps(body).encode()
         if self.mode == "garbage":
             data = b"?" + data
-        response_head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+        response_head = (
+            f"HTTP/1.1 {status} X\r\nStore-Era: {self.epoch}\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
         answer = response_head.encode() + data
         writer.write(self._late_copy + answer)
         self._late_copy = answer if self.mode == "doubled late" else b""
@@ -127,8 +146,8 @@
         after = int(query["after"])
         deadline = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.compacted_revision:
-                return 410, {}
+            if after < self.compacted_revision or after > self.revision:
+                return 410, {"currentRev": self.revision}
             events = [
                 event
                 for event in self.history
