Revisions carry the epoch of the store, so that a restored store is followed

Cause: a revision of the store was taken for a point in the order of changes. The restored store gives its revisions out again. The readers kept the highest revision of the lost history as the start of their watch and as the age of the table in force: what was written at or below it was discarded as old, or skipped by the watch when the store had passed it; and as the watch got 410 and the whole read an older table, both were repeated without a pause (3,270 calls).

Change: a revision joins the epoch in the store's answers with the store's own revision, in one integer that orders the epoch first. The watch position, the tables, the deltas, and all that processes tell each other carry it, so that there is no second rule for a restore. A watch that is answered in another epoch is followed by a whole read; answers of an earlier epoch are refused; a table that was read is kept by the reader until the core adopts it. The core decides: a table of a newer epoch with an older version of the configuration is not adopted, as the operator has yet to write its changes again, and one that would return a data centre to service waits two seconds for that.

With epoch 0, and with a store that sends none, revisions are what they were. Balancers of an older build that read the store after one of this build has told them a revision read it in a loop; in an upgrade the balancers are replaced within minutes.

Assertions changed: test_store compares with the joined revision; a table that is older is now counted, which test_older_or_equal_revision checks. Three injected faults are added: each is caught.

--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -191,7 +191,7 @@
     def _(self, event: fev.RoutesRead, now: Seconds) -> list[FlowEffect]:
         if event.table is None:
             return []
-        return self._announce_adopted(self.routes.adopt_if_newer(event.table))
+        return self._announce_adopted(self.routes.handle_store_read(event.table, now))
 
     @handle.register(fev.RoutesPullFailed)
     def _(self, event: fev.RoutesPullFailed, now: Seconds) -> list[FlowEffect]:
--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -122,7 +122,7 @@
             ffx.LogDecision(
                 "open_refused",
                 packet.flow,
-                {"reason": "no_route", "revision": self.balancer.routes.revision},
+                {"reason": "no_route", "revision": self.balancer.routes.revision_label},
             ),
         ]
 
@@ -148,7 +148,7 @@
         fields = {
             "late": unresponsive_agent,
             "to": target,
-            "revision": self.balancer.routes.revision,
+            "revision": self.balancer.routes.revision_label,
         }
         return [
             *effects,
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -220,7 +220,7 @@
         fields = {
             "busy": agent.flows.busy_count,
             "hops": forwarded.hops,
-            "revision": agent.routes.revision,
+            "revision": agent.routes.revision_label,
             "balancer": forwarded.origin_balancer,
         }
         return [
@@ -361,7 +361,7 @@
             "to": target,
             "reason": reason,
             "busy": agent.flows.busy_count,
-            "revision": agent.routes.revision,
+            "revision": agent.routes.revision_label,
             **agent.placement.describe(target, now),
         }
         return [
--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -3,6 +3,12 @@
 The revision never decreases, whether a table comes from the platform's service or
 from another process. A process that is notified of a newer revision pulls the
 deltas since its own table, or a snapshot if the other process does not have them.
+
+A service that was restored from an older copy of itself has a newer epoch, but may lack
+changes that are in force here until their writers have made them again. Such a table is
+not adopted while its version is older than the one in force. One that would return a
+data centre to service waits for ``RESTORE_SETTLE_TIME``, since a data centre has no
+version that shows whether the operator has returned it.
 """
 
 from __future__ import annotations
@@ -23,6 +29,7 @@
     index_route_table,
 )
 from bilberrypath.state.routes import RouteTable
+from bilberrypath.state.store_position import format_revision, get_epoch
 
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_effects import FlowEffect
@@ -31,6 +38,7 @@
     from bilberrypath.types import NodeId, Revision, Seconds, ServiceName
 
 PULL_TIMEOUT: Seconds = 0.5  # a pull takes a few ms; then another peer is tried
+RESTORE_SETTLE_TIME: Seconds = 2.0  # writers have made their changes again by then
 MAX_DELTAS = 32  # deltas kept; at 14,000 changes a day they cover about three minutes
 
 
@@ -42,6 +50,8 @@
     ``newest_known_revision`` is the highest revision that a peer reported.
     ``_delta_by_digest`` holds the latest deltas by the digest of the table that
     they apply to. Until ``_pull_deadline`` a pull is pending and no other starts.
+    ``_restored_epoch`` is the newest epoch that a read revealed while an older one was
+    in force; its changes count as made again from ``_settled_at`` on.
     """
 
     route_by_endpoint: dict[bytes, FlowRoute] = Factory(dict)
@@ -50,6 +60,8 @@
     _delta_by_digest: dict[int, RouteDelta] = Factory(dict)
     _needs_full_table: bool = True
     _pull_deadline: Seconds = float("-inf")
+    _restored_epoch: int = 0
+    _settled_at: Seconds = float("-inf")
 
     @property
     def table(self) -> RouteTable:
@@ -66,6 +78,11 @@
         """The revision in force in this process; 0 before the first is adopted."""
         return self._indexed_table.table.revision
 
+    @property
+    def revision_label(self) -> str:
+        """The revision in force in text form, for logs and status."""
+        return format_revision(self.revision)
+
     @property
     def is_behind(self) -> bool:
         """Whether a peer reported a newer revision than the one in force."""
@@ -130,22 +147,56 @@
             except StepMismatch:
                 self._needs_full_table = True
                 return [*effects, Count("routes", "step_mismatch")]
-            if new_indexed.table.revision > self.revision:
+            if not self._is_outdated(new_indexed.table):
                 effects = self._adopt(new_indexed, delta)
         return effects
 
+    def handle_store_read(self, table: RouteTable, now: Seconds) -> list[FlowEffect]:
+        """Adopt a table that was read from the platform's service, if it is newer.
+
+        The first one after a restore is logged. While the restored service may lack
+        changes, one that would return a data centre to service is not adopted.
+        """
+        epoch = get_epoch(table.revision)
+        if self.revision == 0 or epoch <= get_epoch(self.revision):
+            return self.adopt_if_newer(table)
+        effects: list[FlowEffect] = []
+        if epoch > self._restored_epoch:
+            self._restored_epoch = epoch
+            self._settled_at = now + RESTORE_SETTLE_TIME
+            fields = {
+                "read": format_revision(table.revision),
+                "read_version": table.version,
+                "revision": self.revision_label,
+                "version": self.table.version,
+            }
+            effects.append(LogStateChange("store_restored", fields))
+        returned = set(self.table.data_centres_out) - set(table.data_centres_out)
+        if returned and now < self._settled_at:
+            return [*effects, Count("routes", "not_settled")]
+        return [*effects, *self.adopt_if_newer(table)]
+
     def adopt_if_newer(self, table: RouteTable) -> list[FlowEffect]:
-        """Adopt a table if its revision is higher than the one in force."""
+        """Adopt a table if its revision is higher than the one in force.
+
+        One of a newer epoch is not adopted if its version is older.
+        """
         self.allow_pull()
-        if table.revision < self.revision:
-            return [Count("routes", "older")]
         if table.revision == self.revision:
             return []
+        if self._is_outdated(table):
+            return [Count("routes", "older")]
         new_indexed = index_route_table(table)
         return self._adopt(
             new_indexed, compute_route_delta(self._indexed_table, new_indexed)
         )
 
+    def _is_outdated(self, table: RouteTable) -> bool:
+        """Return whether a table is not newer than the one in force."""
+        if get_epoch(table.revision) > get_epoch(self.revision):
+            return table.version < self.table.version
+        return table.revision <= self.revision
+
     def _adopt(
         self, new_indexed: IndexedRouteTable, delta: RouteDelta
     ) -> list[FlowEffect]:
@@ -158,8 +209,8 @@
             self.route_by_endpoint[pack_endpoint(route.address)] = route
         table = new_indexed.table
         fields = {
-            "revision": table.revision,
-            "before": old_indexed.table.revision,
+            "revision": format_revision(table.revision),
+            "before": format_revision(old_indexed.table.revision),
             "version": table.version,
             "routes": len(table.routes),
             "out": sorted(table.data_centres_out),
--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -7,6 +7,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from attrs import frozen
 
 from bilberrypath.platform.documents import (
     OPERATOR_PREFIX,
@@ -14,12 +15,24 @@
     apply_store_change,
 )
 from bilberrypath.state.routes import RouteTable
+from bilberrypath.state.store_position import (
+    EPOCH_BITS,
+    format_revision,
+    get_epoch,
+    get_store_revision,
+    make_revision,
+)
 from bilberrypath.transport.flow_balancer_daemon import RoutesUnavailable
 from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import NoReturn, TypeVar
+
     from bilberrypath.types import Address, Revision, Seconds
 
+    T = TypeVar("T")
+
 READ_TIMEOUT: Seconds = 1.0  # the store answers in milliseconds
 # The store answers a watch after at most this time. Together with the slack it is below
 # the shortest stable window of the users' deployments (4 s), so that a lost watch is
@@ -33,7 +46,6 @@
 EPOCH_HEADER = "store-era"  # rises by one when the store is restored from a copy
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
-RETRYABLE_STATUSES = (429, 503)  # the call was not executed and may be repeated
 
 
 class StoreItem(msgspec.Struct):
@@ -60,6 +72,15 @@
     current_rev: int
 
 
+@frozen
+class StoreAnswer:
+    """An answer of the store, with the epoch in which it was given."""
+
+    status: int
+    epoch: int
+    body: bytes
+
+
 _decode_range = msgspec.json.Decoder(RangePage).decode
 _decode_events = msgspec.json.Decoder(WatchReply).decode
 
@@ -67,74 +88,97 @@
 class PlatformRouteSource:
     """A ``RouteSource`` that reads and watches the operator's documents.
 
-    The next watch starts after ``_watched_revision``. ``_has_failed`` is set if the
-    last call failed or may be repeated; the next watch is then shorter.
+    ``_table`` has the documents as they were last read, and the next watch starts
+    after ``_position``, a revision at or above that of the table. ``_has_failed`` is
+    set if the last call failed or may be repeated; the next watch is then shorter.
 
-    ``epoch`` is that of the store's last answer, and ``history_gaps`` counts the
+    ``epoch`` is the highest in the store's answers, and ``history_gaps`` counts the
     watches that started at a revision which the store does not have.
     """
 
     def __init__(self, address: Address) -> None:
         self._client = HttpClient(address)
-        self._watched_revision = 0
+        self._table = RouteTable()
+        self._position: Revision = 0
         self._has_failed = False
         self.epoch = 0
         self.history_gaps = 0
 
     async def read_next_table(self, current_table: RouteTable) -> RouteTable | None:
-        """Return the table after ``current_table``, or None if there is none yet.
+        """Return the store's table if it is newer than ``current_table``.
 
         None means that the watch timed out or that there is no configuration. The first
-        table, and one after a gap in the store's history, is read as a whole.
+        table, one after a gap in the store's history, and one after a restore of the
+        store is read as a whole. A table that was returned before and is not in
+        ``current_table`` is returned again.
 
         Raises :class:`RoutesUnavailable` if the store gives no usable response.
         """
-        if current_table.revision == 0:
-            return await self._read_first_table()
-        after = max(self._watched_revision, current_table.revision)
-        reply = await self._watch(after)
-        if reply is None:
-            return await self._read_all_pages()
-        table = current_table
-        for item in reply.events:
-            if item.revision > table.revision:
-                table = _apply_item(table, item)
-        self._watched_revision = max(after, reply.current_rev)
-        return table if table.revision > current_table.revision else None
+        if current_table.revision >= self._table.revision:
+            self._table = current_table
+        self._position = max(self._position, self._table.revision)
+        if self._position == 0 or not await self._follow_changes(current_table):
+            await self._read_all_pages(current_table)
+        return self._table if self._is_newer_than(current_table) else None
 
     def close(self) -> None:
         """Close the connection to the store."""
         self._client.close()
 
-    async def _read_first_table(self) -> RouteTable | None:
-        """Return the whole table; if there was none before, wait for a change first."""
-        if self._watched_revision:
-            reply = await self._watch(self._watched_revision)
-            if reply is not None and not reply.events:
-                return None
-        return await self._read_all_pages()
+    def _is_newer_than(self, current_table: RouteTable) -> bool:
+        has_configuration = self._table.version > 0
+        return has_configuration and self._table.revision > current_table.revision
+
+    async def _follow_changes(self, current_table: RouteTable) -> bool:
+        """Apply the changes after the position; return False if they are not available.
+
+        They are not if the store has dropped them, or was restored since the position
+        was read: its revisions then name other changes. The first configuration is read
+        with the rest of the table.
+        """
+        answer = await self._watch(is_short=self._is_newer_than(current_table))
+        if answer.epoch < get_epoch(self._position):
+            self._refuse_late_answer(answer.epoch)
+        if answer.status == STATUS_HISTORY_GONE:
+            self.history_gaps += 1
+            return False
+        if answer.epoch > get_epoch(self._position):
+            return False
+        reply = _decode_reply(_decode_events, answer)
+        if reply.events and self._table.version == 0:
+            return False
+        table = self._table
+        for item in reply.events:
+            if make_revision(answer.epoch, item.revision) > table.revision:
+                table = _apply_item(table, answer.epoch, item)
+        self._table = table
+        self._position = max(
+            self._position, make_revision(answer.epoch, reply.current_rev)
+        )
+        return True
+
+    async def _watch(self, is_short: bool) -> StoreAnswer:
+        """Wait for changes after the position.
 
-    async def _watch(self, after: Revision) -> WatchReply | None:
-        """Wait for changes after a revision; None means that its history is gone."""
+        A short watch is used after a failure, and while a table that was returned is
+        not in force.
+        """
         wait, slack = WATCH_WAIT, WATCH_SLACK
-        if self._has_failed:
+        if self._has_failed or is_short:
             wait, slack = RETRY_WATCH_WAIT, RETRY_WATCH_SLACK
         query = {
             "prefix": OPERATOR_PREFIX,
-            "after": after,
+            "after": get_store_revision(self._position),
             "waitMs": round(wait * 1000),
         }
-        status, body = await self._get("/v1/kv-watch", query, wait + slack)
-        if status == STATUS_HISTORY_GONE:
-            self.history_gaps += 1
-            return None
-        return _decode_reply(_decode_events, status, body)
+        return await self._get("/v1/kv-watch", query, wait + slack)
 
-    async def _read_all_pages(self) -> RouteTable | None:
-        """Return the table from all pages, or None if there is no configuration.
+    async def _read_all_pages(self, current_table: RouteTable) -> None:
+        """Read the table from all pages.
 
-        A page that does not continue the one before is a second copy of an earlier
-        answer; the connection is closed then, as the right answer may follow.
+        A page that does not continue the one before, or is of an older epoch, is a
+        second copy of an earlier answer; the connection is closed then, as the right
+        answer may follow. A store that is restored between two pages is read again.
 
         Pages are not a snapshot: a page may change after it was read. The next watch
         therefore starts after the revision of the first page; after that of the last
@@ -142,30 +186,38 @@
         """
         table = RouteTable()
         query: dict[str, str | int] = {"prefix": OPERATOR_PREFIX}
-        revision = 0
+        first: Revision = 0
         while True:
-            status, body = await self._get("/v1/kv-range", query, READ_TIMEOUT)
-            page = _decode_reply(_decode_range, status, body)
+            answer = await self._get("/v1/kv-range", query, READ_TIMEOUT)
+            page = _decode_reply(_decode_range, answer)
+            first = first or make_revision(answer.epoch, page.current_rev)
+            if answer.epoch != get_epoch(first):
+                raise RoutesUnavailable(
+                    f"the store was restored to epoch {answer.epoch} while its table "
+                    f"of epoch {get_epoch(first)} was read; the table is read again"
+                )
             if page.items and page.items[0].key <= query.get("after", ""):
                 self._client.close()
                 raise RoutesUnavailable(
                     f"the store returned a page that starts at {page.items[0].key!r}, "
                     f"expected keys after {query['after']!r}; the table is read again"
                 )
-            revision = revision or page.current_rev
             for item in page.items:
-                table = _apply_item(table, item)
+                table = _apply_item(table, answer.epoch, item)
             if not page.has_more or not page.items:
                 break
             query["after"] = page.items[-1].key
-        self._watched_revision = revision
-        if not table.routes:
-            return None
-        return msgspec.structs.replace(table, revision=revision)
+        if current_table.version > 0 and table.version == 0:
+            raise RoutesUnavailable(
+                f"the store has no configuration at revision {format_revision(first)}, "
+                f"while {current_table.version} is in force; the table is read again"
+            )
+        self._position = first
+        self._table = msgspec.structs.replace(table, revision=first)
 
     async def _get(
         self, path: str, query: dict[str, str | int], timeout: Seconds
-    ) -> tuple[int, bytes]:
+    ) -> StoreAnswer:
         try:
             response = await self._client.call(
                 "GET", f"{path}?{urlencode(query)}", timeout
@@ -173,42 +225,51 @@
         except HttpCallFailed as error:
             self._has_failed = True
             raise RoutesUnavailable(str(error)) from error
-        self._has_failed = response.status in RETRYABLE_STATUSES
+        self._has_failed = response.status not in (STATUS_OK, STATUS_HISTORY_GONE)
         if self._has_failed:
             raise RoutesUnavailable(
-                f"the store returned status {response.status} for {path}; "
-                "the call is retried"
+                f"the store returned status {response.status} for {path}, expected "
+                f"{STATUS_OK}; the call is retried"
             )
-        self.epoch = _parse_epoch(response.header_by_name.get(EPOCH_HEADER))
-        return response.status, response.body
+        epoch = _parse_epoch(response.header_by_name.get(EPOCH_HEADER))
+        if epoch < self.epoch:
+            self._refuse_late_answer(epoch)
+        self.epoch = epoch
+        return StoreAnswer(response.status, epoch, response.body)
+
+    def _refuse_late_answer(self, epoch: int) -> NoReturn:
+        """Raise for an answer from before a restore, and close its connection."""
+        self._client.close()
+        raise RoutesUnavailable(
+            f"the store's answer is of epoch {epoch}, expected "
+            f"{max(self.epoch, get_epoch(self._position))} or later; it is read again"
+        )
 
 
 def _parse_epoch(text: str | None) -> int:
     """Return the epoch in a header; 0 for a store that does not send one."""
     if text is None:
         return 0
-    if not text.isdecimal():
+    if not text.isdecimal() or int(text) >= 1 << EPOCH_BITS:
         raise RoutesUnavailable(
-            f"the store's header {EPOCH_HEADER} is {text!r}, expected a whole number"
+            f"the store's header {EPOCH_HEADER} is {text!r}, expected a whole number "
+            f"below {1 << EPOCH_BITS}"
         )
     return int(text)
 
 
-def _apply_item(table: RouteTable, item: StoreItem) -> RouteTable:
+def _apply_item(table: RouteTable, epoch: int, item: StoreItem) -> RouteTable:
     value = None if item.deleted else base64.b64decode(item.value)
+    revision = make_revision(epoch, item.revision)
     try:
-        return apply_store_change(table, item.revision, item.key, value)
+        return apply_store_change(table, revision, item.key, value)
     except DocumentError as error:
         raise RoutesUnavailable(str(error)) from error
 
 
-def _decode_reply(decode, status: int, body: bytes):
-    if status != STATUS_OK:
-        raise RoutesUnavailable(
-            f"the store returned status {status}, expected {STATUS_OK}"
-        )
+def _decode_reply(decode: Callable[[bytes], T], answer: StoreAnswer) -> T:
     try:
-        return decode(body)
+        return decode(answer.body)
     except msgspec.MsgspecError as error:
         raise RoutesUnavailable(
             f"the store's response cannot be decoded: {error}"
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -89,7 +89,7 @@
         self._upstream = self.close_on_stop(to_upstream)
         self.start(self._check_upstream())
         core = self.core
-        self.metrics.register_gauge("revision", lambda: core.routes.revision)
+        self.metrics.register_revision_gauges(lambda: core.routes.revision)
         self.metrics.register_gauge("flows", lambda: len(core.flows))
         self.metrics.register_gauge("busy", lambda: core.flows.busy_count)
         self.metrics.register_gauge("redirects", lambda: len(core.redirects))
@@ -175,7 +175,7 @@
             "data_centre": core.registration.own_member.data_centre,
             "service": core.service,
             "ready": self.is_ready,
-            "revision": core.routes.revision,
+            "revision": core.routes.revision_label,
             "upstream": "" if report is None else report.upstream_id,
             "unable": "" if reject_reason is None else reject_reason.value,
             "flows": len(core.flows),
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -91,7 +91,6 @@
         self._source = source
         self._last_packet_at = 0.0
         self._is_store_unavailable = False
-        self._logged_epoch = 0
 
     @property
     def is_ready(self) -> bool:
@@ -101,7 +100,7 @@
     async def open_sockets(self) -> None:
         """Register the gauges, and start to watch the routes and receive packets."""
         core = self.core
-        self.metrics.register_gauge("revision", lambda: core.routes.revision)
+        self.metrics.register_revision_gauges(lambda: core.routes.revision)
         self.metrics.register_gauge("store_epoch", lambda: self._source.epoch)
         self.metrics.register_gauge("history_gaps", lambda: self._source.history_gaps)
         self.metrics.register_gauge("members", lambda: len(core.members.table))
@@ -162,25 +161,8 @@
                 continue
             self._record_store_call("")
             backoff = INITIAL_BACKOFF
-            self._log_epoch(table)
             self.handle_event(fev.RoutesRead(table))
 
-    def _log_epoch(self, table: RouteTable | None) -> None:
-        """Log that the store was restored, with its table and the one in force."""
-        if self._source.epoch == self._logged_epoch:
-            return
-        in_force = self.core.routes.table
-        fields = {} if table is None else {"read": table.revision}
-        self.write_log(
-            "store_epoch",
-            epoch=self._source.epoch,
-            before=self._logged_epoch,
-            revision=in_force.revision,
-            version=in_force.version,
-            **fields,
-        )
-        self._logged_epoch = self._source.epoch
-
     def _record_store_call(self, error: str) -> None:
         """Count a read of the store, and log when the store's availability changes.
 
@@ -193,7 +175,7 @@
         if error:
             self.write_log("store_lost", error=error)
         else:
-            self.write_log("store_regained", revision=self.core.routes.revision)
+            self.write_log("store_regained", revision=self.core.routes.revision_label)
 
     def list_members(self, request: MembersRequest) -> MemberTableReply:
         """Return the member records in the buckets whose digests differ."""
@@ -213,7 +195,7 @@
             "role": "balancer",
             "data_centre": core.members.own_member.data_centre,
             "ready": self.is_ready,
-            "revision": table.revision,
+            "revision": core.routes.revision_label,
             "configuration": table.version,
             "routes": len(table.routes),
             "flows_placed": len(core.location_cache),
--- a/bilberrypath/transport/metrics.py
+++ b/bilberrypath/transport/metrics.py
@@ -12,13 +12,15 @@
 
 from attrs import Factory, define
 
+from bilberrypath.state.store_position import get_epoch, get_store_revision
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from prometheus_client import CollectorRegistry
     from prometheus_client.metrics_core import Metric
 
-    from bilberrypath.types import Seconds
+    from bilberrypath.types import Revision, Seconds
 
 BUCKET_BOUNDS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)  # seconds
 EVENTS_HELP = "Drops, refusals, outcomes and other events, by reason."
@@ -74,6 +76,11 @@
         """Export a gauge; ``read`` returns its value at each collection."""
         self.gauge_by_name[name] = read
 
+    def register_revision_gauges(self, read_revision: Callable[[], Revision]) -> None:
+        """Export the revision of the route table in force, and its epoch."""
+        self.register_gauge("epoch", lambda: get_epoch(read_revision()))
+        self.register_gauge("revision", lambda: get_store_revision(read_revision()))
+
     def observe(self, name: str, seconds: Seconds) -> None:
         """Record a duration in the histogram of that name."""
         histogram = self.histogram_by_name.get(name)
--- a/bilberrypath/types.py
+++ b/bilberrypath/types.py
@@ -12,5 +12,8 @@
 
 Seconds: TypeAlias = float
 Revision: TypeAlias = int
+"""The order of a configuration change: of a release of the QUIC service, or of a route
+table as in :mod:`bilberrypath.state.store_position`."""
+
 Incarnation: TypeAlias = int
 """Start time of a process, in milliseconds since the Unix epoch."""
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -22,6 +22,7 @@
 from bilberrypath.coordination.upstream_health import RejectReason, UpstreamHealth
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
 from bilberrypath.state.route_delta import index_route_table
+from bilberrypath.state.store_position import get_store_revision
 from tests.coordination import test_flow_affinity as affinity
 from tests.coordination import test_flow_opens as opens
 from tests.coordination import test_flow_recovery as recovery
@@ -177,6 +178,36 @@
             )
         ),
     ),
+    "an older version is adopted from a restored store": (
+        RouteTracker,
+        "_is_outdated",
+        lambda tracker, table: table.revision <= tracker.revision,
+        lambda: (
+            test_route_tracker.TestRestoredStore().test_older_version_from_the_copy_is_not_adopted(
+                _make_route_tracker()
+            )
+        ),
+    ),
+    "the epoch of a restored store is ignored": (
+        RouteTracker,
+        "_is_outdated",
+        lambda tracker, table: (
+            get_store_revision(table.revision) <= get_store_revision(tracker.revision)
+        ),
+        lambda: (
+            test_route_tracker.TestRestoredStore().test_newer_version_is_adopted_at_a_revision_given_out_again(
+                _make_route_tracker()
+            )
+        ),
+    ),
+    "a restored store is not left to settle": (
+        RouteTracker,
+        "handle_store_read",
+        lambda tracker, table, now: tracker.adopt_if_newer(table),
+        lambda: (
+            test_route_tracker.TestRestoredStore().test_evacuation_missing_in_the_copy_stays_until_the_store_has_settled()
+        ),
+    ),
     "opens with unanswered relays are refused": (
         OpenHandler,
         "_drop_without_reset",
--- a/tests/coordination/test_route_tracker.py
+++ b/tests/coordination/test_route_tracker.py
@@ -1,11 +1,12 @@
 import msgspec
 import pytest
 
-from bilberrypath.coordination.effects import Count
+from bilberrypath.coordination.effects import Count, LogStateChange
 from bilberrypath.coordination.flow_effects import PullRoutes
 from bilberrypath.coordination.route_tracker import (
     MAX_DELTAS,
     PULL_TIMEOUT,
+    RESTORE_SETTLE_TIME,
     RouteTracker,
 )
 from bilberrypath.protocol.flow_packet import pack_flow_key
@@ -14,6 +15,7 @@
     RouteTableReply,
     index_route_table,
 )
+from bilberrypath.state.store_position import make_revision
 from tests.support.flow_world import ADDRESS, make_table
 
 
@@ -30,11 +32,10 @@
         assert tracker.find_route(flow).allows("board")
         assert tracker.find_route(flow[:-1] + b"\0") is None
 
-    @pytest.mark.parametrize(
-        ("revision", "effects"), [(4, [Count("routes", "older")]), (5, [])]
-    )
-    def test_older_or_equal_revision_is_not_adopted(self, tracker, revision, effects):
-        assert tracker.adopt_if_newer(make_table(revision, service="photo")) == effects
+    @pytest.mark.parametrize("revision", [4, 5])
+    def test_older_or_equal_revision_is_not_adopted(self, tracker, revision):
+        effects = tracker.adopt_if_newer(make_table(revision, service="photo"))
+        assert effects == [Count("routes", "older")] * (revision < 5)
         assert tracker.limits_by_service.keys() >= {"board"}
         assert tracker.revision == 5
 
@@ -123,3 +124,77 @@
     def test_revision_in_force_starts_no_pull(self, tracker):
         assert tracker.observe_revision("x:1", 5, 0.0) == []
         assert not tracker.is_behind
+
+
+def make_restored_table(store_revision, version, out=(), epoch=1):
+    """Return a table of a store that was restored ``epoch`` times."""
+    revision = make_revision(epoch, store_revision)
+    table = make_table(store_revision, out=out)
+    return msgspec.structs.replace(table, revision=revision, version=version)
+
+
+class TestRestoredStore:
+    """The table in force is of configuration 5, and of the store's revision 5."""
+
+    def test_newer_version_is_adopted_at_a_revision_given_out_again(self, tracker):
+        tracker.handle_store_read(make_restored_table(3, 6), 0.0)
+        assert tracker.table.version == 6
+        assert tracker.revision_label == "1.3"
+
+    def test_older_version_from_the_copy_is_not_adopted(self, tracker):
+        copied_table = make_restored_table(3, 4)
+        for now in (0.0, 2 * RESTORE_SETTLE_TIME):
+            tracker.handle_store_read(copied_table, now)
+            assert tracker.table.version == 5
+        tracker.handle_store_read(make_restored_table(4, 5), 9.0)
+        assert tracker.revision_label == "1.4"
+
+    def test_older_version_is_not_adopted_from_a_peer(self, tracker):
+        """A process that started after the restore may have the copied table."""
+        peer = RouteTracker()
+        peer.handle_store_read(make_restored_table(3, 4), 0.0)
+        tracker.handle_reply(peer.make_reply(tracker.base_digest))
+        assert tracker.table == make_table(5)
+
+    def test_evacuation_missing_in_the_copy_stays_until_the_store_has_settled(self):
+        tracker = RouteTracker()
+        tracker.adopt_if_newer(make_table(5, out=("a",)))
+        copied_table = make_restored_table(3, 5)
+        tracker.handle_store_read(copied_table, 0.0)
+        tracker.handle_store_read(copied_table, 0.9 * RESTORE_SETTLE_TIME)
+        assert tracker.table.data_centres_out == ("a",)
+        tracker.handle_store_read(copied_table, RESTORE_SETTLE_TIME)
+        assert tracker.table.data_centres_out == ()
+
+    def test_evacuation_after_the_restore_is_adopted_at_once(self, tracker):
+        tracker.handle_store_read(make_restored_table(3, 5, out=("a",)), 0.0)
+        assert tracker.table.data_centres_out == ("a",)
+
+    def test_each_restore_settles_anew(self):
+        tracker = RouteTracker()
+        tracker.adopt_if_newer(make_table(5, out=("a",)))
+        tracker.handle_store_read(make_restored_table(3, 5), 0.0)
+        second_copy = make_restored_table(3, 5, epoch=2)
+        tracker.handle_store_read(second_copy, RESTORE_SETTLE_TIME)
+        assert tracker.table.data_centres_out == ("a",)
+        tracker.handle_store_read(second_copy, 2 * RESTORE_SETTLE_TIME)
+        assert tracker.revision_label == "2.3"
+
+    def test_restore_is_logged_once(self, tracker):
+        events = [
+            effect
+            for now in (0.0, 0.5)
+            for effect in tracker.handle_store_read(make_restored_table(3, 4), now)
+            if isinstance(effect, LogStateChange)
+        ]
+        fields = {"read": "1.3", "read_version": 4, "revision": "0.5", "version": 5}
+        assert events == [LogStateChange("store_restored", fields)]
+
+    def test_delta_leads_from_the_table_before_the_restore(self, tracker):
+        requester = RouteTracker()
+        requester.adopt_if_newer(make_table(5))
+        tracker.handle_store_read(make_restored_table(3, 6), 0.0)
+        reply = tracker.make_reply(requester.base_digest)
+        assert len(reply.deltas) == 1
+        requester.handle_reply(reply)
+        assert requester.table == tracker.table
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -14,6 +14,7 @@
 from bilberrypath.platform.packet_codec import PlatformPacketCodec
 from bilberrypath.platform.store import PlatformRouteSource
 from bilberrypath.state.members import Member, Role, Status
+from bilberrypath.transport.flow_balancer_daemon import RoutesUnavailable
 from tests.platform.test_documents import CONFIG
 from tests.standins.platform_store import PlatformStore
 
@@ -121,3 +122,101 @@
         put_config(store, 9)
         await pending_read
         await reader.read_until(9)
+
+    async def test_copy_older_than_the_table_in_force_is_not_adopted(
+        self, store, reader
+    ):
+        copy = store.copy()
+        put_config(store, 8)
+        await reader.read_until(8)
+        store.restore(copy)
+        for _ in range(MAX_READS):
+            await reader.read()
+            assert reader.table.version == 8
+        put_config(store, 9)
+        await reader.read_until(9)
+
+    async def test_evacuation_missing_in_the_copy_stays_until_it_is_written_again(
+        self, store, reader
+    ):
+        copy = store.copy()
+        store.put("op/evacuate/wc-a", {})
+        await reader.read()
+        await reader.read()
+        assert reader.table.data_centres_out == ("wc-a",)
+        store.restore(copy)
+        await reader.read()
+        assert reader.table.data_centres_out == ("wc-a",)
+        store.put("op/evacuate/wc-a", {})
+        await reader.read()
+        assert reader.table.data_centres_out == ("wc-a",)
+        store.remove("op/evacuate/wc-a")
+        await reader.read()
+        assert reader.table.data_centres_out == ()
+
+    async def test_copy_without_a_configuration_is_read_until_there_is_one(
+        self, store, reader
+    ):
+        await reader.read_until(7)
+        store.restore((1, {}, []))
+        for _ in range(3):
+            with pytest.raises(RoutesUnavailable, match="no configuration"):
+                await reader.read()
+        put_config(store, 8)
+        await reader.read_until(8)
+
+    async def test_restore_between_two_pages_reads_the_table_again(
+        self, store, reader, monkeypatch
+    ):
+        for number in range(600):
+            store.put(f"op/evacuate/z-{number:03}", {})
+        copy = store.copy()
+        read_page = store._range
+
+        def restore_before_the_second_page(query):
+            if "after" in query and store.epoch == 1:
+                store.restore(copy)
+            return read_page(query)
+
+        monkeypatch.setattr(store, "_range", restore_before_the_second_page)
+        with pytest.raises(RoutesUnavailable, match="restored to epoch 2"):
+            await reader.read()
+        await reader.read()
+        assert reader.core.routes.revision_label.startswith("2.")
+
+    async def test_answer_from_before_the_restore_is_refused(self, store, reader):
+        await reader.read_until(7)
+        store.epoch = 2
+        await reader.read()
+        store.epoch = 1
+        with pytest.raises(RoutesUnavailable, match="of epoch 1, expected 2"):
+            await reader.read()
+        store.epoch = 2
+        put_config(store, 8)
+        await reader.read_until(8)
+
+    async def test_table_of_a_newer_epoch_from_a_peer_moves_the_watch(
+        self, store, reader
+    ):
+        await reader.read_until(7)
+        other_reader = StoreReader(store.address)
+        store.restore(store.copy())
+        put_config(store, 8)
+        await other_reader.read_until(8)
+        other_reader.source.close()
+        reader.core.routes.adopt_if_newer(other_reader.table)
+        put_config(store, 9)
+        await reader.read_until(9)
+        assert len([call for call in store.calls if "kv-range" in call]) == 2
+
+    async def test_invalid_epoch_is_refused(self, store, reader):
+        store.epoch = "two"
+        with pytest.raises(RoutesUnavailable, match="'two', expected a whole number"):
+            await reader.read()
+
+    async def test_store_that_sends_no_epoch_is_followed(self, store, reader):
+        store.epoch = None
+        await reader.read_until(7)
+        put_config(store, 8)
+        await reader.read_until(8)
+        assert reader.core.routes.revision_label.startswith("0.")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 from bilberrypath.platform import store as store_module
 from bilberrypath.platform.store import PlatformRouteSource
 from bilberrypath.state.routes import RouteTable
+from bilberrypath.state.store_position import make_revision
 from bilberrypath.transport.flow_balancer_daemon import RoutesUnavailable
 from tests.platform.test_documents import CONFIG
 from tests.standins.platform_store import PlatformStore
@@ -40,7 +41,7 @@
         table = await source.read_next_table(RouteTable())
         assert table.version == 7
         assert table.data_centres_out == ("wc-a",)
-        assert table.revision == store.revision
+        assert table.revision == make_revision(store.epoch, store.revision)
 
     async def test_returns_none_before_the_first_configuration(self, store, source):
         assert await source.read_next_table(RouteTable()) is None
@@ -69,7 +70,7 @@
         store.remove("op/evacuate/wc-a")
         table = await source.read_next_table(table)
         assert table.data_centres_out == ()
-        assert table.revision == store.revision
+        assert table.revision == make_revision(store.epoch, store.revision)
 
     async def test_returns_none_when_nothing_changes(self, store, source):
         store.put("op/config", CONFIG)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -17,7 +17,7 @@
     second copy with the next answer; "" is normal service. A watch that starts before
     ``compacted_revision`` is answered with 410, as its history is gone. ``calls``
     holds the target of each request, ``connections`` the number accepted. ``epoch`` is
-    sent in each answer and rises with each :meth:`restore`.
+    sent in each answer and rises with each :meth:`restore`; None sends no header.
     """
 
     def __init__(self):
@@ -108,9 +108,9 @@
         data = json.dumps(body).encode()
         if self.mode == "garbage":
             data = b"?" + data
+        epoch = "" if self.epoch is None else f"Store-Era: {self.epoch}\r\n"
         response_head = (
-            f"HTTP/1.1 {status} X\r\nStore-Era: {self.epoch}\r\n"
-            f"Content-Length: {len(data)}\r\n\r\n"
+            f"HTTP/1.1 {status} X\r\n{epoch}Content-Length: {len(data)}\r\n\r\n"
         )
         answer = response_head.encode() + data
         writer.write(self._late_copy + answer)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -38,6 +38,7 @@
     "/v1/",
     "born",
     "tenant",
+    "store-era",
 )
 
 
