--- a/bilberrypath/coordination/release_store.py
+++ b/bilberrypath/coordination/release_store.py
@@ -153,10 +153,9 @@
         if head.revision <= known_release.revision:
             return ReleaseUpdate(head.revision, head.note_id)
         if head.revision - known_release.revision <= MAX_DELTAS_PER_READ:
-            new_deltas = await self.read_deltas(
-                known_release.revision + 1, head.revision
-            )
-            if _leads_to(known_release, new_deltas, head):
+            history = await self.read_deltas(known_release.revision, head.revision)
+            new_deltas = history[1:] if known_release.revision else history
+            if _leads_to(known_release, history, head):
                 return ReleaseUpdate(head.revision, head.note_id, new_deltas)
         newest = await self.read_snapshot()
         return ReleaseUpdate(newest.revision, newest.note_id, snapshot=newest)
@@ -348,9 +347,16 @@
 
 
 def _leads_to(
-    known_release: Release, deltas: tuple[ReleaseDelta, ...], head: ReleaseHead
+    known_release: Release, history: tuple[ReleaseDelta, ...], head: ReleaseHead
 ) -> bool:
-    """Return whether the deltas are complete and the last has the head's note."""
-    if len(deltas) != head.revision - known_release.revision:
+    """Return whether a history leads from a release to the head.
+
+    ``history`` starts with the delta of the release itself, whose note differs if the
+    service was restored and went on with other notes. Revision 0 has no delta.
+    """
+    note_ids = [delta.note.note_id for delta in history]
+    if known_release.revision == 0:
+        note_ids.insert(0, known_release.note_id)
+    if len(note_ids) != head.revision - known_release.revision + 1:
         return False
-    return deltas[-1].note.note_id == head.note_id
+    return (note_ids[0], note_ids[-1]) == (known_release.note_id, head.note_id)
--- a/tests/coordination/test_release_store.py
+++ b/tests/coordination/test_release_store.py
@@ -97,6 +97,20 @@
         assert read_result.deltas == (delta,)
         assert run_now(store.read_snapshot()) == after
 
+    def test_restored_store_with_another_history_is_read_as_a_snapshot(
+        self, store, key_value
+    ):
+        """Guard against deltas that do not apply to the release in force."""
+        _, _, release = accept(store, Release(), first_note())
+        old_values = dict(key_value.value_by_key)
+        _, _, lost_release = accept(store, release, out_note("n2"))
+        key_value.value_by_key = old_values
+        _, _, other = accept(store, release, out_note("other-2", "atlantic"))
+        _, _, newest = accept(store, other, out_note("other-3"))
+        read_result = run_now(store.read(lost_release))
+        assert read_result.deltas == ()
+        assert read_result.snapshot == newest
+
     def test_reads_a_snapshot_when_the_history_is_deleted(self, store, key_value):
         _, _, release = accept(store, Release(), first_note())
         for key in [key for key in key_value.value_by_key if "/note/" in key]:
--- a/tests/coordination/test_sessions.py
+++ b/tests/coordination/test_sessions.py
@@ -337,6 +337,19 @@
             assert session.core(name).releases.release.note_id == "n2"
         assert session.transcript() == snapshot
 
+    def test_release_accepted_on_another_history_is_adopted(self, session):
+        """The store returns to revision 1 and is at revision 3 when it is next read."""
+        old_values = dict(session.key_value.value_by_key)
+        before = session.release
+        accept_next(session, out_note("n2"))
+        session.run(1.0)
+        session.key_value.value_by_key = old_values
+        _, other = session.accept(out_note("n2b", "atlantic"), before)
+        session.accept(out_note("n3b"), other)
+        session.run(3.0)
+        for name in ("b1", "b2", "b3"):
+            assert session.core(name).releases.release.note_id == "n3b"
+
     def test_release_spreads_to_all_within_a_second(self, session, snapshot):
         accept_next(session, out_note("n2"))
         session.run(1.0)
