A note is not accepted on a restored store that has another note at its revision

A second fault of the class in the QUIC service: an accept compared the revision of the store's head with that of the release it builds on, and took equality for the same release. On a store that was restored and had taken another note at that revision it wrote a head whose unchanged buckets are those of the lost note, so that its release could not be read (the new test: Accepted(3), expected StoreBehind(2)).

Revision and note are compared now, by the rule that a restore by the balancers uses.

--- a/bilberrypath/cli.py
+++ b/bilberrypath/cli.py
@@ -340,8 +340,8 @@
         code = EXIT_CONFLICT
     elif isinstance(result, StoreBehind):
         text = (
-            f"not accepted: the release store holds revision {result.head}, older "
-            "than the one in force; balancers are restoring it, try again"
+            f"not accepted: the release store holds revision {result.head} and lacks "
+            "the release in force; balancers are restoring it, try again"
         )
         code = EXIT_UNREACHABLE
     else:
--- a/bilberrypath/coordination/release_store.py
+++ b/bilberrypath/coordination/release_store.py
@@ -117,7 +117,7 @@
 
 @frozen
 class StoreBehind:
-    """The service holds an older release than the one in force.
+    """The service lacks the release in force, after it was restored to an older state.
 
     Nothing was written; the balancers that read the service write the release in
     force back to it.
@@ -203,10 +203,10 @@
             )
         try:
             expected = await self._key_value.get(self._head_key)
-            store_revision = _decode_head(expected).revision if expected else 0
-            if store_revision < before.revision:
-                return StoreBehind(store_revision)
-            if store_revision > before.revision:
+            head = _decode_head(expected) if expected else None
+            if _is_behind(head, before):
+                return StoreBehind(head.revision if head else 0)
+            if head is not None and head.revision > before.revision:
                 return await self._find_accept_result(delta)
             writes = self._list_writes(before, after, delta)
             if await self._key_value.compare_and_swap(self._head_key, expected, writes):
@@ -244,7 +244,7 @@
         """
         expected = await self._key_value.get(self._head_key)
         head = _decode_head(expected) if expected else None
-        if head is not None and not _is_behind(head, release):
+        if not _is_behind(head, release):
             return False
         writes = [Write(self._head_key, _encode_head(release))]
         for index, bucket in enumerate(release.buckets):
@@ -315,12 +315,14 @@
     return msgspec.msgpack.decode(value, type=ReleaseHead)
 
 
-def _is_behind(head: ReleaseHead, release: Release) -> bool:
+def _is_behind(head: ReleaseHead | None, release: Release) -> bool:
     """Return whether the service lacks the release in force.
 
     A head of the same revision with another note was written after the service
     had been restored to an older state. The note that was in force first stays.
     """
+    if head is None:
+        return release.revision > 0
     if head.revision != release.revision:
         return head.revision < release.revision
     return head.note_id != release.note_id
--- a/tests/coordination/test_release_store.py
+++ b/tests/coordination/test_release_store.py
@@ -88,6 +88,19 @@
         result, _, _ = accept(store, newer_release, out_note("n3", "atlantic"))
         assert result == StoreBehind(1)
 
+    def test_accept_is_refused_by_a_restored_service_with_another_note(
+        self, store, key_value
+    ):
+        """Guard against a head whose buckets are those of a note that was lost."""
+        _, _, release = accept(store, Release(), first_note())
+        old_values = dict(key_value.value_by_key)
+        _, _, lost_release = accept(store, release, out_note("n2"))
+        key_value.value_by_key = old_values
+        accept(store, release, out_note("other", "atlantic"))
+        result, _, _ = accept(store, lost_release, out_note("n3"))
+        assert result == StoreBehind(2)
+        assert run_now(store.read_snapshot()).note_id == "other"
+
 
 class TestRead:
     def test_reads_deltas_when_few_are_missing(self, store):
