The release command compares notes, not revisions alone, with those in force

One with another note at the same revision, as after a restore, counted as the same release; the note was accepted beside it, and the one in force was lost.

--- a/bilberrypath/operator_client.py
+++ b/bilberrypath/operator_client.py
@@ -98,8 +98,7 @@
             release, note_errors = await self.check(note)
         except StoreUnavailable:
             return UnknownYet("")
-        newest = await self._fetch_newest_revision()
-        if newest > release.revision:
+        if await self._is_store_behind(release):
             return StoreBehind(release.revision)
         if note_errors:
             return NoteRejected(tuple(note_errors))
@@ -137,14 +136,15 @@
         rows.sort(key=lambda row: (row.member.data_centre, row.member.node_id))
         return newest, rows
 
-    async def _fetch_newest_revision(self) -> Revision:
+    async def _is_store_behind(self, stored_release: Release) -> bool:
+        """Return whether a balancer has a release that the store lacks."""
         replies = await asyncio.gather(
             *(
                 self._fetch_balancer_status(address)
                 for address in self.settings.balancers
             )
         )
-        return max((reply.revision for reply in replies if reply), default=0)
+        return any(_is_missing(reply, stored_release) for reply in replies if reply)
 
     async def _fetch_all_balancer_statuses(self) -> list[bulk.StatusReply]:
         """Query the balancers in the settings and all that these list as members."""
@@ -179,6 +179,17 @@
     return evolve(note, note_id=note_id) if note_id else note
 
 
+def _is_missing(reply: bulk.StatusReply, stored_release: Release) -> bool:
+    """Return whether a store with ``stored_release`` lacks a balancer's release.
+
+    At the same revision the notes differ if the store was restored to an older state
+    and has accepted another note since.
+    """
+    if reply.revision == stored_release.revision:
+        return reply.note_id != stored_release.note_id
+    return reply.revision > stored_release.revision
+
+
 def _list_balancers(reply: bulk.StatusReply) -> set[Address]:
     return {
         member.address
