A restore writes the lost notes back to the store's history

When balancers bring a restored store up to date they wrote the head and the buckets, but not the notes. An operator whose accept had got no answer was then told that another note had won (Conflict, with the note in force or none), and a repeated attempt under the same id could be accepted a second time.

The deltas that a balancer keeps, and that the history lacks, go into the same transaction; a note of the lost history at these revisions is replaced. The new test failed before with Conflict(2).

--- a/bilberrypath/coordination/effects.py
+++ b/bilberrypath/coordination/effects.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from bilberrypath.protocol.control import ControlMessage
     from bilberrypath.protocol.frame import PacketFrame
-    from bilberrypath.state.release import Release
+    from bilberrypath.state.release import Release, ReleaseDelta
     from bilberrypath.types import Address, Revision
 
 
@@ -66,9 +66,13 @@
 
 @frozen
 class RestoreStore:
-    """Write the release in force to a key-value service restored to an older state."""
+    """Write the release in force to a key-value service restored to an older state.
+
+    ``deltas`` are the last consecutive deltas up to the release.
+    """
 
     release: Release
+    deltas: tuple[ReleaseDelta, ...]
 
 
 @frozen
--- a/bilberrypath/coordination/release_store.py
+++ b/bilberrypath/coordination/release_store.py
@@ -32,6 +32,9 @@
 
 MAX_DELTAS_PER_READ = 64  # a reader that is further behind gets a snapshot
 MAX_KEPT_NOTES = 2000  # in the history; each accept deletes the note beyond them
+# Written back in one transaction with the head and up to BUCKET_COUNT buckets; etcd
+# allows 128 operations by default.
+MAX_RESTORED_NOTES = 127 - BUCKET_COUNT
 MAX_READ_ATTEMPTS = 3  # of a snapshot; an accept between two reads makes one fail
 
 
@@ -236,9 +239,12 @@
                 return delta
         return None
 
-    async def restore(self, release: Release) -> bool:
+    async def restore(self, release: Release, deltas: Sequence[ReleaseDelta]) -> bool:
         """Write the release in force to a service that was restored to an older state.
 
+        ``deltas`` are the last ones up to the release; those that the history lacks are
+        written too, so that the result of each note stays known.
+
         Return False if the service has this release or a newer one, or if its
         head changed meanwhile.
         """
@@ -250,8 +256,16 @@
         for index, bucket in enumerate(release.buckets):
             if bucket.digest and _is_bucket_changed(head, index, bucket):
                 writes.append(self._make_part_write(bucket))
+        writes += await self._list_missing_notes(deltas[-MAX_RESTORED_NOTES:])
         return await self._key_value.compare_and_swap(self._head_key, expected, writes)
 
+    async def _list_missing_notes(self, deltas: Sequence[ReleaseDelta]) -> list[Write]:
+        """Return the writes of the deltas that the history lacks."""
+        if not deltas:
+            return []
+        stored = await self.read_deltas(deltas[0].revision, deltas[-1].revision)
+        return [self._make_note_write(delta) for delta in deltas if delta not in stored]
+
     async def _find_accept_result(self, delta: ReleaseDelta) -> AcceptResult:
         """Return the result of an accept from the history at the delta's revision."""
         head = await self._read_head()
@@ -290,7 +304,7 @@
     ) -> list[Write]:
         writes = [
             Write(self._head_key, _encode_head(after)),
-            Write(self._note_key(delta.revision), msgspec.msgpack.encode(delta)),
+            self._make_note_write(delta),
         ]
         if delta.revision > MAX_KEPT_NOTES:
             writes.append(Write(self._note_key(delta.revision - MAX_KEPT_NOTES), None))
@@ -303,6 +317,9 @@
                 writes.append(Write(self._part_prefix + old.digest.hex(), None))
         return writes
 
+    def _make_note_write(self, delta: ReleaseDelta) -> Write:
+        return Write(self._note_key(delta.revision), msgspec.msgpack.encode(delta))
+
     def _make_part_write(self, bucket: Bucket) -> Write:
         data = encode_bucket(bucket.service_by_name)
         return Write(self._part_prefix + bucket.digest.hex(), data)
--- a/bilberrypath/coordination/release_tracker.py
+++ b/bilberrypath/coordination/release_tracker.py
@@ -139,7 +139,8 @@
             return []
         self._next_restore_at = now + STORE_READ_TIMEOUT
         fields = {"head": read.head, "in_force": self.revision}
-        return [LogStateChange("store_behind", fields), RestoreStore(self.release)]
+        restore = RestoreStore(self.release, tuple(self.deltas))
+        return [LogStateChange("store_behind", fields), restore]
 
     def record_read_failed(self, now: Seconds) -> None:
         """Delay the next read, since the service is unavailable."""
--- a/bilberrypath/transport/balancer_daemon.py
+++ b/bilberrypath/transport/balancer_daemon.py
@@ -258,7 +258,7 @@
 
     @_perform.register(fx.RestoreStore)
     def _(self, effect: fx.RestoreStore) -> None:
-        self._start_task(self._restore_store(effect.release))
+        self._start_task(self._restore_store(effect))
 
     def _start_task(self, coroutine: Coroutine) -> None:
         task = asyncio.create_task(coroutine)
@@ -380,9 +380,10 @@
             )
         )
 
-    async def _restore_store(self, release: Release) -> None:
+    async def _restore_store(self, effect: fx.RestoreStore) -> None:
+        release = effect.release
         try:
-            restored = await self._store.restore(release)
+            restored = await self._store.restore(release, effect.deltas)
         except StoreUnavailable:
             self.metrics.count("store_failed", "restore")
             return
--- a/tests/coordination/test_release_store.py
+++ b/tests/coordination/test_release_store.py
@@ -148,10 +148,26 @@
     def test_restore_does_not_replace_a_newer_release(self, store):
         _, _, release = accept(store, Release(), first_note())
         accept(store, release, out_note("n2"))
-        assert run_now(store.restore(release)) is False
+        assert run_now(store.restore(release, ())) is False
+
+    def test_result_of_a_note_is_known_after_the_restore(self, store, key_value):
+        """Guard against a conflict that is reported for a note that is in force."""
+        _, _, release = accept(store, Release(), first_note())
+        old_values = dict(key_value.value_by_key)
+        _, lost_delta, lost_release = accept(store, release, out_note("n2"))
+        _, last_delta, last_release = accept(
+            store, lost_release, out_note("n3", "atlantic")
+        )
+        key_value.value_by_key = old_values
+        accept(store, release, out_note("other"))
+        run_now(store.restore(last_release, (lost_delta, last_delta)))
+        assert run_now(store.check_accepted(lost_delta)) == Accepted(2)
+        assert run_now(store.check_accepted(last_delta)) == Accepted(3)
+        assert run_now(store.find_note("other")) is None
+        assert run_now(store.read(release)).deltas == (lost_delta, last_delta)
 
     def test_restored_release_equals_the_original(self, store, key_value):
         _, _, release = accept(store, Release(), first_note())
         key_value.value_by_key.clear()
-        assert run_now(store.restore(release)) is True
+        assert run_now(store.restore(release, ())) is True
         assert run_now(store.read_snapshot()) == release
--- a/tests/support/session.py
+++ b/tests/support/session.py
@@ -236,8 +236,8 @@
                 self._pull_table(process, peer, digests)
             case fx.ReadStore():
                 self._read_store(process)
-            case fx.RestoreStore(release):
-                run_now(make_store(self.key_value).restore(release))
+            case fx.RestoreStore(release, deltas):
+                run_now(make_store(self.key_value).restore(release, deltas))
             case fx.SendToCaller():
                 self.to_callers.append(effect)
             case OpenFlow(frame, connection_id):
@@ -338,7 +338,7 @@
                 return f"pulls the table from {self._name_address(peer)}"
             case fx.SendToCaller(_, _, payload):
                 return f"-> caller {len(payload)} bytes"
-            case fx.RestoreStore(release):
+            case fx.RestoreStore(release, _):
                 return f"restores revision {release.revision} to the store"
             case OpenFlow():
                 return "takes the open"
