Tables of two epochs are ordered by their version, in every process

A process that starts between the return of a restored store and the moment when its operator has written the lost changes again reads the copied table. Its revision is of the newer epoch, so the process took it for the newest: it routed by an older configuration, and agents with the table in force trusted the opens that it routed. A peer refused the copied table, asked for it again twice a second, and dropped opens without a route in silence, as it believed to be behind.

Across epochs the version now decides in every process. What is known to be older is remembered for each epoch: one pull shows it, later reports of it start none. An agent judges an open by its own table unless that of the sender may be newer.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -140,7 +140,7 @@
         if packet.is_syn and self.pause_detector.is_reading_backlog(now):
             return [fx.Count("open_dropped", "waited_through_pause")]
         effects: list[FlowEffect] = []
-        if forwarded.revision > self.routes.revision:
+        if forwarded.revision != self.routes.revision:
             effects += self.routes.observe_revision(
                 forwarded.origin_balancer, forwarded.revision, now
             )
@@ -202,9 +202,8 @@
         self, agent: NodeId, forwarded: msg.ForwardedPacket, packet: FlowPacket
     ) -> list[FlowEffect]:
         """Return the effect that relays a packet to another agent."""
-        relayed = make_relayed(
-            forwarded, self.node_id, self.service, self.routes.revision
-        )
+        revision = self.routes.choose_newer(forwarded.revision)
+        relayed = make_relayed(forwarded, self.node_id, self.service, revision)
         return [fx.SendControl(parse_address(agent), relayed)]
 
     def send_location(
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -66,7 +66,7 @@
 
         It waits for that table for at most ``ROUTES_TIMEOUT``.
         """
-        if forwarded.revision > self.agent.routes.revision:
+        if self.agent.routes.may_be_newer(forwarded.revision):
             pending = PendingOpen(forwarded, packet, sender, now)
             if self._try_queue(pending, now + ROUTES_TIMEOUT):
                 return self._notify_queued(pending, "routes_behind")
@@ -179,14 +179,16 @@
         if forwarded.service not in ("", agent.service):
             notices = self._send_not_taken(forwarded, packet.flow)
             return [fx.Count("open_dropped", "other_service"), *notices]
-        if forwarded.revision >= agent.routes.revision and forwarded.service:
+        routes = agent.routes
+        is_older = forwarded.revision != routes.choose_newer(forwarded.revision)
+        if forwarded.service and not is_older:
             return None
-        routes_notice = msg.RoutesChanged(agent.routes.revision)
+        routes_notice = msg.RoutesChanged(routes.revision)
         notices = self._send_not_taken(forwarded, packet.flow)
         notices.append(
             fx.SendControl(parse_address(forwarded.origin_balancer), routes_notice)
         )
-        route = agent.routes.find_route(packet.flow)
+        route = routes.find_route(packet.flow)
         if route is None:
             reset = agent.reset(packet.flow, packet.acknowledged, "no_route")
             return [*notices, *reset]
--- a/bilberrypath/coordination/packet_relay.py
+++ b/bilberrypath/coordination/packet_relay.py
@@ -16,12 +16,12 @@
 ) -> ForwardedPacket:
     """Return a packet as an agent of a service relays it to another agent.
 
-    The first agent that a packet reaches becomes the home agent. ``revision`` is that
-    of the agent's route table.
+    The first agent that a packet reaches becomes the home agent. ``revision`` is the
+    newer one of those of the packet and of the agent's route table.
     """
     return msgspec.structs.replace(
         forwarded,
-        revision=max(forwarded.revision, revision),
+        revision=revision,
         service=forwarded.service or service,
         home_agent=forwarded.home_agent or own_id,
         wants_location=True,
--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -1,14 +1,15 @@
 """The route table in force in one process, and its updates.
 
-The revision never decreases, whether a table comes from the platform's service or
-from another process. A process that is notified of a newer revision pulls the
-deltas since its own table, or a snapshot if the other process does not have them.
+A table is only replaced by a newer one, whether that comes from the platform's service
+or from another process. A process that is notified of a revision that may be newer
+pulls the deltas since its own table, or a snapshot if the other process does not have
+them.
 
 A service that was restored from an older copy of itself has a newer epoch, but may lack
-changes that are in force here until their writers have made them again. Such a table is
-not adopted while its version is older than the one in force. One that would return a
-data centre to service waits for ``RESTORE_SETTLE_TIME``, since a data centre has no
-version that shows whether the operator has returned it.
+changes until their writers have made them again. Of two tables of different epochs the
+newer one is therefore the one with the higher version; their revisions decide only
+within an epoch. A data centre that is taken out of service has no version, so that a
+table that would return one to service waits for ``RESTORE_SETTLE_TIME``.
 """
 
 from __future__ import annotations
@@ -47,11 +48,13 @@
     """The route table in force, its latest deltas, and the pull of a newer one.
 
     ``route_by_endpoint`` maps the packed address in a flow's key to the route.
-    ``newest_known_revision`` is the highest revision that a peer reported.
+    ``newest_known_revision`` is the newest revision that a peer reported.
     ``_delta_by_digest`` holds the latest deltas by the digest of the table that
     they apply to. Until ``_pull_deadline`` a pull is pending and no other starts.
     ``_restored_epoch`` is the newest epoch that a read revealed while an older one was
     in force; its changes count as made again from ``_settled_at`` on.
+    ``_outdated_by_epoch`` has, for each other epoch, the highest revision that is known
+    to be older than the table in force.
     """
 
     route_by_endpoint: dict[bytes, FlowRoute] = Factory(dict)
@@ -62,6 +65,7 @@
     _pull_deadline: Seconds = float("-inf")
     _restored_epoch: int = 0
     _settled_at: Seconds = float("-inf")
+    _outdated_by_epoch: dict[int, Revision] = Factory(dict)
 
     @property
     def table(self) -> RouteTable:
@@ -85,8 +89,8 @@
 
     @property
     def is_behind(self) -> bool:
-        """Whether a peer reported a newer revision than the one in force."""
-        return self.newest_known_revision > self.revision
+        """Whether a peer reported a revision that may be newer than that in force."""
+        return self.may_be_newer(self.newest_known_revision)
 
     @property
     def base_digest(self) -> int:
@@ -101,13 +105,29 @@
         """Return the route of a flow, or None if its address has no route."""
         return self.route_by_endpoint.get(flow[ENDPOINT_LENGTH:])
 
+    def may_be_newer(self, revision: Revision) -> bool:
+        """Return whether the table of a revision may be newer than the one in force.
+
+        For another epoch this is not known until such a table has been seen.
+        """
+        epoch = get_epoch(revision)
+        if epoch == get_epoch(self.revision):
+            return revision > self.revision
+        return revision > self._outdated_by_epoch.get(epoch, 0)
+
+    def choose_newer(self, revision: Revision) -> Revision:
+        """Return a revision if it may be newer, else the one in force."""
+        return revision if self.may_be_newer(revision) else self.revision
+
     def observe_revision(
         self, peer: NodeId, revision: Revision, now: Seconds
     ) -> list[FlowEffect]:
-        """Pull routes from a peer with a newer revision, unless a pull is pending."""
-        if revision <= self.revision:
+        """Pull routes from a peer that may have newer ones; one pull at a time."""
+        if not self.may_be_newer(revision):
             return []
-        self.newest_known_revision = max(self.newest_known_revision, revision)
+        if self.is_behind:
+            revision = max(self.newest_known_revision, revision)
+        self.newest_known_revision = revision
         if now < self._pull_deadline:
             return []
         self._pull_deadline = now + PULL_TIMEOUT
@@ -147,7 +167,9 @@
             except StepMismatch:
                 self._needs_full_table = True
                 return [*effects, Count("routes", "step_mismatch")]
-            if not self._is_outdated(new_indexed.table):
+            if self._is_outdated(new_indexed.table):
+                self._record_outdated(new_indexed.table.revision)
+            else:
                 effects = self._adopt(new_indexed, delta)
         return effects
 
@@ -177,14 +199,12 @@
         return [*effects, *self.adopt_if_newer(table)]
 
     def adopt_if_newer(self, table: RouteTable) -> list[FlowEffect]:
-        """Adopt a table if its revision is higher than the one in force.
-
-        One of a newer epoch is not adopted if its version is older.
-        """
+        """Adopt a table if it is newer than the one in force."""
         self.allow_pull()
         if table.revision == self.revision:
             return []
         if self._is_outdated(table):
+            self._record_outdated(table.revision)
             return [Count("routes", "older")]
         new_indexed = index_route_table(table)
         return self._adopt(
@@ -193,14 +213,21 @@
 
     def _is_outdated(self, table: RouteTable) -> bool:
         """Return whether a table is not newer than the one in force."""
-        if get_epoch(table.revision) > get_epoch(self.revision):
-            return table.version < self.table.version
-        return table.revision <= self.revision
+        in_force = self.table
+        if get_epoch(table.revision) == get_epoch(in_force.revision):
+            return table.revision <= in_force.revision
+        return (table.version, table.revision) <= (in_force.version, in_force.revision)
+
+    def _record_outdated(self, revision: Revision) -> None:
+        epoch = get_epoch(revision)
+        known_revision = self._outdated_by_epoch.get(epoch, 0)
+        self._outdated_by_epoch[epoch] = max(known_revision, revision)
 
     def _adopt(
         self, new_indexed: IndexedRouteTable, delta: RouteDelta
     ) -> list[FlowEffect]:
         old_indexed, self._indexed_table = self._indexed_table, new_indexed
+        self._record_outdated(old_indexed.table.revision)
         self._needs_full_table = False
         self._store_delta(old_indexed.digest, delta)
         for address in delta.removed_routes:
--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 
+import msgspec
 import pytest
 
 from bilberrypath.coordination.open_handler import MAX_UNANSWERED_RELAYS
@@ -14,6 +15,7 @@
 from bilberrypath.platform.packet_codec import SYN
 from bilberrypath.protocol.flow_messages import ForwardedPacket, LoadReport
 from bilberrypath.state.routes import FlowRoute, Target
+from bilberrypath.state.store_position import make_revision
 from tests.support.flow_world import (
     REPORT_PERIOD,
     find_holder,
@@ -170,6 +172,26 @@
         assert not client.opened
         assert find_holder(world, client.flow) is None
 
+    def test_agent_rejects_an_open_routed_by_a_table_from_before_a_restore(self):
+        """Balancers that started after the restore have the copied table."""
+        world = make_world()
+        other_route = FlowRoute(("198.18.0.2", 443), (Target("board", 1),))
+        table_in_force = make_table(9, routes=(other_route,))
+        copied_table = msgspec.structs.replace(
+            make_table(8), revision=make_revision(1, 8)
+        )
+        for host, node in world.node_by_host.items():
+            is_agent = host.startswith("10.2.")
+            node.routes.adopt_if_newer(table_in_force if is_agent else copied_table)
+        client = world.make_client()
+        client.open()
+        world.run(0.5)
+        assert not client.opened
+        assert client.resets
+        assert {node.routes.table.version for node in world.node_by_host.values()} == {
+            9
+        }
+
     @pytest.mark.parametrize("rate", [1.0, 8.0])
     def test_cold_upstream_gets_opens_up_to_its_rate_limit(self, rate):
         world = make_world(agents=1)
--- a/tests/coordination/test_route_tracker.py
+++ b/tests/coordination/test_route_tracker.py
@@ -156,6 +156,38 @@
         tracker.handle_reply(peer.make_reply(tracker.base_digest))
         assert tracker.table == make_table(5)
 
+    def test_table_in_force_elsewhere_replaces_an_older_version_from_the_copy(
+        self, tracker
+    ):
+        started_later = RouteTracker()
+        started_later.handle_store_read(make_restored_table(3, 4), 0.0)
+        assert started_later.observe_revision("x:1", tracker.revision, 0.0)
+        started_later.handle_reply(tracker.make_reply(started_later.base_digest))
+        assert started_later.table == tracker.table
+        started_later.handle_store_read(make_restored_table(4, 5), 9.0)
+        assert started_later.revision_label == "1.4"
+
+    def test_table_from_before_the_restore_is_pulled_once(self, tracker):
+        started_later = RouteTracker()
+        started_later.handle_store_read(make_restored_table(4, 5), 0.0)
+        assert started_later.observe_revision("x:1", tracker.revision, 0.0)
+        started_later.handle_reply(tracker.make_reply(started_later.base_digest))
+        assert started_later.revision_label == "1.4"
+        assert started_later.observe_revision("x:1", tracker.revision, 9.0) == []
+
+    def test_copied_table_is_pulled_once(self, tracker):
+        peer = RouteTracker()
+        peer.handle_store_read(make_restored_table(3, 4), 0.0)
+        assert tracker.observe_revision("x:1", peer.revision, 0.0)
+        tracker.handle_reply(peer.make_reply(tracker.base_digest))
+        assert tracker.observe_revision("x:1", peer.revision, 9.0) == []
+        assert not tracker.is_behind
+
+    def test_revision_from_before_an_adopted_restore_starts_no_pull(self, tracker):
+        tracker.handle_store_read(make_restored_table(4, 6), 0.0)
+        assert tracker.observe_revision("x:1", 5, 0.0) == []
+        assert not tracker.is_behind
+
     def test_evacuation_missing_in_the_copy_stays_until_the_store_has_settled(self):
         tracker = RouteTracker()
         tracker.adopt_if_newer(make_table(5, out=("a",)))
