An invalid revision, epoch or value of the store fails one read, not the reader

Found on reading the change: joining a revision with its epoch raises ValueError for numbers out of range, and so do an epoch of thousands of digits and a value that is not base64. Each would have ended the task that reads the store. They are unusable responses now, which are logged and read again.

--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -11,7 +11,6 @@
 
 from bilberrypath.platform.documents import (
     OPERATOR_PREFIX,
-    DocumentError,
     apply_store_change,
 )
 from bilberrypath.state.routes import RouteTable
@@ -44,6 +43,7 @@
 RETRY_WATCH_WAIT: Seconds = 0.5
 RETRY_WATCH_SLACK: Seconds = 0.5  # twice the response times seen with a slow store
 EPOCH_HEADER = "store-era"  # rises by one when the store is restored from a copy
+MAX_EPOCH_DIGITS = len(str(1 << EPOCH_BITS))
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
 
@@ -149,11 +149,11 @@
             return False
         table = self._table
         for item in reply.events:
-            if make_revision(answer.epoch, item.revision) > table.revision:
+            if _join_revision(answer.epoch, item.revision) > table.revision:
                 table = _apply_item(table, answer.epoch, item)
         self._table = table
         self._position = max(
-            self._position, make_revision(answer.epoch, reply.current_rev)
+            self._position, _join_revision(answer.epoch, reply.current_rev)
         )
         return True
 
@@ -190,7 +190,7 @@
         while True:
             answer = await self._get("/v1/kv-range", query, READ_TIMEOUT)
             page = _decode_reply(_decode_range, answer)
-            first = first or make_revision(answer.epoch, page.current_rev)
+            first = first or _join_revision(answer.epoch, page.current_rev)
             if answer.epoch != get_epoch(first):
                 raise RoutesUnavailable(
                     f"the store was restored to epoch {answer.epoch} while its table "
@@ -250,21 +250,30 @@
     """Return the epoch in a header; 0 for a store that does not send one."""
     if text is None:
         return 0
-    if not text.isdecimal() or int(text) >= 1 << EPOCH_BITS:
+    is_short_number = text.isdecimal() and len(text) <= MAX_EPOCH_DIGITS
+    if not is_short_number or int(text) >= 1 << EPOCH_BITS:
         raise RoutesUnavailable(
-            f"the store's header {EPOCH_HEADER} is {text!r}, expected a whole number "
-            f"below {1 << EPOCH_BITS}"
+            f"the store's header {EPOCH_HEADER} is {text[:20]!r}, expected a whole "
+            f"number below {1 << EPOCH_BITS}"
         )
     return int(text)
 
 
+def _join_revision(epoch: int, store_revision: int) -> Revision:
+    """Return the revision of a change; raises :class:`RoutesUnavailable`."""
+    try:
+        return make_revision(epoch, store_revision)
+    except ValueError as error:
+        raise RoutesUnavailable(f"the store's response is invalid: {error}") from error
+
+
 def _apply_item(table: RouteTable, epoch: int, item: StoreItem) -> RouteTable:
-    value = None if item.deleted else base64.b64decode(item.value)
-    revision = make_revision(epoch, item.revision)
+    revision = _join_revision(epoch, item.revision)
     try:
+        value = None if item.deleted else base64.b64decode(item.value)
         return apply_store_change(table, revision, item.key, value)
-    except DocumentError as error:
-        raise RoutesUnavailable(str(error)) from error
+    except ValueError as error:
+        raise RoutesUnavailable(f"{item.key}: {error}") from error
 
 
 def _decode_reply(decode: Callable[[bytes], T], answer: StoreAnswer) -> T:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -209,9 +209,26 @@
         await reader.read_until(9)
         assert len([call for call in store.calls if "kv-range" in call]) == 2
 
-    async def test_invalid_epoch_is_refused(self, store, reader):
-        store.epoch = "two"
-        with pytest.raises(RoutesUnavailable, match="'two', expected a whole number"):
+    @pytest.mark.parametrize("epoch", ["two", "-1", str(1 << 20), "9" * 5000])
+    async def test_invalid_epoch_is_refused(self, store, reader, epoch):
+        store.epoch = epoch
+        with pytest.raises(RoutesUnavailable, match="expected a whole number below"):
+            await reader.read()
+
+    @pytest.mark.parametrize("revision", [-1, 1 << 44])
+    async def test_invalid_revision_is_refused(self, store, reader, revision):
+        await reader.read_until(7)
+        store.history.append(store.history[0] | {"revision": 1 << 44})
+        store.revision = revision
+        with pytest.raises(RoutesUnavailable, match="store revision"):
+            await reader.read()
+            await reader.read()
+
+    async def test_value_that_is_not_base64_is_refused(self, store, reader):
+        await reader.read_until(7)
+        put_config(store, 8)
+        store.items["op/config"]["value"] = "?"
+        with pytest.raises(RoutesUnavailable, match="op/config"):
             await reader.read()
 
     async def test_store_that_sends_no_epoch_is_followed(self, store, reader):
