Soak: the store is restored from older copies, and every process must follow it

The soak's store failed in five ways but never went back in time. A run with restores starts with one and has more among its faults: six changes are lost, made again before the next answer, and at the end each process must have the operator's last version.

The order of tables is checked by version and revision, and has_reached_all compares joined revisions: the plain ones of the store would be reached by every process.

The stand-ins left connections open that were collected after their loop.

--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -27,3 +27,9 @@
         soak = await run_seed(seed, 5.0, tmp_path, network=78)
         assert soak.findings == []
         assert soak.served > 0
+
+    async def test_no_guarantee_is_violated_while_the_store_is_restored(self, tmp_path):
+        soak = await run_seed(2200, 10.0, tmp_path, network=78, with_restores=True)
+        assert soak.findings == []
+        assert soak.served > 0
+        assert soak.deployment.store.epoch > 1
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,18 +17,17 @@
 from pathlib import Path
 from random import Random
 
-from attrs import Factory, define
+from attrs import Factory, define, field
 
 from bilberrypath.protocol.flow_packet import format_flow
-from bilberrypath.state.route_delta import NO_TABLE_DIGEST, RouteTableReply
-from bilberrypath.state.routes import RouteTable
-from bilberrypath.transport.bulk_calls import CallFailed, RoutesRequest, call_bulk
 from tests.standins.tcp_proxy import TcpProxy
-from tests.support.flow_processes import PEER_PORT, FlowDeployment, make_config
+from tests.support.flow_processes import FlowDeployment, make_config
+from tests.support.revision_watch import RevisionWatch
 
 DRAIN_LIMIT = 3.0  # seconds from an acknowledged drain to the last open
 OUT_LIMIT = 5.0  # seconds from the operator's change to the last open
 FOREIGN_LIMIT = 2  # packets of a flow that one upstream without the flow receives
+CHANGES_LOST = 6  # by a restore; of one key, so that revisions are given out again
 SETTLE_TIME = 4.0  # seconds without faults before the final checks
 FAULT_INTERVAL = (0.3, 1.5)  # seconds between the starts of two faults; a range
 FAULT_DURATION = (0.5, 3.0)  # seconds that a fault lasts; a range
@@ -58,10 +57,14 @@
     served: int = 0  # requests on flows of their own that were answered
     request_count: int = 0  # requests on flows of their own
     out_since: dict = Factory(dict)  # when each data centre was taken out of service
-    revision_by_process: dict = Factory(dict)  # highest route table revision, by pid
+    with_restores: bool = False  # whether the store is restored from older copies
     _config_version: int = 1
     _paused_hosts: set = Factory(set)
     _is_stopping: bool = False
+    _revisions: RevisionWatch = field(init=False)
+
+    def __attrs_post_init__(self):
+        self._revisions = RevisionWatch(self.deployment, self._record)
 
     async def run(self, seconds):
         """Run clients and faults for some seconds, then check the final state."""
@@ -136,30 +139,11 @@
             self._check_answers(client)
             await asyncio.sleep(0.03)
 
-    # Revisions
-
     async def _watch_revisions(self):
         while not self._is_stopping:
-            for host, process in list(self.deployment.process_by_host.items()):
-                await self._check_revision(host, process.pid)
+            await self._revisions.check_all()
             await asyncio.sleep(0.2)
 
-    async def _check_revision(self, host, pid):
-        """Check that the route table of a process did not go back in revision."""
-        try:
-            request = RoutesRequest(NO_TABLE_DIGEST)
-            reply = await call_bulk((host, PEER_PORT), request, RouteTableReply)
-        except CallFailed:
-            return
-        process = self.deployment.process_by_host.get(host)
-        if process is None or process.pid != pid:
-            return
-        before = self.revision_by_process.get(pid, 0)
-        table = reply.snapshot or RouteTable()
-        if table.revision < before:
-            self._record("config", f"{host} reverted from {before} to {table.revision}")
-        self.revision_by_process[pid] = max(before, table.revision)
-
     # Faults
 
     async def _inject_faults(self, until):
@@ -178,6 +162,9 @@
             self._take_out,
         ]
         running = []
+        if self.with_restores:
+            faults.append(self._restore_store)
+            running.append(asyncio.create_task(self._run_fault(self._restore_store)))
         while time.monotonic() < until:
             fault = self.rng.choice(faults)
             running.append(asyncio.create_task(self._run_fault(fault)))
@@ -263,6 +250,17 @@
         if self.rng.random() < 0.5:
             self.deployment.store.compact()
 
+    async def _restore_store(self, duration):
+        """Bring the store back from a copy; the operator makes the changes again."""
+        store, copy = self.deployment.store, self.deployment.store.copy()
+        for _ in range(CHANGES_LOST):
+            await self._change_config(duration)
+        await asyncio.sleep(duration)
+        store.mode = "reset"
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        store.restore(copy, writes_again=True)
+        store.mode = ""
+
     async def _trouble_link(self, duration):
         self.proxy.mode = self.rng.choice(["delay", "one_way", "silent", "reset"])
         if self.proxy.mode == "reset":
@@ -295,20 +293,15 @@
             if upstream.data_centre != data_centre or not store_works:
                 continue
             late = [at for at, _ in upstream.opens if at > since + OUT_LIMIT]
-            if late and self._has_reached_all(key):
+            if late and self._revisions.has_reached_all(key):
                 self._record("out", f"{upstream.host} got {len(late)} opens while out")
         self.deployment.store.remove(key)
 
-    def _has_reached_all(self, key):
-        """Return whether every process was seen with a table that has the change."""
-        revision = self.deployment.store.items[key]["revision"]
-        pids = [p.pid for p in self.deployment.process_by_host.values()]
-        return all(self.revision_by_process.get(pid, 0) >= revision for pid in pids)
-
     # Final checks
 
     async def _check_final_state(self):
         await self.deployment.wait_until_served()
+        await self._revisions.check_all_have(self._config_version)
         clients = [self.deployment.fabric.make_client() for _ in range(20)]
         opened = [await client.open() for client in clients]
         answered = [await client.send_request(b"end") for client in clients]
@@ -338,8 +331,8 @@
         self.findings.append(f"{kind}: {text} (after {' '.join(self.faults[-6:])})")
 
 
-async def run_seed(seed, seconds, folder, network=72, balancers=2, agents=3):
-    """Run the soak of one seed; return it with its findings."""
+async def run_seed(seed, seconds, folder, network=72, balancers=2, agents=3, **options):
+    """Run the soak of one seed; ``options`` are those of :class:`Soak`."""
     rng = Random(seed)
     deployment = FlowDeployment(network, folder, rng, balancers, agents)
     try:
@@ -347,7 +340,7 @@
         host, port = await proxy.start()
         deployment.store_address = f"{host}:{port}"
         await _start_with_store_proxy(deployment, proxy)
-        soak = Soak(seed, deployment, proxy, rng)
+        soak = Soak(seed, deployment, proxy, rng, **options)
         await soak.run(seconds)
         proxy.close()
         return soak
@@ -379,13 +372,20 @@
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         soak = asyncio.run(
             run_seed(
-                seed, args.seconds, folder, args.network, args.balancers, args.agents
+                seed,
+                args.seconds,
+                folder,
+                args.network,
+                args.balancers,
+                args.agents,
+                with_restores=True,
             )
         )
         failed += bool(soak.findings)
         print(
             f"seed {seed}: faults {len(soak.faults)}, served {soak.served} of "
             f"{soak.request_count}, boards {len(soak.long_flows)}, "
+            f"restores {soak.deployment.store.epoch - 1}, "
             f"findings {len(soak.findings)}"
             + (f", logs in {folder}" if soak.findings else ""),
             flush=True,
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -70,11 +70,22 @@
         """Return a copy of the store, for a later :meth:`restore`."""
         return self.revision, dict(self.items), list(self.history)
 
-    def restore(self, copy):
-        """Go back to a copy: later writes are lost, their revisions given out again."""
+    def restore(self, copy, writes_again=False):
+        """Go back to a copy: later writes are lost, their revisions given out again.
+
+        With ``writes_again`` the lost changes are made again before the next answer.
+        """
+        lost_items = self.items
         self.revision, items, history = copy
         self.items, self.history = dict(items), list(history)
+        self.compacted_revision = min(self.compacted_revision, self.revision)
         self.epoch += 1
+        if writes_again:
+            for key in set(self.items) - set(lost_items):
+                self.remove(key)
+            for key, item in lost_items.items():
+                if self.items.get(key) != item:
+                    self.put(key, base64.b64decode(item["value"]))
         self._wake_watches()
 
     def _append_event(self, event):
--- a/tests/standins/tcp_proxy.py
+++ b/tests/standins/tcp_proxy.py
@@ -35,20 +35,23 @@
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
-        if self.mode == "reset":
-            writer.transport.abort()
-            return
+        writers = {writer}
         try:
+            if self.mode == "reset":
+                return
             target_reader, target_writer = await asyncio.open_connection(*self.target)
+            writers.add(target_writer)
+            self._writers |= writers
+            await asyncio.gather(
+                self._copy(reader, target_writer, from_target=False),
+                self._copy(target_reader, writer, from_target=True),
+            )
         except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, target_writer}
-        await asyncio.gather(
-            self._copy(reader, target_writer, from_target=False),
-            self._copy(target_reader, writer, from_target=True),
-        )
-        self._writers -= {writer, target_writer}
+            pass
+        finally:
+            self._writers -= writers
+            for opened in writers:
+                opened.transport.abort()
 
     async def _copy(self, reader, writer, from_target):
         """Copy one direction of a connection until its sender closes it."""
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -187,10 +187,13 @@
 
     async def _report_forever(self):
         client = HttpClient((self.host, REPORT_PORT))
-        while True:
-            if not self.is_silent:
-                await self._report(client)
-            await asyncio.sleep(REPORT_PERIOD)
+        try:
+            while True:
+                if not self.is_silent:
+                    await self._report(client)
+                await asyncio.sleep(REPORT_PERIOD)
+        finally:
+            client.close()
 
     async def _report(self, client):
         self.sequence += 1
