--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -51,7 +51,9 @@
     history_gaps: int
 
     async def read_next_table(self, current_table: RouteTable) -> RouteTable | None:
-        """Return the table after ``current_table``, or None if there is none in time.
+        """Return the store's table if it is newer than ``current_table``, else None.
+
+        Waits some time for one. A table that the caller did not adopt is returned again.
 
         Raises :class:`RoutesUnavailable` when the source cannot be read.
         """
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -205,7 +205,7 @@
         "handle_store_read",
         lambda tracker, table, now: tracker.adopt_if_newer(table),
         lambda: (
-            test_route_tracker.TestRestoredStore().test_evacuation_missing_in_the_copy_stays_until_the_store_has_settled()
+            test_route_tracker.TestRestoredStore().test_data_centre_out_that_the_copy_lacks_stays_out_until_it_has_settled()
         ),
     ),
     "opens with unanswered relays are refused": (
--- a/tests/coordination/test_release_store.py
+++ b/tests/coordination/test_release_store.py
@@ -38,6 +38,18 @@
     return run_now(store.accept(before, delta)), delta, after
 
 
+def lose_second_note(store, key_value):
+    """Accept two notes, and set the service back to the first.
+
+    Return the release of the first, the delta of the second, and its release.
+    """
+    _, _, release = accept(store, Release(), first_note())
+    old_values = dict(key_value.value_by_key)
+    _, lost_delta, lost_release = accept(store, release, out_note("n2"))
+    key_value.value_by_key = old_values
+    return release, lost_delta, lost_release
+
+
 class TestAccept:
     def test_accept_succeeds_when_the_answer_to_its_write_is_lost(
         self, store, key_value
@@ -81,21 +93,15 @@
     def test_accept_is_refused_by_a_service_restored_to_an_old_state(
         self, store, key_value
     ):
-        _, _, release = accept(store, Release(), first_note())
-        old_values = dict(key_value.value_by_key)
-        _, _, newer_release = accept(store, release, out_note("n2"))
-        key_value.value_by_key = old_values
-        result, _, _ = accept(store, newer_release, out_note("n3", "atlantic"))
+        _, _, lost_release = lose_second_note(store, key_value)
+        result, _, _ = accept(store, lost_release, out_note("n3", "atlantic"))
         assert result == StoreBehind(1)
 
     def test_accept_is_refused_by_a_restored_service_with_another_note(
         self, store, key_value
     ):
         """Guard against a head whose buckets are those of a note that was lost."""
-        _, _, release = accept(store, Release(), first_note())
-        old_values = dict(key_value.value_by_key)
-        _, _, lost_release = accept(store, release, out_note("n2"))
-        key_value.value_by_key = old_values
+        release, _, lost_release = lose_second_note(store, key_value)
         accept(store, release, out_note("other", "atlantic"))
         result, _, _ = accept(store, lost_release, out_note("n3"))
         assert result == StoreBehind(2)
@@ -114,10 +120,7 @@
         self, store, key_value
     ):
         """Guard against deltas that do not apply to the release in force."""
-        _, _, release = accept(store, Release(), first_note())
-        old_values = dict(key_value.value_by_key)
-        _, _, lost_release = accept(store, release, out_note("n2"))
-        key_value.value_by_key = old_values
+        release, _, lost_release = lose_second_note(store, key_value)
         _, _, other = accept(store, release, out_note("other-2", "atlantic"))
         _, _, newest = accept(store, other, out_note("other-3"))
         read_result = run_now(store.read(lost_release))
@@ -152,13 +155,8 @@
 
     def test_result_of_a_note_is_known_after_the_restore(self, store, key_value):
         """Guard against a conflict that is reported for a note that is in force."""
-        _, _, release = accept(store, Release(), first_note())
-        old_values = dict(key_value.value_by_key)
-        _, lost_delta, lost_release = accept(store, release, out_note("n2"))
-        _, last_delta, last_release = accept(
-            store, lost_release, out_note("n3", "atlantic")
-        )
-        key_value.value_by_key = old_values
+        release, lost_delta, lost_release = lose_second_note(store, key_value)
+        last_delta, last_release = make_delta(lost_release, out_note("n3", "atlantic"))
         accept(store, release, out_note("other"))
         run_now(store.restore(last_release, (lost_delta, last_delta)))
         assert run_now(store.check_accepted(lost_delta)) == Accepted(2)
--- a/tests/coordination/test_route_tracker.py
+++ b/tests/coordination/test_route_tracker.py
@@ -188,7 +188,7 @@
         assert tracker.observe_revision("x:1", 5, 0.0) == []
         assert not tracker.is_behind
 
-    def test_evacuation_missing_in_the_copy_stays_until_the_store_has_settled(self):
+    def test_data_centre_out_that_the_copy_lacks_stays_out_until_it_has_settled(self):
         tracker = RouteTracker()
         tracker.adopt_if_newer(make_table(5, out=("a",)))
         copied_table = make_restored_table(3, 5)
@@ -198,7 +198,7 @@
         tracker.handle_store_read(copied_table, RESTORE_SETTLE_TIME)
         assert tracker.table.data_centres_out == ()
 
-    def test_evacuation_after_the_restore_is_adopted_at_once(self, tracker):
+    def test_data_centre_taken_out_after_the_restore_is_out_at_once(self, tracker):
         tracker.handle_store_read(make_restored_table(3, 5, out=("a",)), 0.0)
         assert tracker.table.data_centres_out == ("a",)
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -136,7 +136,7 @@
         put_config(store, 9)
         await reader.read_until(9)
 
-    async def test_evacuation_missing_in_the_copy_stays_until_it_is_written_again(
+    async def test_data_centre_out_that_the_copy_lacks_stays_out_until_written_again(
         self, store, reader
     ):
         copy = store.copy()
