--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -53,7 +53,7 @@
     async def read_next_table(self, current_table: RouteTable) -> RouteTable | None:
         """Return the store's table if it is newer than ``current_table``, else None.
 
-        Waits some time for one. A table that the caller did not adopt is returned again.
+        Waits some time for one. A table that was not adopted is returned again.
 
         Raises :class:`RoutesUnavailable` when the source cannot be read.
         """
