Review case 2: open flows are reset once their route names another service

Tried: a version that sends the new flows of a route to another service, then a planned restart of a balancer. Cause: a balancer that does not know a flow looks for it among the present services of its route only, and their denial resets it.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,79 @@
+"""Open flows are reset after a configuration sends their route to another service.
+
+Long flows are open on a route of ``board``. The operator writes a version in which new
+flows of that route go to ``board2``; the servers of ``board`` go on. Later a balancer
+is stopped and started again, and its flows move to the other balancer of its zone.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+from standins import make_config, run_case
+
+FLOWS = 60
+PAUSE_S = 1.0  # between two requests of a flow
+BALANCER_ZONES = ["a", "a", "b", "c"]
+SERVERS = [("a", "board"), ("b", "board"), ("c", "board")]
+SERVERS += [("a", "board2"), ("b", "board2"), ("c", "board2")]
+
+
+async def use_flow(net, flow, name, stop):
+    """Send requests on one flow, with pauses between them, until ``stop`` is set."""
+    if not await flow.open():
+        return
+    number = 0
+    while not stop.is_set() and not flow.is_reset:
+        number += 1
+        is_answered = await flow.request(f"{name}.{number}")
+        result = "answered" if is_answered else "unanswered"
+        net.record.write(result, request=f"{name}.{number}", port=flow.address[1])
+        await asyncio.sleep(PAUSE_S * random.uniform(0.6, 1.4))
+
+
+async def main(net, has_trouble):
+    services = {"board": 0, "board2": 0}
+    await net.start(
+        BALANCER_ZONES, SERVERS, ["a"], make_config(4, {"board": 1}, services)
+    )
+    stop = asyncio.Event()
+    flows = [net.clients[0].make_flow() for _ in range(FLOWS)]
+    users = []
+    for index, flow in enumerate(flows):
+        users.append(asyncio.create_task(use_flow(net, flow, f"r{index}", stop)))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(2)
+    opened = [flow for flow in flows if flow.is_open]
+    net.record.write("opened", flows=len(opened))
+    if len(opened) < FLOWS:
+        raise RuntimeError(f"only {len(opened)} of {FLOWS} flows opened")
+    if has_trouble:
+        net.store.put("op/config", make_config(7, {"board2": 1}, services))
+        net.record.write("configuration", version=7, route_to="board2")
+        await asyncio.sleep(6)
+        await net.restart(net.balancers[0], signal.SIGTERM)
+    await asyncio.sleep(6)
+    stop.set()
+    await asyncio.gather(*users)
+    return report(net, flows)
+
+
+def report(net, flows):
+    """Return whether an open flow of a living server got a reset of the system."""
+    broken = []
+    for flow in flows:
+        holders = [s for s in net.servers if flow.address in s.flow_by_client]
+        if flow.was_reset_open and holders:
+            broken.append(flow)
+            net.record.write(
+                "broken", port=flow.address[1], server=holders[0].host, rule="FLOW"
+            )
+    net.record.write("result", flows=len(flows), reset_while_server_lives=len(broken))
+    print(f"{len(broken)} of {len(flows)} flows reset while their server lives")
+    return bool(broken)
+
+
+if __name__ == "__main__":
+    run_case(main, Path(sys.argv[0]).parent)
