--- a/review/standins.py
+++ b/review/standins.py
@@ -238,7 +238,9 @@
     """An application server beside one agent: flows, answers and heartbeats.
 
     ``opens`` lists the time and client of each SYN that it took first. ``foreign``
-    counts by client the packets of flows that it does not hold.
+    counts by client the packets of flows that it does not hold, and ``arrivals`` lists
+    the time and client of each packet that it read. ``is_silent`` makes it stand still,
+    as a stopped process does: it reads, answers and reports nothing.
     """
 
     def __init__(self, net, host, zone, service, cold_s=0.0):
@@ -248,8 +250,11 @@
         self.opens = []
         self.foreign = {}
         self.state = "ready"
+        self.is_silent = False
+        self.arrivals = []
         self.acked_states = set()
         self.run_ids = []
+        self._waiting = []
         self._seq = 0
         self._tasks = set()
         self._transport = self._health = None
@@ -293,6 +298,8 @@
     async def _send_heartbeats(self):
         address = (self.host, self.net.control_port)
         while True:
+            while self.is_silent:
+                await asyncio.sleep(0.05)
             self._seq += 1
             cold_left = self.started_at + self.cold_s - time.monotonic()
             state = self.state
@@ -318,11 +325,22 @@
         if self._transport is not None:
             self._transport.sendto(datagram, (self.host, self.net.outbound_port))
 
+    def go_on(self):
+        """End a silence; packets that waited in the socket are read now."""
+        self.is_silent = False
+        waiting, self._waiting = self._waiting, []
+        for datagram in waiting:
+            self._receive(datagram)
+
     def _receive(self, datagram):
+        if self.is_silent:
+            self._waiting.append(datagram)
+            return
         packet = Packet(datagram)
         if not packet.is_intact:
             self.net.record.write("forged", host=self.host)
             return
+        self.arrivals.append((time.monotonic(), packet.source))
         flow = self.flow_by_client.get(packet.source)
         if packet.flags & SYN:
             self._accept(packet, flow)
