Review case 5: a heartbeat with an unknown service resets the flows of its address

Tried: heartbeats of another writer with an unknown service, an unknown state, a wrong type and another address. Cause: the service of a heartbeat is not checked, and its other id counts as a new start of the upstream.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH="$PWD/review"
+exec python3 review/5/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -237,10 +237,7 @@
 class Server:
     """An application server beside one agent: flows, answers and heartbeats.
 
-    ``opens`` lists the time and client of each SYN that it took first. ``foreign``
-    counts by client the packets of flows that it does not hold, and ``arrivals`` lists
-    the time and client of each packet that it read. ``is_silent`` makes it stand still,
-    as a stopped process does: it reads, answers and reports nothing.
+    ``opens`` lists the time and client of each SYN that it took first.
     """
 
     def __init__(self, net, host, zone, service, cold_s=0.0):
@@ -248,13 +245,7 @@
         self.cold_s = cold_s
         self.flow_by_client = {}
         self.opens = []
-        self.foreign = {}
         self.state = "ready"
-        self.is_silent = False
-        self.arrivals = []
-        self.acked_states = set()
-        self.run_ids = []
-        self._waiting = []
         self._seq = 0
         self._tasks = set()
         self._transport = self._health = None
@@ -298,18 +289,15 @@
     async def _send_heartbeats(self):
         address = (self.host, self.net.control_port)
         while True:
-            while self.is_silent:
-                await asyncio.sleep(0.05)
             self._seq += 1
             cold_left = self.started_at + self.cold_s - time.monotonic()
-            state = self.state
             report = {
                 "service": self.service,
                 "address": f"{self.host}:{self.net.app_port}",
                 "zone": self.zone,
                 "version": "v1",
                 "slots": 3,
-                "state": state,
+                "state": self.state,
                 "coldRemainingMs": max(0, int(cold_left * 1000)),
                 "seq": self._seq,
                 "born": self.born,
@@ -317,35 +305,21 @@
             path = f"/v1/instances/{self.instance_id}"
             body = json.dumps(report).encode()
             status = await call_http(address, "PUT", path, body)
-            if status == 200:
-                self.acked_states.add(state)
             await asyncio.sleep(HEARTBEAT_MS / 1000 if status == 200 else 0.15)
 
     def _send(self, datagram):
         if self._transport is not None:
             self._transport.sendto(datagram, (self.host, self.net.outbound_port))
 
-    def go_on(self):
-        """End a silence; packets that waited in the socket are read now."""
-        self.is_silent = False
-        waiting, self._waiting = self._waiting, []
-        for datagram in waiting:
-            self._receive(datagram)
-
     def _receive(self, datagram):
-        if self.is_silent:
-            self._waiting.append(datagram)
-            return
         packet = Packet(datagram)
         if not packet.is_intact:
             self.net.record.write("forged", host=self.host)
             return
-        self.arrivals.append((time.monotonic(), packet.source))
         flow = self.flow_by_client.get(packet.source)
         if packet.flags & SYN:
             self._accept(packet, flow)
         elif flow is None:
-            self.foreign[packet.source] = self.foreign.get(packet.source, 0) + 1
             self.net.record.write("bounced", host=self.host, client=packet.source[1])
             bounced = bytearray(datagram)
             bounced[22] |= BOUNCED
@@ -392,7 +366,6 @@
 
     async def _run(self, flow, data):
         request_id = data.decode()
-        self.run_ids.append(request_id)
         self.net.record.write("run", host=self.host, request=request_id)
         await asyncio.sleep(self.net.work_s)
         body = f"{request_id} by {self.instance_id}".encode()
