A report with an unknown service no longer resets the flows of a live upstream

Callers saw: all flows of one upstream reset at once while it lived and held them.

Cause: a report was judged by its form and address only. One of another writer, with a service that no configuration names and a newer start time, counted as the first report of a new start, so the agent reset the flows of the start before, and moved to that service.

Ruled out: the check of types and state, which the report passes as it is well formed.

Change: UpstreamMonitor.find_report_error rejects reports with another address or a service that is neither the agent's nor in the configuration in force; the writer gets 400 with the reason instead of an acknowledgement. A rejected report reaches neither UpstreamHealth nor the flows, so nothing can be concluded from it.

Related paths: a report with another address was dropped but acknowledged, now rejected.

--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -21,6 +21,7 @@
     ReportKind,
     UpstreamHealth,
 )
+from bilberrypath.protocol.flow_messages import format_node_id
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
@@ -111,10 +112,41 @@
             effects += self.agent.locator.abandon_tentative_deliveries(now)
         return effects + self.announce_status("tick", now)
 
+    def find_report_error(self, report: UpstreamReport) -> str | None:
+        """Return why a report cannot be that of this agent's upstream, or None.
+
+        Other writers can send reports too. One is only accepted if it gives the
+        upstream's address and a known service: that of the settings, the upstream's
+        last one, or one of the configuration in force.
+        """
+        setup = self.agent.setup
+        if report.address != setup.upstream_address:
+            return (
+                f"address {format_node_id(report.address)} is not that of the upstream "
+                f"beside this agent, {format_node_id(setup.upstream_address)}"
+            )
+        own_services = {setup.own_member.service, self.agent.service}
+        configured_services = self.agent.routes.limits_by_service
+        if report.service in own_services or report.service in configured_services:
+            return None
+        return (
+            f"service {report.service!r} is not in configuration "
+            f"{self.agent.routes.table.version}; add it there, or report "
+            f"{self.agent.service!r}"
+        )
+
     def handle_report(self, event: UpstreamReport, now: Seconds) -> list[FlowEffect]:
-        """Process an upstream report, and retry the opens that waited for it."""
-        if event.address != self.agent.setup.upstream_address:
-            return [fx.Count("report_dropped", "wrong_address")]
+        """Process an upstream report, and retry the opens that waited for it.
+
+        One that :meth:`find_report_error` rejects changes nothing.
+        """
+        error = self.find_report_error(event)
+        if error is not None:
+            fields = {"upstream": event.upstream_id, "error": error}
+            return [
+                fx.Count("report_dropped", "not_this_upstream"),
+                fx.LogStateChange("report_rejected", fields),
+            ]
         is_first_report = not self._has_received_report
         self._has_received_report = True
         kind = self.health.handle_report(event, now)
--- a/bilberrypath/platform/__main__.py
+++ b/bilberrypath/platform/__main__.py
@@ -81,7 +81,10 @@
     )
     ready = HttpServer(partial(handle_ready_request, lambda: daemon.is_ready))
     daemon.add_http_server(ready, node.ready_address)
-    reports = HttpServer(partial(handle_report_request, daemon.handle_event))
+    find_report_error = daemon.core.upstream.find_report_error
+    reports = HttpServer(
+        partial(handle_report_request, daemon.handle_event, find_report_error)
+    )
     daemon.add_http_server(reports, settings.report_address)
     return daemon
 
--- a/bilberrypath/platform/upstream_reports.py
+++ b/bilberrypath/platform/upstream_reports.py
@@ -50,11 +50,15 @@
 
 
 def handle_report_request(
-    handle_event: Callable[[UpstreamReport | UpstreamLeft], None], request: HttpRequest
+    handle_event: Callable[[UpstreamReport | UpstreamLeft], None],
+    find_report_error: Callable[[UpstreamReport], str | None],
+    request: HttpRequest,
 ) -> HttpResponse:
     """Pass an upstream's report, or its deregistration, to ``handle_event``.
 
-    A malformed report is rejected with status 400 and creates no event.
+    A malformed report is rejected with status 400 and creates no event. So is one for
+    which ``find_report_error`` returns an error; its event is for the counters and the
+    log.
     """
     if not request.path.startswith(REPORT_PREFIX):
         return HttpResponse(404)
@@ -67,9 +71,14 @@
     try:
         report = _parse_report(upstream_id, request.body)
     except (ValueError, TypeError, msgspec.MsgspecError) as error:
-        return HttpResponse(400, msgspec.json.encode({"error": str(error)}))
+        return _reject(str(error))
+    error = find_report_error(report)
     handle_event(report)
-    return HttpResponse(200, b"{}")
+    return HttpResponse(200, b"{}") if error is None else _reject(error)
+
+
+def _reject(error: str) -> HttpResponse:
+    return HttpResponse(400, msgspec.json.encode({"error": error}))
 
 
 def _parse_report(upstream_id: str, body: bytes) -> UpstreamReport:
--- a/tests/platform/test_upstream_reports.py
+++ b/tests/platform/test_upstream_reports.py
@@ -27,10 +27,14 @@
     return []
 
 
-def put_report(events, body, path="/v1/instances/i-7f3a91c2"):
+def call(events, request, error=None):
+    return handle_report_request(events.append, lambda report: error, request)
+
+
+def put_report(events, body, path="/v1/instances/i-7f3a91c2", error=None):
     if not isinstance(body, bytes):
         body = json.dumps(body).encode()
-    return handle_report_request(events.append, HttpRequest("PUT", path, body))
+    return call(events, HttpRequest("PUT", path, body), error)
 
 
 class TestReports:
@@ -83,7 +87,7 @@
 
     def test_delete_is_mapped_to_an_event(self, events):
         request = HttpRequest("DELETE", "/v1/instances/i-1", b"")
-        assert handle_report_request(events.append, request).status == 200
+        assert call(events, request).status == 200
         assert events == [UpstreamLeft("i-1")]
 
     @pytest.mark.parametrize(
@@ -92,7 +96,12 @@
     )
     def test_other_methods_and_paths_are_refused(self, events, method, path, status):
         request = HttpRequest(method, path, b"")
-        assert handle_report_request(events.append, request).status == status
+        assert call(events, request).status == status
+
+    def test_report_that_the_core_rejects_is_not_acknowledged(self, events):
+        response = put_report(events, HEARTBEAT, error="service 'x' is not known")
+        assert response.status == 400
+        assert json.loads(response.body) == {"error": "service 'x' is not known"}
 
 
 class TestReady:
