An uncertain lookup in one service is no denial: flows of split routes are not reset

Callers saw: resets of flows on a route with two services during planned restarts, while their upstreams held them.

Cause: FlowLocation without a holder meant "nobody has it" and "not everybody answered". FlowResolver read the second as the first, and let the last service of the route reset the flow, which had never been there.

Ruled out: the lookup within the service, which said `certain` false.

Change: FlowLocation names its service and says whether it is certain. Agents reset only flows that no other service can have; the balancer resets the others once every service is certain. Uncertain services keep looking and report again.

Why it works: a reset needs a certain denial of each service of the route, and the denial of one service cannot stand for another any more.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -159,7 +159,7 @@
             self.flows.record_client_packet(held, packet, now)
             tried = forwarded.tried_agents if packet.is_syn else ()
             notices = self.send_location(
-                forwarded, packet.flow, self.node_id, sender, tried
+                forwarded, packet.flow, self.node_id, sender, tried, held.is_confirmed
             )
             return [ffx.SendToUpstream(packet.datagram), *notices]
         if self.locator.try_queue(forwarded, packet):
@@ -213,6 +213,7 @@
         holder: NodeId,
         sender: NodeId = "",
         tried_agents: tuple[NodeId, ...] = (),
+        is_certain: bool = False,
     ) -> list[FlowEffect]:
         """Send a flow's location to the processes that handled its packet.
 
@@ -221,7 +222,7 @@
         """
         if not forwarded.wants_location:
             return []
-        message = msg.FlowLocation(flow, holder)
+        message = msg.FlowLocation(flow, holder, self.service, is_certain)
         return [
             fx.SendControl(parse_address(node_id), message)
             for node_id in list_notified(forwarded, self.node_id, sender, tried_agents)
@@ -261,8 +262,7 @@
         count = fx.Count("upstream_refused", "open" if packet.is_syn else "packet")
         if packet.is_syn:
             return [count, *self.open_handler.handle_returned(unmarked, now)]
-        was_confirmed = held is not None and held.is_confirmed
-        return [count, *self.locator.handle_returned(unmarked, was_confirmed, now)]
+        return [count, *self.locator.handle_returned(unmarked, held, now)]
 
     def reset(self, flow: bytes, acknowledged: int, reason: str) -> list[FlowEffect]:
         """Send a reset for a flow to its client, and log and count the reason."""
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -121,7 +121,8 @@
         holder = self.location_cache.find(packet.flow, now)
         if holder is None or self._is_gone(holder):
             return self.resolver.resolve(packet, now)
-        return [self.forward(packet, "", holder, False, True)]
+        may_reset = self.resolver.may_reset(packet.flow)
+        return [self.forward(packet, "", holder, False, may_reset)]
 
     def _is_gone(self, holder: NodeId) -> bool:
         """Return whether the member table lists an agent as left or removed."""
@@ -241,7 +242,7 @@
             self.location_cache.record(message.flow, message.holder, now)
         else:
             self.location_cache.forget(message.flow)
-        return self.resolver.handle_location(message.flow, message.holder, now)
+        return self.resolver.handle_location(message, now)
 
     @_handle_message.register(msg.FlowHeartbeat)
     def _(
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.coordination.held_flows import HeldFlow
     from bilberrypath.protocol.flow_packet import FlowPacket
     from bilberrypath.types import NodeId, Seconds
 
@@ -39,8 +40,8 @@
 class FlowLocator:
     """The part of an agent that finds a flow's holder, or proves that there is none.
 
-    A flow that no agent has is reset as soon as that is proven, and looked up again
-    until then.
+    A flow that no agent has is looked up again until that is proven. Then it is reset
+    if no other service can have it; else its balancer is told.
     """
 
     agent: FlowAgent = field(repr=False)
@@ -80,12 +81,14 @@
         return self._query_agents(forwarded, packet, now, may_hold)
 
     def handle_returned(
-        self, packet: FlowPacket, was_confirmed: bool, now: Seconds
+        self, packet: FlowPacket, held: HeldFlow | None, now: Seconds
     ) -> list[FlowEffect]:
         """Handle a returned packet, whose flow the upstream does not have.
 
-        One that was delivered tentatively is relayed to the next agent. A flow that
-        was confirmed here is looked up, as the upstream has lost it.
+        ``held`` is what was known of the flow. A packet that was delivered tentatively
+        is relayed to the next agent. A flow that was confirmed here is looked up, as
+        the upstream has lost it; another service can have it only if the client did
+        not choose this upstream.
         """
         agent = self.agent
         forwarded = self._memory.tentative_by_flow.pop(packet.flow, None)
@@ -94,7 +97,7 @@
         if forwarded is not None:
             count = fx.Count("flow_refused", "wrong_guess")
             return [count, *self._relay_to_next(forwarded, packet, now)]
-        if not was_confirmed:
+        if held is None or not held.is_confirmed:
             return [fx.Count("flow_refused", "known")]
         forwarded = ForwardedPacket(
             agent.routes.revision,
@@ -104,7 +107,7 @@
             home_agent="",
             tried_agents=(),
             hops=0,
-            may_reset=True,
+            may_reset=held.is_chosen or self._is_only_service(packet.flow),
             datagram=packet.datagram,
         )
         return [
@@ -112,6 +115,12 @@
             *self._query_agents(forwarded, packet, now),
         ]
 
+    def _is_only_service(self, flow: bytes) -> bool:
+        """Return whether the route of a flow names no service but this agent's."""
+        route = self.agent.routes.find_route(flow)
+        own_service = self.agent.service
+        return route is None or route.list_services() == [own_service]
+
     def _deliver_tentatively(
         self, forwarded: ForwardedPacket, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
@@ -380,20 +389,35 @@
     def _handle_no_holder(
         self, flow: bytes, lookup: FlowLookup, result: NoHolder, now: Seconds
     ) -> list[FlowEffect]:
-        """Reset a flow that certainly no agent has, or record it as not found."""
+        """Reset a flow that certainly no agent has, or look it up again later.
+
+        A flow that another service may have is not reset: its origin balancer is told
+        that this service certainly does not have it.
+        """
         agent = self.agent
         forwarded, packet = lookup.queued_packets[-1]
-        notices = agent.send_location(forwarded, flow, "")
         is_settled = self._is_agent_list_settled(flow, now)
         queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
         may_reset = all(f.may_reset for f in queued) and not packet.is_rst
-        is_proven = result.is_certain and all(f.has_queried_all for f in queued)
-        if is_proven and is_settled and may_reset:
+        is_proven = (
+            result.is_certain and is_settled and all(f.has_queried_all for f in queued)
+        )
+        is_repeated = self._unproven_losses.get(flow) is not None
+        notices: list[FlowEffect] = []
+        if is_proven or not is_repeated:
+            notified = forwarded
+            if not may_reset:
+                notified = msgspec.structs.replace(forwarded, wants_location=True)
+            notices = agent.send_location(notified, flow, "", is_certain=is_proven)
+        if is_proven:
             self._unproven_losses.forget(flow)
-            return [*notices, *agent.reset(flow, packet.acknowledged, "nobody_has_it")]
-        self._memory.record_not_found(flow, now)
-        if may_reset:
-            self._retry_later(lookup, now)
+            if may_reset:
+                reset = agent.reset(flow, packet.acknowledged, "nobody_has_it")
+                return [*notices, *reset]
+        else:
+            self._memory.record_not_found(flow, now)
+            if not packet.is_rst:
+                self._retry_later(lookup, now)
         fields = {
             "certain": result.is_certain,
             "settled": is_settled,
--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -3,10 +3,15 @@
 The first packet of a lookup goes to the flow's home agent, which places an open or
 finds the holder of the flow. If the location is not reported in time, the home agent is
 skipped as an unresponsive peer, and the packet goes to the next agent in rank.
+
+A flow that several services may have is looked up in one after the other. It is reset
+here once each of them is certain not to have it; agents reset the flows that only their
+own service can have.
 """
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from attrs import Factory, define, field
@@ -15,10 +20,12 @@
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.agent_ranking import AgentRanking
 from bilberrypath.coordination.deadlines import Deadlines
+from bilberrypath.coordination.unproven_losses import RETRY_LIMIT
 
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_balancer import FlowBalancer
     from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.protocol.flow_messages import FlowLocation
     from bilberrypath.protocol.flow_packet import FlowPacket
     from bilberrypath.state.routes import FlowRoute
     from bilberrypath.types import NodeId, Seconds, ServiceName
@@ -27,23 +34,45 @@
     0.06  # for two relays between agents, each with a timeout of its own
 )
 LOCATION_TIMEOUT: Seconds = 0.15  # a lookup among a service's agents takes 0.06 s
+# Agents repeat a lookup for so long until their service is certain.
+DENIAL_TIMEOUT: Seconds = RETRY_LIMIT + LOCATION_TIMEOUT
+# Within it, an agent whose upstream returned the packet has asked the other agents.
+TRIAL_TIMEOUT: Seconds = 0.5
 MAX_TRIED_AGENTS = 4  # per lookup; the client's next retransmission starts a new one
 MAX_PENDING_LOOKUPS = 4096  # flows
 
 
+class LookupState(Enum):
+    """What a lookup waits for.
+
+    ``TRYING`` is the answer of the agent that was tried last, ``TRIAL`` whether the
+    upstream of an agent that may have the flow returns its packet, and ``DENIALS`` that
+    the services that were tried become certain.
+    """
+
+    TRYING = "trying"
+    TRIAL = "trial"
+    DENIALS = "denials"
+
+
 @define
 class PendingLookup:
     """A flow whose location was requested, and the agents tried so far.
 
     ``packet`` is the packet that started the lookup and is sent again to each
-    further agent. ``service`` is the service whose agents are being tried, and
-    ``other_services`` are services of the same route that may also have the flow.
+    further agent. ``services`` may have the flow, ``service`` is the one whose agents
+    are being tried, and ``untried_services`` are those after it. ``denied_by`` are the
+    services that are certain not to have the flow.
     """
 
     packet: FlowPacket
-    service: ServiceName
-    other_services: list[ServiceName]
+    services: tuple[ServiceName, ...]
+    started_at: Seconds
+    service: ServiceName = ""
+    untried_services: list[ServiceName] = Factory(list)
     tried_agents: list[NodeId] = Factory(list)
+    denied_by: set[ServiceName] = Factory(set)
+    state: LookupState = LookupState.TRYING
 
 
 @define
@@ -59,44 +88,73 @@
         """Forward a packet of a flow without a cached location to its home agent.
 
         While a lookup of the flow is pending, further packets go to the agent that
-        was tried last. Above ``MAX_PENDING_LOOKUPS`` packets are forwarded without
-        a retry.
+        was tried last, or start another round of the services that are not certain.
+        Above ``MAX_PENDING_LOOKUPS`` packets are forwarded without a retry.
         """
         route = self.balancer.routes.find_route(packet.flow)
         if route is None:
             return self._reset_unroutable(packet)
-        service = route.choose_service(packet.flow)
-        if service is None:
-            return [fx.Count("packet_dropped", "no_target")]
         lookup = self._lookup_by_flow.get(packet.flow)
-        if lookup is not None:
-            return [self._forward_to_last_tried(lookup, packet)]
-        home_agent = self._choose_agent(packet.flow, service, ())
-        if home_agent is None:
-            return [fx.Count("packet_dropped", "no_agent")]
-        other_services = [] if packet.is_syn else _list_other_services(route, service)
-        lookup = PendingLookup(packet, service, other_services, [home_agent])
+        if lookup is not None and not self._is_outdated(lookup, packet, now):
+            return self._continue_lookup(lookup, packet, now)
+        services = _list_services(route, packet)
+        if not services:
+            return [fx.Count("packet_dropped", "no_target")]
+        lookup = PendingLookup(packet, services, now, untried_services=list(services))
         if len(self._lookup_by_flow) < MAX_PENDING_LOOKUPS:
             self._lookup_by_flow[packet.flow] = lookup
-            self._set_deadline(packet, now)
-        return [self._forward_to_last_tried(lookup, packet)]
+        return self._try_next_service(lookup, now)
+
+    def _is_outdated(
+        self, lookup: PendingLookup, packet: FlowPacket, now: Seconds
+    ) -> bool:
+        """Return whether a packet needs a new lookup of its flow.
 
-    def handle_location(
-        self, flow: bytes, holder: NodeId, now: Seconds
+        It does if it opens the flow anew, or if denials are too old to be relied on.
+        """
+        is_reopened = packet.is_syn and not lookup.packet.is_syn
+        return is_reopened or now - lookup.started_at > DENIAL_TIMEOUT
+
+    def _continue_lookup(
+        self, lookup: PendingLookup, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
-        """Finish a lookup for which an agent reported the location of the flow.
+        if lookup.state is not LookupState.DENIALS:
+            return [self._forward_to_last_tried(lookup, packet)]
+        lookup.packet = packet
+        lookup.untried_services = [
+            service for service in lookup.services if service not in lookup.denied_by
+        ]
+        return self._try_next_service(lookup, now)
+
+    def may_reset(self, flow: bytes) -> bool:
+        """Return whether agents may reset a flow that their service does not have."""
+        route = self.balancer.routes.find_route(flow)
+        return route is None or len(route.targets) == 1
 
-        An empty ``holder`` means that the service does not have the flow; the next
-        service of the route is tried then, if there is one.
+    def handle_location(self, location: FlowLocation, now: Seconds) -> list[FlowEffect]:
+        """Process the location of a flow, and finish the lookup that it settles.
+
+        Without a holder, the next service that may have the flow is tried. The flow is
+        reset once all of them are certain not to have it. A service that is not certain
+        yet looks further, and reports again once it is.
         """
-        lookup = self._lookup_by_flow.get(flow)
+        lookup = self._lookup_by_flow.get(location.flow)
         if lookup is None:
             return []
-        self.deadlines.clear(flow)
-        if not holder and lookup.other_services:
-            return self._try_other_service(flow, now)
-        del self._lookup_by_flow[flow]
-        return []
+        if len(lookup.services) == 1 or (location.holder and location.is_certain):
+            self._end_lookup(location.flow)
+            return []
+        if location.holder:
+            self._set_state(lookup, LookupState.TRIAL, TRIAL_TIMEOUT, now)
+            return []
+        if location.is_certain:
+            lookup.denied_by.add(location.service)
+            if lookup.denied_by.issuperset(lookup.services):
+                return self._reset_lost(lookup)
+        is_of_tried_service = location.service in ("", lookup.service)
+        if lookup.state is LookupState.DENIALS or not is_of_tried_service:
+            return []
+        return self._try_next_service(lookup, now)
 
     def run_due_timers(self, now: Seconds) -> list[FlowEffect]:
         """Retry each lookup whose answer is overdue at the next agent in rank."""
@@ -126,25 +184,65 @@
             ),
         ]
 
-    def _set_deadline(self, packet: FlowPacket, now: Seconds) -> None:
+    def _reset_lost(self, lookup: PendingLookup) -> list[FlowEffect]:
+        """Reset a flow that certainly no service has."""
+        packet = lookup.packet
+        self._end_lookup(packet.flow)
+        if packet.is_rst:
+            return []
+        reset = self.balancer.codec.make_reset(packet.flow, packet.acknowledged)
+        fields = {"reason": "nobody_has_it", "services": sorted(lookup.services)}
+        return [
+            fx.Count("flow_reset", "nobody_has_it"),
+            ffx.SendToClient(packet.flow, reset),
+            ffx.LogDecision("flow_reset", packet.flow, fields),
+        ]
+
+    def _end_lookup(self, flow: bytes) -> None:
+        self.deadlines.clear(flow)
+        self._lookup_by_flow.pop(flow, None)
+
+    def _set_state(
+        self, lookup: PendingLookup, state: LookupState, timeout: Seconds, now: Seconds
+    ) -> None:
+        """Set what a lookup waits for, and how long if it is one of the pending."""
+        lookup.state = state
+        flow = lookup.packet.flow
+        if self._lookup_by_flow.get(flow) is lookup:
+            self.deadlines.set(flow, now + timeout)
+
+    def _forward_to_next(
+        self, lookup: PendingLookup, agent_id: NodeId, now: Seconds
+    ) -> fx.SendControl:
+        """Forward the packet of a lookup to an agent that was not tried before."""
+        lookup.tried_agents.append(agent_id)
+        packet = lookup.packet
         timeout = PLACEMENT_TIMEOUT if packet.is_syn else LOCATION_TIMEOUT
-        self.deadlines.set(packet.flow, now + timeout)
+        self._set_state(lookup, LookupState.TRYING, timeout, now)
+        return self._forward_to_last_tried(lookup, packet)
 
     def _try_next_agent(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
-        """Mark the last agent as unresponsive, and forward the packet to the next."""
+        """Mark the last agent as unresponsive, and forward the packet to the next.
+
+        After the last agent the next service is tried. A lookup that waits for anything
+        but an answer ends.
+        """
         lookup = self._lookup_by_flow.get(flow)
         if lookup is None:
             return []
+        if lookup.state is not LookupState.TRYING:
+            self._end_lookup(flow)
+            return [fx.Count("lookup_ended", lookup.state.value)]
         unresponsive_agent = lookup.tried_agents[-1]
         effects = self.balancer.unresponsive_peers.record_timeout(
             unresponsive_agent, now
         )
         target = self._choose_agent(flow, lookup.service, lookup.tried_agents)
         if target is None or len(lookup.tried_agents) >= MAX_TRIED_AGENTS:
-            del self._lookup_by_flow[flow]
+            if lookup.untried_services:
+                return [*effects, *self._try_next_service(lookup, now)]
+            self._end_lookup(flow)
             return [*effects, fx.Count("packet_dropped", "no_answer")]
-        lookup.tried_agents.append(target)
-        self._set_deadline(lookup.packet, now)
         fields = {
             "late": unresponsive_agent,
             "to": target,
@@ -153,7 +251,7 @@
         return [
             *effects,
             ffx.LogDecision("asked_next", flow, fields),
-            self._forward_to_last_tried(lookup, lookup.packet),
+            self._forward_to_next(lookup, target, now),
         ]
 
     def _choose_agent(
@@ -178,23 +276,37 @@
     ) -> fx.SendControl:
         """Forward a packet to the agent that was tried last."""
         agent_id = lookup.tried_agents[-1]
-        return self.balancer.forward(
-            packet, lookup.service, agent_id, True, not lookup.other_services
-        )
+        may_reset = len(lookup.services) == 1
+        return self.balancer.forward(packet, lookup.service, agent_id, True, may_reset)
+
+    def _try_next_service(
+        self, lookup: PendingLookup, now: Seconds
+    ) -> list[FlowEffect]:
+        """Look up a flow in the next service that has agents.
 
-    def _try_other_service(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
-        """Look up a flow in another service of its route."""
-        lookup = self._lookup_by_flow[flow]
-        lookup.service = lookup.other_services.pop()
-        home_agent = self._choose_agent(flow, lookup.service, ())
-        if home_agent is None:
-            del self._lookup_by_flow[flow]
+        After the last one, wait for the services that are not certain yet.
+        """
+        flow = lookup.packet.flow
+        while lookup.untried_services:
+            lookup.service = lookup.untried_services.pop(0)
+            home_agent = self._choose_agent(flow, lookup.service, ())
+            if home_agent is not None:
+                lookup.tried_agents = []
+                return [self._forward_to_next(lookup, home_agent, now)]
+        if not lookup.tried_agents:
+            self._end_lookup(flow)
             return [fx.Count("packet_dropped", "no_agent")]
-        lookup.tried_agents = [home_agent]
-        self._set_deadline(lookup.packet, now)
-        return [self._forward_to_last_tried(lookup, lookup.packet)]
+        self._set_state(lookup, LookupState.DENIALS, DENIAL_TIMEOUT, now)
+        return []
 
 
-def _list_other_services(route: FlowRoute, service: ServiceName) -> list[ServiceName]:
-    """Return the services of a route other than ``service``."""
-    return [target.service for target in route.targets if target.service != service]
+def _list_services(route: FlowRoute, packet: FlowPacket) -> tuple[ServiceName, ...]:
+    """Return the services that may have the flow of a packet, the likeliest first.
+
+    An open goes to the service that the route gives it, and to no other.
+    """
+    chosen = route.choose_service(packet.flow)
+    first = () if chosen is None else (chosen,)
+    if packet.is_syn:
+        return first
+    return tuple(dict.fromkeys((*first, *route.list_services())))
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -26,8 +26,9 @@
     it is empty until the packet reaches the first agent. ``tried_agents`` cannot have
     or accept the flow, and ``hops`` counts the agents that relayed the packet. A flow
     that no agent of the service has is reset only if ``may_reset``: no other service
-    can have it. An open with ``has_waited`` was already queued for an upstream's report
-    and is not queued again. ``is_lookup_done`` means that a lookup ended without a
+    can have it. Else the origin balancer is told, which asks the other services. An
+    open with ``has_waited`` was already queued for an upstream's report and is not
+    queued again. ``is_lookup_done`` means that a lookup ended without a
     holder while some agents could not rule out that their upstream has the flow;
     ``possible_holders`` are those of them whose upstream is still to be tried.
     ``has_queried_all`` means that the lookup reached all agents that may have the flow.
@@ -56,10 +57,18 @@
 
 
 class FlowLocation(ControlStruct, tag=21):
-    """The location of a flow; ``holder`` is empty if no agent is known to have it."""
+    """The location of a flow; ``holder`` is empty if no agent is known to have it.
+
+    ``service`` is that of the sender, empty from an agent of an older build.
+    ``is_certain`` states that the holder's upstream has the flow, or that no agent of
+    the service has it. A holder that is not certain is being tried; without a holder,
+    agents that did not answer or are still to join may have the flow.
+    """
 
     flow: bytes
     holder: str
+    service: str = ""
+    is_certain: bool = False
 
 
 class FlowQuery(ControlStruct, tag=22):
--- a/bilberrypath/state/routes.py
+++ b/bilberrypath/state/routes.py
@@ -51,6 +51,10 @@
                 return target.service
         return None
 
+    def list_services(self) -> list[ServiceName]:
+        """Return the services of the route, also those without weight, once each."""
+        return list(dict.fromkeys(target.service for target in self.targets))
+
     def allows(self, service: ServiceName) -> bool:
         """Return whether a service may receive flows of this route."""
         return any(t.service == service and t.weight > 0 for t in self.targets)
--- /dev/null
+++ b/tests/coordination/test_flow_services.py
@@ -0,0 +1,160 @@
+"""Tests of flows that more than one service may have."""
+
+from bilberrypath.platform.packet_codec import ACK
+from bilberrypath.protocol.flow_messages import ForwardedPacket
+from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
+from tests.support.flow_world import (
+    ADDRESS,
+    FlowWorld,
+    count_foreign,
+    find_holder,
+    open_flows,
+    write_packet,
+)
+
+BALANCERS = ["10.1.0.1", "10.1.0.2"]
+BOARD_HOSTS = ["10.2.0.1", "10.2.0.2", "10.2.0.3", "10.2.0.4"]
+CANARY_HOSTS = ["10.3.0.1", "10.3.0.2"]
+NEW_BALANCER = "10.1.0.9"
+
+
+def make_split_table(revision, **weight_by_service):
+    """Return a table whose route has the given services by weight."""
+    targets = tuple(Target(name, weight) for name, weight in weight_by_service.items())
+    limits = tuple(UpstreamLimits(name, 2000, 0.0) for name in ("board", "canary"))
+    return RouteTable(revision, revision, (FlowRoute(ADDRESS, targets),), limits)
+
+
+def make_two_service_world(table, seed=1):
+    """Return a running world with agents of the services board and canary."""
+    world = FlowWorld(seed)
+    world.set_routes(table)
+    for index, host in enumerate(BALANCERS):
+        world.add_balancer(host, "ab"[index], BALANCERS)
+    for hosts, service in ((BOARD_HOSTS, "board"), (CANARY_HOSTS, "canary")):
+        for index, host in enumerate(hosts):
+            world.add_agent(host, service, "ab"[index % 2], BALANCERS)
+    world.run(4.0)
+    return world
+
+
+def add_new_balancer(world):
+    """Add a balancer that knows the location of no flow."""
+    world.add_balancer(NEW_BALANCER, "a", BALANCERS)
+    world.run(1.0)
+
+
+def use_until_answered(world, clients, seconds):
+    """Retransmit the request of each client until it is answered or reset."""
+    for _ in range(round(seconds / 0.2)):
+        for client in clients:
+            if not client.answers and not client.resets:
+                client.send_request(NEW_BALANCER)
+        world.run(0.2)
+
+
+def restart_agent(world, host, service="board"):
+    world.add_agent(host, service, "a", BALANCERS, tracks_all_flows=False)
+
+
+def list_held_by(world, clients, hosts):
+    return [c for c in clients if find_holder(world, c.flow) in hosts]
+
+
+class TestSplitRoute:
+    def test_flows_are_found_in_the_service_that_has_them(self):
+        world = make_two_service_world(make_split_table(1, board=60, canary=40))
+        clients = open_flows(world, 40)
+        assert list_held_by(world, clients, BOARD_HOSTS)
+        assert list_held_by(world, clients, CANARY_HOSTS)
+        add_new_balancer(world)
+        use_until_answered(world, clients, 1.0)
+        assert all(client.answers for client in clients)
+        assert all(client.resets == 0 for client in clients)
+
+    def test_uncertain_lookup_in_one_service_does_not_reset_the_flow_in_another(self):
+        """Guard against a reset by a service that never had the flow.
+
+        Two agents of the service that has the flows restart, so that its lookups miss
+        answers; the other service is certain not to have them.
+        """
+        world = make_two_service_world(make_split_table(1, board=90, canary=10))
+        clients = open_flows(world, 80)
+        kept = list_held_by(world, clients, BOARD_HOSTS[:2])
+        add_new_balancer(world)
+        for host in BOARD_HOSTS[:2]:
+            world.kill(host)
+        use_until_answered(world, kept, 0.6)
+        for host in BOARD_HOSTS[:2]:
+            restart_agent(world, host)
+        use_until_answered(world, kept, 3.0)
+        assert kept
+        assert sum(client.resets for client in kept) == 0
+        assert all(client.answers for client in kept)
+
+    def test_flow_that_no_service_has_is_reset(self):
+        world = make_two_service_world(make_split_table(1, board=60, canary=40))
+        clients = open_flows(world, 40)
+        lost = list_held_by(world, clients, [BOARD_HOSTS[0], CANARY_HOSTS[0]])
+        for host in (BOARD_HOSTS[0], CANARY_HOSTS[0]):
+            world.power_off(host)
+        add_new_balancer(world)
+        use_until_answered(world, lost, 8.0)
+        assert lost
+        assert all(client.resets for client in lost)
+
+    def test_lost_flow_is_reset_while_agents_try_their_upstreams(self):
+        """Guard against a lookup that ends with an agent's guess.
+
+        The agents of both services have just restarted, so that each tries its upstream
+        for flows that it does not know.
+        """
+        world = make_two_service_world(make_split_table(1, board=60, canary=40))
+        clients = open_flows(world, 30)
+        for hosts, service in ((BOARD_HOSTS, "board"), (CANARY_HOSTS, "canary")):
+            for host in hosts:
+                world.kill(host)
+                restart_agent(world, host, service)
+        world.run(3.0)
+        lost = clients[:10]
+        for client in lost:
+            upstream = world.upstream_by_host[find_holder(world, client.flow)]
+            del upstream.flows[client.flow]
+        add_new_balancer(world)
+        use_until_answered(world, clients, 4.0)
+        assert all(client.resets for client in lost)
+        assert all(client.answers for client in clients[10:])
+        assert all(client.resets == 0 for client in clients[10:])
+
+    def test_cached_location_that_was_a_guess_does_not_reset_the_flow(self):
+        """Guard against a packet to a wrong cached location that may be reset there."""
+        world = make_two_service_world(make_split_table(1, board=60, canary=40))
+        clients = open_flows(world, 30)
+        kept = list_held_by(world, clients, BOARD_HOSTS)
+        add_new_balancer(world)
+        balancer = world.node_by_host[NEW_BALANCER]
+        for client in kept:
+            holder = f"{CANARY_HOSTS[0]}:7600"
+            balancer.location_cache.record(client.flow, holder, world.now)
+        use_until_answered(world, kept, 2.0)
+        assert kept
+        assert sum(client.resets for client in kept) == 0
+        assert all(client.answers for client in kept)
+
+    def test_returned_flow_that_the_client_did_not_choose_is_not_reset(self):
+        """Guard against a reset by one of two services that accepted an open."""
+        world = make_two_service_world(make_split_table(1, board=60, canary=40))
+        client = list_held_by(world, open_flows(world, 30), BOARD_HOSTS)[0]
+        agent = world.node_by_host[CANARY_HOSTS[0]]
+        syn_ack = write_packet(client.flow, 0x88, 900, 2, back=True)
+        world.perform(CANARY_HOSTS[0], agent.handle_upstream_packet(syn_ack, world.now))
+        datagram = write_packet(client.flow, ACK, 2, client.acknowledged, b"x")
+        forwarded = ForwardedPacket(
+            1, "canary", "10.1.0.1:7600", False, "", (), 0, True, datagram
+        )
+        sender = ("10.1.0.1", 7600)
+        effects = agent.handle_forwarded_packet(forwarded, sender, world.now)
+        world.perform(CANARY_HOSTS[0], effects)
+        world.run(0.5)
+        assert count_foreign(world) == 1
+        assert client.resets == 0
