Flows of a route that was sent to another service are found, and not reset

Callers saw: open flows reset after a configuration sent their route to another service and they moved to a balancer that did not know them. Their upstreams held them.

Cause: a flow without a known location was looked up among the services that its route names now. The table only says where new flows go; the agents of the new service denied the flow truthfully, and that was taken for a proof that nobody has it.

Ruled out: a change of open flows by the configuration itself; cached locations go on.

Change: lookups include former services. Agents reset no flow whose route has another service.

Why it works: a flow outlives the change only at an upstream whose agent either holds it and announces that, or cannot rule it out and announces that. Both survive the restart of the processes that saw the change.

Related path: a route whose targets have no weight dropped packets of its open flows.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -85,6 +85,20 @@
         """The service that the upstream runs."""
         return self.registration.own_member.service
 
+    def may_have_former_flows(self, now: Seconds) -> bool:
+        """Return whether the upstream may have flows of routes of other services.
+
+        These are flows whose route named this service when they were opened, and names
+        only others now. An agent that does not know all flows cannot rule them out.
+        """
+        if not self.upstream.tracks_all_flows(now):
+            return True
+        for endpoint in self.flows.count_by_endpoint:
+            route = self.routes.route_by_endpoint.get(endpoint)
+            if route is not None and self.service not in route.list_services():
+                return True
+        return False
+
     def may_end(self, now: Seconds) -> bool:
         """Return whether this process can exit without interrupting a request.
 
@@ -222,7 +236,8 @@
         """
         if not forwarded.wants_location:
             return []
-        message = msg.FlowLocation(flow, holder, self.service, is_certain)
+        services = () if holder else tuple(self.routes.list_services(flow))
+        message = msg.FlowLocation(flow, holder, self.service, is_certain, services)
         return [
             fx.SendControl(parse_address(node_id), message)
             for node_id in list_notified(forwarded, self.node_id, sender, tried_agents)
@@ -309,6 +324,7 @@
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
         effects = self.routes.handle_reply(event.reply)
         self.registration.routes_revision = self.routes.revision
+        effects += self.upstream.announce_status("routes", now)
         return effects + self.open_handler.retry_queued(now)
 
     @handle.register(fev.RoutesPullFailed)
@@ -327,6 +343,7 @@
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
         self._shift_for_pause(now)
+        self.routes.former_services.tick(now)
         effects: list[FlowEffect] = list(self.registration.tick(0, 0, now))
         effects += self.unresponsive_peers.tick(now)
         effects += self.unresponsive_peers.probe_machines(now)
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -211,6 +211,7 @@
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
         self.unresponsive_peers.shift_for_pause(self.pause_detector.record(now))
+        self.routes.former_services.tick(now)
         effects: list[FlowEffect] = list(self.members.tick(now))
         self.unreachable_data_centres = (
             self.members.data_centre_liveness.list_unreachable(now)
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -116,10 +116,11 @@
         ]
 
     def _is_only_service(self, flow: bytes) -> bool:
-        """Return whether the route of a flow names no service but this agent's."""
-        route = self.agent.routes.find_route(flow)
-        own_service = self.agent.service
-        return route is None or route.list_services() == [own_service]
+        """Return whether a flow's route has no service but this agent's.
+
+        That includes services which the route named until recently.
+        """
+        return {self.agent.service}.issuperset(self.agent.routes.list_services(flow))
 
     def _deliver_tentatively(
         self, forwarded: ForwardedPacket, packet: FlowPacket, now: Seconds
@@ -398,7 +399,8 @@
         forwarded, packet = lookup.queued_packets[-1]
         is_settled = self._is_agent_list_settled(flow, now)
         queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
-        may_reset = all(f.may_reset for f in queued) and not packet.is_rst
+        may_reset = self._is_only_service(flow) and not packet.is_rst
+        may_reset &= all(f.may_reset for f in queued)
         is_proven = (
             result.is_certain and is_settled and all(f.has_queried_all for f in queued)
         )
--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -40,6 +40,7 @@
 TRIAL_TIMEOUT: Seconds = 0.5
 MAX_TRIED_AGENTS = 4  # per lookup; the client's next retransmission starts a new one
 MAX_PENDING_LOOKUPS = 4096  # flows
+MAX_TRIED_SERVICES = 16  # per copy of a client's packet; the next one tries the others
 
 
 class LookupState(Enum):
@@ -74,6 +75,18 @@
     denied_by: set[ServiceName] = Factory(set)
     state: LookupState = LookupState.TRYING
 
+    def start_round(self) -> None:
+        """Try the services that are not certain yet."""
+        uncertain = [name for name in self.services if name not in self.denied_by]
+        self.untried_services = uncertain[:MAX_TRIED_SERVICES]
+
+    def add_services(self, services: tuple[ServiceName, ...]) -> None:
+        """Add services that an agent knows of; an open stays at its service."""
+        added = [name for name in services if name not in self.services]
+        if not self.packet.is_syn:
+            self.services += tuple(added)
+            self.untried_services += added
+
 
 @define
 class FlowResolver:
@@ -97,10 +110,11 @@
         lookup = self._lookup_by_flow.get(packet.flow)
         if lookup is not None and not self._is_outdated(lookup, packet, now):
             return self._continue_lookup(lookup, packet, now)
-        services = _list_services(route, packet)
+        services = self._list_services(route, packet)
         if not services:
             return [fx.Count("packet_dropped", "no_target")]
-        lookup = PendingLookup(packet, services, now, untried_services=list(services))
+        lookup = PendingLookup(packet, services, now)
+        lookup.start_round()
         if len(self._lookup_by_flow) < MAX_PENDING_LOOKUPS:
             self._lookup_by_flow[packet.flow] = lookup
         return self._try_next_service(lookup, now)
@@ -121,15 +135,16 @@
         if lookup.state is not LookupState.DENIALS:
             return [self._forward_to_last_tried(lookup, packet)]
         lookup.packet = packet
-        lookup.untried_services = [
-            service for service in lookup.services if service not in lookup.denied_by
-        ]
+        lookup.start_round()
         return self._try_next_service(lookup, now)
 
     def may_reset(self, flow: bytes) -> bool:
         """Return whether agents may reset a flow that their service does not have."""
-        route = self.balancer.routes.find_route(flow)
-        return route is None or len(route.targets) == 1
+        services = self.balancer.routes.list_services(flow)
+        if len(services) > 1:
+            return False
+        others = self.balancer.members.table.list_services_with_former_flows()
+        return not others or {*services, *others} == {*services}
 
     def handle_location(self, location: FlowLocation, now: Seconds) -> list[FlowEffect]:
         """Process the location of a flow, and finish the lookup that it settles.
@@ -141,6 +156,7 @@
         lookup = self._lookup_by_flow.get(location.flow)
         if lookup is None:
             return []
+        lookup.add_services(location.services)
         if len(lookup.services) == 1 or (location.holder and location.is_certain):
             self._end_lookup(location.flow)
             return []
@@ -299,14 +315,19 @@
         self._set_state(lookup, LookupState.DENIALS, DENIAL_TIMEOUT, now)
         return []
 
+    def _list_services(
+        self, route: FlowRoute, packet: FlowPacket
+    ) -> tuple[ServiceName, ...]:
+        """Return the services that may have the flow of a packet, the likeliest first.
 
-def _list_services(route: FlowRoute, packet: FlowPacket) -> tuple[ServiceName, ...]:
-    """Return the services that may have the flow of a packet, the likeliest first.
-
-    An open goes to the service that the route gives it, and to no other.
-    """
-    chosen = route.choose_service(packet.flow)
-    first = () if chosen is None else (chosen,)
-    if packet.is_syn:
-        return first
-    return tuple(dict.fromkeys((*first, *route.list_services())))
+        An open goes to the service that the route gives it, and to no other. An open
+        flow may also be at another service of the route, at one that the route named
+        before, or at one whose agents cannot rule that out.
+        """
+        chosen = route.choose_service(packet.flow)
+        first = () if chosen is None else (chosen,)
+        if packet.is_syn:
+            return first
+        on_route = self.balancer.routes.list_services(packet.flow)
+        others = self.balancer.members.table.list_services_with_former_flows()
+        return tuple(dict.fromkeys((*first, *on_route, *others)))
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from attrs import Factory, define
 
 from bilberrypath.coordination.failure_rate import FailureRate
+from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -105,12 +107,15 @@
     ``busy_count`` counts the flows with a running request, and ``live_count`` those
     that have not ended. ``_opened_at_by_key`` holds the flows that were just opened
     and have sent no data yet. ``failure_rate`` covers the requests of all flows.
+    ``count_by_endpoint`` counts the flows by the packed address that their clients send
+    to.
     """
 
     flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
     failure_rate: FailureRate = Factory(FailureRate)
     busy_count: int = 0
     live_count: int = 0
+    count_by_endpoint: Counter[bytes] = Factory(Counter)
     _mean_busy: float = 0.0
     _mean_updated_at: Seconds = float("-inf")
     _sweep_queue: list[bytes] = Factory(list)
@@ -132,6 +137,7 @@
         held.is_open = not packet.is_syn
         self.remove(packet.flow, now)
         self.flow_by_key[packet.flow] = held
+        self.count_by_endpoint[packet.flow[ENDPOINT_LENGTH:]] += 1
         self.live_count += 1
         if packet.is_syn:
             self._opened_at_by_key[packet.flow] = now
@@ -144,6 +150,7 @@
         if held is not None:
             self._mark_idle(held, now)
             self._mark_not_live(held)
+            self._uncount(flow[ENDPOINT_LENGTH:])
         return held
 
     def record_client_packet(
@@ -247,6 +254,11 @@
         if unanswered_for > MAX_BUSY_TIME:
             self._mark_idle(held, now)
 
+    def _uncount(self, endpoint: bytes) -> None:
+        self.count_by_endpoint[endpoint] -= 1
+        if not self.count_by_endpoint[endpoint]:
+            del self.count_by_endpoint[endpoint]
+
     def _mark_not_live(self, held: HeldFlow) -> None:
         if held.is_live:
             held.is_live = False
--- a/bilberrypath/coordination/registration.py
+++ b/bilberrypath/coordination/registration.py
@@ -127,6 +127,17 @@
             self.own_member, version=self.own_member.version + 1, status=status
         )
 
+    def announce_former_flows(self, may_have: bool) -> bool:
+        """Change ``may_have_former_flows`` in the own member; return if it changed."""
+        if self.own_member.may_have_former_flows == may_have:
+            return False
+        self.own_member = msgspec.structs.replace(
+            self.own_member,
+            version=self.own_member.version + 1,
+            may_have_former_flows=may_have,
+        )
+        return True
+
     def handle_ack(
         self, ack: HeartbeatAck, balancer: Address, now: Seconds
     ) -> list[Effect]:
--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -21,6 +21,7 @@
 from bilberrypath.coordination.effects import Count, LogStateChange
 from bilberrypath.coordination.flow_effects import PullRoutes, RoutesAdopted
 from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH, pack_endpoint
+from bilberrypath.state.former_services import FormerServices
 from bilberrypath.state.route_delta import (
     NO_TABLE_DIGEST,
     RouteTableReply,
@@ -49,6 +50,7 @@
 
     ``route_by_endpoint`` maps the packed address in a flow's key to the route.
     ``newest_known_revision`` is the newest revision that a peer reported.
+    ``former_services`` has the services that routes named until recently.
     ``_delta_by_digest`` holds the latest deltas by the digest of the table that
     they apply to. Until ``_pull_deadline`` a pull is pending and no other starts.
     ``_restored_epoch`` is the newest epoch that a read revealed while an older one was
@@ -59,6 +61,7 @@
 
     route_by_endpoint: dict[bytes, FlowRoute] = Factory(dict)
     newest_known_revision: Revision = 0
+    former_services: FormerServices = Factory(FormerServices)
     _indexed_table: IndexedRouteTable = Factory(lambda: index_route_table(RouteTable()))
     _delta_by_digest: dict[int, RouteDelta] = Factory(dict)
     _needs_full_table: bool = True
@@ -105,6 +108,14 @@
         """Return the route of a flow, or None if its address has no route."""
         return self.route_by_endpoint.get(flow[ENDPOINT_LENGTH:])
 
+    def list_services(self, flow: bytes) -> list[ServiceName]:
+        """Return the services that the route of a flow names, or named recently."""
+        endpoint = flow[ENDPOINT_LENGTH:]
+        route = self.route_by_endpoint.get(endpoint)
+        present = [] if route is None else route.list_services()
+        former = self.former_services.list(endpoint)
+        return [*present, *(name for name in former if name not in present)]
+
     def may_be_newer(self, revision: Revision) -> bool:
         """Return whether the table of a revision may be newer than the one in force.
 
@@ -231,9 +242,9 @@
         self._needs_full_table = False
         self._store_delta(old_indexed.digest, delta)
         for address in delta.removed_routes:
-            self.route_by_endpoint.pop(pack_endpoint(address), None)
+            self._replace_route(pack_endpoint(address), None)
         for route in delta.routes:
-            self.route_by_endpoint[pack_endpoint(route.address)] = route
+            self._replace_route(pack_endpoint(route.address), route)
         table = new_indexed.table
         fields = {
             "revision": format_revision(table.revision),
@@ -244,6 +255,16 @@
         }
         return [LogStateChange("routes", fields), RoutesAdopted(table)]
 
+    def _replace_route(self, endpoint: bytes, route: FlowRoute | None) -> None:
+        """Replace or remove a route; keep its services of before as former ones."""
+        before = self.route_by_endpoint.pop(endpoint, None)
+        services = [] if route is None else route.list_services()
+        if route is not None:
+            self.route_by_endpoint[endpoint] = route
+        if before is not None and before.list_services() != services:
+            left = [name for name in before.list_services() if name not in services]
+            self.former_services.record(endpoint, left)
+
     def _store_delta(self, base_digest: int, delta: RouteDelta) -> None:
         """Store a delta for peers that still have the table it applies to."""
         self._delta_by_digest[base_digest] = delta
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -254,19 +254,21 @@
         )
 
     def announce_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
-        """Announce whether the upstream takes work, if that changed.
+        """Announce what balancers know of the upstream, if that changed.
 
-        An agent that is leaving has announced that it takes none, and announces no
-        further change.
+        That is whether it takes work, and whether it may have flows of former routes.
+        An agent that is leaving has announced that it takes no work, and announces no
+        further change of that.
         """
+        effects = self._announce_former_flows(now)
         if self.agent.is_leaving:
-            return []
+            return effects
         reject_reason = self.health.find_reject_reason(0.0, 0, 1, now)
         status = (
             Status.DRAINING if reject_reason in NOT_SERVING_REASONS else Status.SERVING
         )
         if self.agent.registration.own_member.status in (status, Status.LEFT):
-            return []
+            return effects
         self.agent.registration.announce(status)
         fields = {"status": status.name.lower(), "reason": reason}
         return [
@@ -275,6 +277,18 @@
             *self.agent.send_load_report(now),
         ]
 
+    def _announce_former_flows(self, now: Seconds) -> list[FlowEffect]:
+        """Tell balancers at once that the upstream may have flows of former routes.
+
+        That it has none any more goes with the next heartbeat.
+        """
+        may_have = self.agent.may_have_former_flows(now)
+        registration = self.agent.registration
+        is_changed = registration.announce_former_flows(may_have)
+        if not is_changed or not may_have:
+            return []
+        return list(registration.send_heartbeats(0, 0, now))
+
     def _is_first_report_overdue(self, now: Seconds) -> bool:
         """Return whether an upstream that is alive would have sent a report by now."""
         timeout = SILENT_AFTER_PERIODS * self.agent.setup.report_period
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -62,13 +62,15 @@
     ``service`` is that of the sender, empty from an agent of an older build.
     ``is_certain`` states that the holder's upstream has the flow, or that no agent of
     the service has it. A holder that is not certain is being tried; without a holder,
-    agents that did not answer or are still to join may have the flow.
+    agents that did not answer or are still to join may have the flow. ``services`` are
+    those that the flow's route names or named recently; empty with a holder.
     """
 
     flow: bytes
     holder: str
     service: str = ""
     is_certain: bool = False
+    services: tuple[str, ...] = ()
 
 
 class FlowQuery(ControlStruct, tag=22):
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -57,6 +57,8 @@
     ``node_id`` is the peer address as ``host:port``. ``incarnation`` is the start
     time of the process in milliseconds. ``version`` counts the changes that the
     process announced in this incarnation. Observers may only raise ``suspicion``.
+    An agent with ``may_have_former_flows`` cannot rule out that its upstream has flows
+    of routes that do not name its service any more.
     """
 
     node_id: str
@@ -67,6 +69,7 @@
     version: int
     status: Status
     suspicion: Suspicion = Suspicion.NONE
+    may_have_former_flows: bool = False
 
     @property
     def address(self) -> Address:
@@ -126,6 +129,7 @@
         lambda: [set() for _ in range(TABLE_BUCKET_COUNT)]
     )
     _agents_by_service: dict[ServiceName, ServiceAgents] = Factory(dict)
+    _service_by_former_holder: dict[NodeId, ServiceName] = Factory(dict)
     _balancer_by_id: dict[NodeId, Member] = Factory(dict)
     _balancers_by_centre: dict[DataCentreName, dict[NodeId, Member]] = Factory(dict)
     _digest: int | None = None
@@ -177,6 +181,13 @@
         agents = self._agents_by_service.get(service)
         return () if agents is None else agents.member_by_id.values()
 
+    def list_services_with_former_flows(self) -> list[ServiceName]:
+        """Return the services whose agents may have flows of routes of other services.
+
+        These are the services of agents with ``may_have_former_flows``.
+        """
+        return [*dict.fromkeys(self._service_by_former_holder.values())]
+
     def digest_agents(self, service: ServiceName) -> int:
         """Return the digest of the agents of a service that are not gone."""
         agents = self._agents_by_service.get(service)
@@ -251,6 +262,9 @@
             if agents is None:
                 agents = self._agents_by_service[member.service] = ServiceAgents()
             agents.set(member)
+            self._service_by_former_holder.pop(member.node_id, None)
+            if member.may_have_former_flows:
+                self._service_by_former_holder[member.node_id] = member.service
 
     def _unindex_unless_replaced(self, known: Member, member: Member) -> None:
         """Remove a record from the index, unless indexing ``member`` replaces it.
@@ -267,6 +281,7 @@
             balancers = self._balancers_by_centre.get(member.data_centre, {})
             balancers.pop(member.node_id, None)
             return
+        self._service_by_former_holder.pop(member.node_id, None)
         agents = self._agents_by_service.get(member.service)
         if agents is None:
             return
--- a/tests/coordination/test_flow_services.py
+++ b/tests/coordination/test_flow_services.py
@@ -1,5 +1,7 @@
 """Tests of flows that more than one service may have."""
 
+from bilberrypath.coordination.flow_agent import FlowAgent
+from bilberrypath.coordination.flow_resolver import MAX_TRIED_SERVICES, PendingLookup
 from bilberrypath.platform.packet_codec import ACK
 from bilberrypath.protocol.flow_messages import ForwardedPacket
 from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
@@ -57,6 +59,28 @@
     world.add_agent(host, service, "a", BALANCERS, tracks_all_flows=False)
 
 
+def restart_all(world):
+    """End all processes at once and start them again, beside their upstreams."""
+    for host in list(world.node_by_host):
+        world.kill(host)
+    world.run(0.3)
+    for host in BALANCERS:
+        world.add_balancer(host, "a", BALANCERS)
+    for hosts, service in ((BOARD_HOSTS, "board"), (CANARY_HOSTS, "canary")):
+        for host in hosts:
+            restart_agent(world, host, service)
+    world.run(3.0)
+
+
+def make_moved_world(count=30):
+    """Return a world, and flows of ``board`` whose route now names ``canary``."""
+    world = make_two_service_world(make_split_table(1, board=1))
+    clients = open_flows(world, count)
+    world.set_routes(make_split_table(2, canary=1))
+    world.run(2.0)
+    return world, clients
+
+
 def list_held_by(world, clients, hosts):
     return [c for c in clients if find_holder(world, c.flow) in hosts]
 
@@ -158,3 +182,93 @@
         world.run(0.5)
         assert count_foreign(world) == 1
         assert client.resets == 0
+
+
+class TestMovedRoute:
+    def test_new_balancer_finds_flows_of_the_service_that_the_route_named_before(self):
+        """Guard against a reset by the new service of a route that was moved."""
+        world, clients = make_moved_world()
+        add_new_balancer(world)
+        use_until_answered(world, clients, 1.0)
+        assert sum(client.resets for client in clients) == 0
+        assert all(client.answers for client in clients)
+        assert count_foreign(world) == 0
+
+    def test_new_balancer_learns_of_the_former_service_from_agents_of_the_new_one(
+        self, monkeypatch
+    ):
+        """Guard against a reset before the members with former flows are known."""
+        monkeypatch.setattr(
+            FlowAgent, "may_have_former_flows", lambda agent, now: False
+        )
+        world, clients = make_moved_world()
+        add_new_balancer(world)
+        use_until_answered(world, clients, 1.0)
+        assert sum(client.resets for client in clients) == 0
+        assert all(client.answers for client in clients)
+
+    def test_flows_are_found_after_all_processes_restarted(self):
+        """Guard against former services that only processes remember."""
+        world, clients = make_moved_world()
+        restart_all(world)
+        add_new_balancer(world)
+        use_until_answered(world, clients, 3.0)
+        assert sum(client.resets for client in clients) == 0
+        assert all(client.answers for client in clients)
+
+    def test_cached_location_of_a_moved_flow_is_used(self):
+        world, clients = make_moved_world()
+        for client in clients:
+            client.send_request()
+        world.run(0.2)
+        assert all(client.answers for client in clients)
+
+    def test_open_flows_of_a_route_without_weight_are_found(self):
+        """Guard against a lookup that ends as no service takes new flows."""
+        world = make_two_service_world(make_split_table(1, board=60, canary=40))
+        clients = open_flows(world, 20)
+        world.set_routes(make_split_table(2, board=0, canary=0))
+        world.run(2.0)
+        add_new_balancer(world)
+        use_until_answered(world, clients, 1.0)
+        assert sum(client.resets for client in clients) == 0
+        assert all(client.answers for client in clients)
+
+    def test_lost_flow_of_a_moved_route_is_reset(self):
+        world, clients = make_moved_world()
+        lost = list_held_by(world, clients, BOARD_HOSTS[:1])
+        world.power_off(BOARD_HOSTS[0])
+        add_new_balancer(world)
+        use_until_answered(world, lost, 8.0)
+        assert lost
+        assert all(client.resets for client in lost)
+
+    def test_new_flows_go_to_the_new_service_only(self):
+        world, clients = make_moved_world()
+        new_clients = open_flows(world, 10)
+        assert len(list_held_by(world, new_clients, CANARY_HOSTS)) == 10
+        assert len(list_held_by(world, clients, BOARD_HOSTS)) == len(clients)
+
+    def test_agents_announce_former_flows_until_these_have_ended(self):
+        world, clients = make_moved_world()
+        table = world.node_by_host[BALANCERS[0]].members.table
+        assert table.list_services_with_former_flows() == ["board"]
+        for client in clients:
+            client.close()
+        world.run(40.0)
+        assert table.list_services_with_former_flows() == []
+
+    def test_only_a_limited_number_of_services_is_tried_for_one_packet(self):
+        world = make_two_service_world(make_split_table(1, board=1))
+        balancer = world.node_by_host[BALANCERS[0]]
+        services = tuple(f"s{number}" for number in range(2 * MAX_TRIED_SERVICES))
+        packet = world.codec.parse_client_packet(
+            write_packet(world.make_client().flow, ACK, 2, 101, b"x")
+        )
+        lookup = PendingLookup(packet, services, world.now)
+        lookup.start_round()
+        assert lookup.untried_services == list(services[:MAX_TRIED_SERVICES])
+        lookup.denied_by.update(lookup.untried_services)
+        lookup.start_round()
+        assert lookup.untried_services == list(services[MAX_TRIED_SERVICES:])
+        assert balancer.resolver.may_reset(packet.flow)
--- a/tests/state/test_members.py
+++ b/tests/state/test_members.py
@@ -1,6 +1,7 @@
 """Tests that member records merge to the same table in any order."""
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -80,3 +81,37 @@
         )
         assert [m.service for m in table.list_agents("t")] == ["t"]
         assert list(table.list_agents("s")) == []
+
+
+class TestFormerFlows:
+    @pytest.fixture
+    def agent(self):
+        return Member(
+            "10.0.0.1:7",
+            Role.AGENT,
+            "a",
+            "board",
+            1,
+            1,
+            Status.SERVING,
+            may_have_former_flows=True,
+        )
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"may_have_former_flows": False},
+            {"status": Status.LEFT},
+            {"suspicion": Suspicion.REMOVED},
+        ],
+    )
+    def test_service_is_listed_until_its_agent_has_no_former_flows(self, agent, change):
+        table = MemberTable()
+        table.merge(agent)
+        assert table.list_services_with_former_flows() == ["board"]
+        table.merge(msgspec.structs.replace(agent, version=2, **change))
+        assert table.list_services_with_former_flows() == []
+
+    def test_record_of_an_older_build_has_no_former_flows(self, agent):
+        fields = msgspec.to_builtins(agent)[:-1]
+        assert not msgspec.convert(fields, Member).may_have_former_flows
