A report with values out of range no longer stops an agent's heartbeats

Operators would have seen: an agent that lives and sends no heartbeat any more, so that balancers remove it and its flows are reset (LOST).

Cause: numbers of a report were not bounded. `slots` of 10^30 was accepted; the load report with it cannot be encoded, which ended the task that ticks, and with it heartbeats and load reports. Nesting of more than 1,000 levels in a field that is not read raises RecursionError, which the handler did not expect: the call was aborted without an answer. A start time far in the future made all later reports of the upstream outdated. A missing or odd `version` was not noticed, though such a report names no upstream to use.

Ports out of range were rejected before.

Each odd report gets status 400 and the reason, and the next good one is accepted.

--- a/bilberrypath/platform/upstream_reports.py
+++ b/bilberrypath/platform/upstream_reports.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
+from msgspec import Meta
 
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamReport
+from bilberrypath.protocol.decoding import DECODE_ERRORS, MAX_JSON_INTEGER
 from bilberrypath.settings_reader import parse_address
 from bilberrypath.transport.http_server import HttpRequest, HttpResponse
 
@@ -17,24 +19,29 @@
 REPORT_PREFIX = "/v1/instances/"
 UPSTREAM_STATES = ("ready", "draining")
 MS_PER_SECOND = 1000
+MAX_SLOTS = 65536  # servers hold about 2,000 connections
+MAX_COLD_START_MS = 24 * 3600 * MS_PER_SECOND
+MAX_START_TIME_MS = 2**42  # in the year 2109
 
 
 class HeartbeatDocument(msgspec.Struct, rename="camel"):
     """An upstream's heartbeat; ``seq`` increases with each of them.
 
-    ``slots`` is the number of requests that it runs at once, ``born`` its start time in
-    milliseconds since the epoch, 0 if not given, and ``cold_remaining_ms`` the
-    remaining time of its cold start.
+    ``version`` is that of its software, ``slots`` the number of requests that it runs
+    at once, ``born`` its start time in milliseconds since the epoch, 0 if not given,
+    and ``cold_remaining_ms`` the remaining time of its cold start. A negative one is
+    taken as 0.
     """
 
     service: str
     address: str
     zone: str
-    slots: int
+    version: str
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    cold_remaining_ms: float
-    seq: int
-    born: int = 0
+    cold_remaining_ms: Annotated[float, Meta(le=MAX_COLD_START_MS)]
+    seq: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
+    born: Annotated[int, Meta(ge=0, le=MAX_START_TIME_MS)] = 0
 
 
 _decode_heartbeat = msgspec.json.Decoder(HeartbeatDocument).decode
@@ -70,7 +77,7 @@
         return HttpResponse(405)
     try:
         report = _parse_report(upstream_id, request.body)
-    except (ValueError, TypeError, msgspec.MsgspecError) as error:
+    except (ValueError, *DECODE_ERRORS) as error:
         return _reject(str(error))
     error = find_report_error(report)
     handle_event(report)
@@ -87,8 +94,8 @@
         raise ValueError(
             f"state {heartbeat.state!r} is none of {', '.join(UPSTREAM_STATES)}"
         )
-    if not upstream_id or heartbeat.slots < 1 or not heartbeat.service:
-        raise ValueError("an id, a service and at least one slot are needed")
+    if not upstream_id or not heartbeat.service:
+        raise ValueError("an id in the path and a service are needed")
     return UpstreamReport(
         upstream_id,
         heartbeat.born,
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -201,7 +201,7 @@
         state = "draining" if is_draining else "ready"
         body = (
             f'{{"service":"{SERVICE}","address":"{self.host}:{APP_PORT}",'
-            f'"zone":"{self.data_centre}","slots":3,"state":"{state}",'
+            f'"zone":"{self.data_centre}","version":"v1","slots":3,"state":"{state}",'
             f'"coldRemainingMs":0,"seq":{self.sequence},"born":{self.started_at}}}'
         )
         path = f"/v1/instances/u-{self.host}-{self.starts}"
