An entry of the store that cannot be applied no longer stops a balancer's reader

Operators would have seen: a configuration with one odd value is written, and no process follows the store any more: neither evacuations nor the next good configuration.

A number above 64 bits, a port above 65535 or a host that is no address was accepted and failed where the table is indexed, outside of the errors that the reader expects, as did RecursionError from deep nesting; that ended the task that reads the store, for good. An entry that was recognized as unreadable failed the whole read, so that nothing after it was followed until it was replaced.

Ruled out: the operator's own documents, which the platform's store checks; other writers and other stores may not.

Change: numbers of the configuration have ranges and addresses are checked where it is decoded. An entry that cannot be applied changes nothing, the others are applied, and the error is raised once (EntriesRejected) and logged as `store_entry_rejected`. If the whole table is read, the configuration in force is kept.

--- a/bilberrypath/platform/documents.py
+++ b/bilberrypath/platform/documents.py
@@ -7,8 +7,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
+from bilberrypath.protocol.decoding import DECODE_ERRORS, MAX_JSON_INTEGER
+from bilberrypath.settings_reader import parse_address
 from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
 from bilberrypath.types import Address  # noqa: TC001
 
@@ -22,7 +27,7 @@
     """A service that receives a share of a route's flows, by ``weight``."""
 
     service: str
-    weight: int
+    weight: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
 
 
 class RouteDocument(msgspec.Struct):
@@ -45,20 +50,20 @@
     """
 
     name: str
-    max_conns: int = 2000
-    cold_per_s: float = 0.0
+    max_conns: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)] = 2000
+    cold_per_s: Annotated[float, Meta(ge=0, le=MAX_JSON_INTEGER)] = 0.0
 
 
 class LimitsDocument(msgspec.Struct, rename="camel"):
     """The limits of all routes, of which only the idle timeout of flows is used."""
 
-    idle_timeout_ms: float = 15000
+    idle_timeout_ms: Annotated[float, Meta(ge=0, le=MAX_JSON_INTEGER)] = 15000
 
 
 class ConfigDocument(msgspec.Struct):
     """The whole configuration; ``version`` is the operator's own number for it."""
 
-    version: int
+    version: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument = msgspec.field(default_factory=LimitsDocument)
@@ -79,7 +84,8 @@
     A ``value`` of None means that the key was removed. Removing the configuration, or
     changing a key that is not decoded here, only sets the revision.
 
-    Raises :class:`DocumentError` if a configuration cannot be decoded.
+    Raises :class:`DocumentError` if a configuration cannot be decoded, or has a route
+    with an address that no packet can have.
     """
     table = msgspec.structs.replace(table, revision=revision)
     if key == CONFIG_KEY and value is not None:
@@ -98,7 +104,7 @@
 def _apply_config(table: RouteTable, value: bytes) -> RouteTable:
     try:
         config = _decode_config(value)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise DocumentError(f"{CONFIG_KEY} is not a configuration: {error}") from error
     return msgspec.structs.replace(
         table,
@@ -118,4 +124,11 @@
 
 
 def _convert_address(route: RouteDocument) -> Address:
-    return route.host, int(route.prefix.strip("/"))
+    try:
+        return parse_address(f"{route.host}:{route.prefix.strip('/')}")
+    except ValueError as error:
+        raise DocumentError(
+            f"{CONFIG_KEY} has a route with host {route.host[:50]!r} and prefix "
+            f"{route.prefix[:50]!r}; expected an IPv4 address, and a port from 1 to "
+            "65535 between slashes"
+        ) from error
--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -10,9 +10,11 @@
 from attrs import frozen
 
 from bilberrypath.platform.documents import (
+    CONFIG_KEY,
     OPERATOR_PREFIX,
     apply_store_change,
 )
+from bilberrypath.protocol.decoding import DECODE_ERRORS
 from bilberrypath.state.routes import RouteTable
 from bilberrypath.state.store_position import (
     EPOCH_BITS,
@@ -21,7 +23,10 @@
     get_store_revision,
     make_revision,
 )
-from bilberrypath.transport.flow_balancer_daemon import RoutesUnavailable
+from bilberrypath.transport.flow_balancer_daemon import (
+    EntriesRejected,
+    RoutesUnavailable,
+)
 from bilberrypath.transport.http_client import HttpCallFailed, HttpClient
 
 if TYPE_CHECKING:
@@ -92,6 +97,10 @@
     after ``_position``, a revision at or above that of the table. ``_has_failed`` is
     set if the last call failed or may be repeated; the next watch is then shorter.
 
+    An entry that cannot be applied changes nothing, and its error is raised once the
+    other entries were applied; the next call returns these. ``_entry_errors`` has the
+    errors of the current call.
+
     ``epoch`` is the highest in the store's answers, and ``history_gaps`` counts the
     watches that started at a revision which the store does not have.
     """
@@ -101,6 +110,7 @@
         self._table = RouteTable()
         self._position: Revision = 0
         self._has_failed = False
+        self._entry_errors: list[str] = []
         self.epoch = 0
         self.history_gaps = 0
 
@@ -112,13 +122,17 @@
         store is read as a whole. A table that was returned before and is not in
         ``current_table`` is returned again.
 
-        Raises :class:`RoutesUnavailable` if the store gives no usable response.
+        Raises :class:`RoutesUnavailable` if the store gives no usable response, and
+        :class:`EntriesRejected` if an entry that was read cannot be applied.
         """
+        self._entry_errors.clear()
         if current_table.revision >= self._table.revision:
             self._table = current_table
         self._position = max(self._position, self._table.revision)
         if self._position == 0 or not await self._follow_changes(current_table):
             await self._read_all_pages(current_table)
+        if self._entry_errors:
+            raise EntriesRejected("; ".join(self._entry_errors))
         return self._table if self._is_newer_than(current_table) else None
 
     def close(self) -> None:
@@ -150,7 +164,7 @@
         table = self._table
         for item in reply.events:
             if _join_revision(answer.epoch, item.revision) > table.revision:
-                table = _apply_item(table, answer.epoch, item)
+                table = self._apply_item(table, answer.epoch, item)
         self._table = table
         self._position = max(
             self._position, _join_revision(answer.epoch, reply.current_rev)
@@ -183,6 +197,8 @@
         Pages are not a snapshot: a page may change after it was read. The next watch
         therefore starts after the revision of the first page; after that of the last
         page, it would miss such a change.
+
+        If the configuration cannot be applied, that of ``current_table`` is kept.
         """
         table = RouteTable()
         query: dict[str, str | int] = {"prefix": OPERATOR_PREFIX}
@@ -203,7 +219,9 @@
                     f"expected keys after {query['after']!r}; the table is read again"
                 )
             for item in page.items:
-                table = _apply_item(table, answer.epoch, item)
+                if item.key == CONFIG_KEY:
+                    table = _copy_configuration(current_table, table)
+                table = self._apply_item(table, answer.epoch, item)
             if not page.has_more or not page.items:
                 break
             query["after"] = page.items[-1].key
@@ -215,6 +233,16 @@
         self._position = first
         self._table = msgspec.structs.replace(table, revision=first)
 
+    def _apply_item(self, table: RouteTable, epoch: int, item: StoreItem) -> RouteTable:
+        """Return the table after an entry; without a change if that is not possible."""
+        revision = _join_revision(epoch, item.revision)
+        try:
+            value = None if item.deleted else base64.b64decode(item.value)
+            return apply_store_change(table, revision, item.key, value)
+        except ValueError as error:
+            self._entry_errors.append(f"{item.key}: {error}")
+            return msgspec.structs.replace(table, revision=revision)
+
     async def _get(
         self, path: str, query: dict[str, str | int], timeout: Seconds
     ) -> StoreAnswer:
@@ -267,19 +295,21 @@
         raise RoutesUnavailable(f"the store's response is invalid: {error}") from error
 
 
-def _apply_item(table: RouteTable, epoch: int, item: StoreItem) -> RouteTable:
-    revision = _join_revision(epoch, item.revision)
-    try:
-        value = None if item.deleted else base64.b64decode(item.value)
-        return apply_store_change(table, revision, item.key, value)
-    except ValueError as error:
-        raise RoutesUnavailable(f"{item.key}: {error}") from error
+def _copy_configuration(source: RouteTable, table: RouteTable) -> RouteTable:
+    """Return a table with the configuration of another one."""
+    return msgspec.structs.replace(
+        table,
+        version=source.version,
+        routes=source.routes,
+        limits=source.limits,
+        idle_timeout=source.idle_timeout,
+    )
 
 
 def _decode_reply(decode: Callable[[bytes], T], answer: StoreAnswer) -> T:
     try:
         return decode(answer.body)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise RoutesUnavailable(
             f"the store's response cannot be decoded: {error}"
         ) from error
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -39,6 +39,10 @@
     """The route source sent no reply in time, or an unusable one."""
 
 
+class EntriesRejected(RoutesUnavailable):
+    """The source has entries that cannot be applied, and follows all others."""
+
+
 class RouteSource(Protocol):
     """The durable store of the configuration, as a balancer reads it.
 
@@ -156,6 +160,11 @@
                 continue
             try:
                 table = await self._source.read_next_table(self.core.routes.table)
+            except EntriesRejected as error:
+                self.metrics.count("store_call", "entry_rejected")
+                self.write_log("store_entry_rejected", error=str(error))
+                await asyncio.sleep(INITIAL_BACKOFF)
+                continue
             except RoutesUnavailable as error:
                 self._record_store_call(str(error))
                 await asyncio.sleep(backoff * self.core.rng.uniform(0.8, 1.2))
