An odd member record no longer ends the ticks of a process

Operators would have seen: a process that lives, is ready, and sends nothing any more.

Cause: records and addresses in messages between processes were taken as they came. A node ID without an address or with a port above 65535 fails when something is sent there, which each tick does; an incarnation or counter at the end of its range cannot be encoded once it is raised by one. Either ended the task that ticks. Elements nested more than 1,000 levels deep raised RecursionError.

Change: node IDs, incarnations, versions and counters are checked where messages are decoded; a message with an odd one counts as unreadable. The tick and the reader of the store go on after an unexpected error, which is counted and logged as before. The types of ForwardedPacket are not checked, as they are decoded for each packet: an odd one fails for that packet only.

--- a/bilberrypath/platform/documents.py
+++ b/bilberrypath/platform/documents.py
@@ -12,7 +12,11 @@
 import msgspec
 from msgspec import Meta
 
-from bilberrypath.protocol.decoding import DECODE_ERRORS, MAX_JSON_INTEGER
+from bilberrypath.protocol.decoding import (
+    DECODE_ERRORS,
+    MAX_INTEGER,
+    BoundedInteger,
+)
 from bilberrypath.settings_reader import parse_address
 from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
 from bilberrypath.types import Address  # noqa: TC001
@@ -27,7 +31,7 @@
     """A service that receives a share of a route's flows, by ``weight``."""
 
     service: str
-    weight: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
+    weight: BoundedInteger
 
 
 class RouteDocument(msgspec.Struct):
@@ -50,20 +54,20 @@
     """
 
     name: str
-    max_conns: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)] = 2000
-    cold_per_s: Annotated[float, Meta(ge=0, le=MAX_JSON_INTEGER)] = 0.0
+    max_conns: BoundedInteger = 2000
+    cold_per_s: Annotated[float, Meta(ge=0, le=MAX_INTEGER)] = 0.0
 
 
 class LimitsDocument(msgspec.Struct, rename="camel"):
     """The limits of all routes, of which only the idle timeout of flows is used."""
 
-    idle_timeout_ms: Annotated[float, Meta(ge=0, le=MAX_JSON_INTEGER)] = 15000
+    idle_timeout_ms: Annotated[float, Meta(ge=0, le=MAX_INTEGER)] = 15000
 
 
 class ConfigDocument(msgspec.Struct):
     """The whole configuration; ``version`` is the operator's own number for it."""
 
-    version: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
+    version: BoundedInteger
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument = msgspec.field(default_factory=LimitsDocument)
--- a/bilberrypath/platform/upstream_reports.py
+++ b/bilberrypath/platform/upstream_reports.py
@@ -8,7 +8,10 @@
 from msgspec import Meta
 
 from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamReport
-from bilberrypath.protocol.decoding import DECODE_ERRORS, MAX_JSON_INTEGER
+from bilberrypath.protocol.decoding import (
+    DECODE_ERRORS,
+    BoundedInteger,
+)
 from bilberrypath.settings_reader import parse_address
 from bilberrypath.transport.http_server import HttpRequest, HttpResponse
 
@@ -40,7 +43,7 @@
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: str
     cold_remaining_ms: Annotated[float, Meta(le=MAX_COLD_START_MS)]
-    seq: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
+    seq: BoundedInteger
     born: Annotated[int, Meta(ge=0, le=MAX_START_TIME_MS)] = 0
 
 
--- a/bilberrypath/protocol/control.py
+++ b/bilberrypath/protocol/control.py
@@ -6,6 +6,11 @@
 
 import msgspec
 
+from bilberrypath.protocol.decoding import (
+    DECODE_ERRORS,
+    BoundedInteger,
+    CheckedNodeId,
+)
 from bilberrypath.state.members import Member  # noqa: TC001
 from bilberrypath.state.release import ReleaseDelta  # noqa: TC001
 
@@ -56,7 +61,7 @@
     sequence: int
     view: ReleaseView
     known_record: Member
-    heartbeat_targets: tuple[str, ...]
+    heartbeat_targets: tuple[CheckedNodeId, ...]
 
 
 class ViewPush(ControlStruct, tag=3):
@@ -76,7 +81,7 @@
     sender: Member
     revision: int
     table_digest: int
-    data_centre_liveness: dict[str, int]
+    data_centre_liveness: dict[str, BoundedInteger]
     members: tuple[Member, ...]
 
 
@@ -98,7 +103,7 @@
     """A request to probe the balancer ``target``, which did not answer the sender."""
 
     sequence: int
-    target: str
+    target: CheckedNodeId
     gossip: GossipPayload
 
 
@@ -153,5 +158,5 @@
     """Return the message in ``body``, or None if it cannot be decoded."""
     try:
         return _decoder.decode(body)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -14,6 +14,11 @@
 
 from bilberrypath.protocol import control as ctl
 from bilberrypath.protocol.control import ControlStruct
+from bilberrypath.protocol.decoding import (
+    DECODE_ERRORS,
+    CheckedNodeId,
+    OptionalNodeId,
+)
 from bilberrypath.state.members import Member  # noqa: TC001
 from bilberrypath.types import Address, NodeId  # noqa: TC001
 
@@ -67,7 +72,7 @@
     """
 
     flow: bytes
-    holder: str
+    holder: OptionalNodeId
     service: str = ""
     is_certain: bool = False
     services: tuple[str, ...] = ()
@@ -91,7 +96,7 @@
     """
 
     flow: bytes
-    holder: str
+    holder: OptionalNodeId
     may_hold: bool
     has_upstream_reported: bool = True
     other_holders: tuple[tuple[bytes, str], ...] = ()
@@ -140,7 +145,7 @@
     sequence: int
     revision: int
     known_record: Member
-    heartbeat_targets: tuple[str, ...]
+    heartbeat_targets: tuple[CheckedNodeId, ...]
     agents: tuple[Member, ...] | None
     agents_digest: int = 0
     base_digest: int = 0
@@ -186,7 +191,7 @@
     """Return the message in a datagram, or None if it cannot be decoded."""
     try:
         return _decoder.decode(body)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/bilberrypath/protocol/frame.py
+++ b/bilberrypath/protocol/frame.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from bilberrypath.protocol.decoding import DECODE_ERRORS
+
 MAC_LENGTH = 8  # bytes
 PACKET_KIND = b"\x00"
 CONTROL_KIND = b"\x01"
@@ -120,7 +122,7 @@
             return None
         try:
             frame = _packet_decoder.decode(head)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return None
         msgspec.structs.force_setattr(frame, "payload", datagram[start + length :])
         return frame
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -16,6 +16,10 @@
 import xxhash
 from attrs import Factory, define
 
+from bilberrypath.protocol.decoding import (  # noqa: TC001
+    BoundedInteger,
+    CheckedNodeId,
+)
 from bilberrypath.state.member_digest import digest_member
 from bilberrypath.state.service_agents import ServiceAgents
 
@@ -61,12 +65,12 @@
     of routes that do not name its service any more.
     """
 
-    node_id: str
+    node_id: CheckedNodeId
     role: Role
     data_centre: str
     service: str
-    incarnation: int
-    version: int
+    incarnation: BoundedInteger
+    version: BoundedInteger
     status: Status
     suspicion: Suspicion = Suspicion.NONE
     may_have_former_flows: bool = False
--- a/bilberrypath/transport/bulk_calls.py
+++ b/bilberrypath/transport/bulk_calls.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from bilberrypath.protocol.bulk import CallStruct, MemberTableReply
+from bilberrypath.protocol.decoding import DECODE_ERRORS
 from bilberrypath.transport.stream_server import StreamServer
 
 if TYPE_CHECKING:
@@ -89,7 +90,7 @@
                 request = _decode_request(await _read_body(reader))
                 _write_body(writer, _encode(self._handle_request(request)))
                 await writer.drain()
-        except (OSError, EOFError, TimeoutError, msgspec.MsgspecError, CallFailed):
+        except (OSError, EOFError, TimeoutError, *DECODE_ERRORS, CallFailed):
             writer.transport.abort()
             return
         writer.close()
@@ -106,7 +107,7 @@
             reader, writer = await asyncio.open_connection(*peer)
             _write_body(writer, _encode(request))
             return msgspec.msgpack.decode(await _read_body(reader), type=reply)
-    except (OSError, EOFError, TimeoutError, msgspec.MsgspecError) as error:
+    except (OSError, EOFError, TimeoutError, *DECODE_ERRORS) as error:
         error_name = type(error).__name__
         raise CallFailed(
             f"{peer[0]}:{peer[1]}: {error_name} {error}".strip()
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -159,20 +159,24 @@
                 await asyncio.sleep(STORE_READER_POLL_PERIOD)
                 continue
             try:
-                table = await self._source.read_next_table(self.core.routes.table)
+                await self._read_routes()
+                backoff = INITIAL_BACKOFF
+                continue
             except EntriesRejected as error:
                 self.metrics.count("store_call", "entry_rejected")
                 self.write_log("store_entry_rejected", error=str(error))
-                await asyncio.sleep(INITIAL_BACKOFF)
-                continue
             except RoutesUnavailable as error:
                 self._record_store_call(str(error))
-                await asyncio.sleep(backoff * self.core.rng.uniform(0.8, 1.2))
-                backoff = min(2 * backoff, MAX_BACKOFF)
-                continue
-            self._record_store_call("")
-            backoff = INITIAL_BACKOFF
-            self.handle_event(fev.RoutesRead(table))
+            except Exception as error:
+                self.record_internal_error(error)
+            await asyncio.sleep(backoff * self.core.rng.uniform(0.8, 1.2))
+            backoff = min(2 * backoff, MAX_BACKOFF)
+
+    async def _read_routes(self) -> None:
+        """Read the next table, or wait until a watch ends, and handle it."""
+        table = await self._source.read_next_table(self.core.routes.table)
+        self._record_store_call("")
+        self.handle_event(fev.RoutesRead(table))
 
     def _record_store_call(self, error: str) -> None:
         """Count a read of the store, and log when the store's availability changes.
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -208,6 +208,11 @@
         if not task.cancelled() and task.exception() is not None:
             raise task.exception()
 
+    def record_internal_error(self, error: Exception) -> None:
+        """Count and log an unexpected exception in a loop that goes on after it."""
+        loop = asyncio.get_running_loop()
+        self._log_exception(loop, {"message": "error in a loop", "exception": error})
+
     def _log_exception(
         self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
@@ -239,7 +244,10 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self.handle_event(ev.Tick())
+            try:
+                self.handle_event(ev.Tick())
+            except Exception as error:
+                self.record_internal_error(error)
             self.log.flush()
             await asyncio.sleep(ev.TICK_PERIOD)
 
