QUIC service: odd numbers and values of other writers are errors, not exceptions

Callers and operators would have seen: a request without any outcome, and a balancer that stops reading its releases.

Cause: numbers in the headers of a request were not bounded; one of 400 digits cannot be converted to seconds, and the OverflowError left the handler. Values of the release store were decoded without a check, so that one that another writer replaced raised through the reader and the release command. Deep nesting raised RecursionError in both, and in the problem document of an answer.

Change: such a request is a bad request that names the header and the range; a value that cannot be decoded is an unusable answer of the store that names the key; numbers of the release head have ranges; a reply of a control call that cannot be decoded is a failed call.

Related paths: datagrams of the QUIC service are sealed, so only processes with the peer key can send odd ones.

--- a/bilberrypath/coordination/release_store.py
+++ b/bilberrypath/coordination/release_store.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 import msgspec
 from attrs import frozen
 
+from bilberrypath.protocol.decoding import DECODE_ERRORS, BoundedInteger
 from bilberrypath.state.release import (
     BUCKET_COUNT,
     Bucket,
@@ -30,6 +31,7 @@
 
     from bilberrypath.types import Revision
 
+Value = TypeVar("Value")
 MAX_DELTAS_PER_READ = 64  # a reader that is further behind gets a snapshot
 MAX_KEPT_NOTES = 2000  # in the history; each accept deletes the note beyond them
 # Written back in one transaction with the head and up to BUCKET_COUNT buckets; etcd
@@ -78,10 +80,10 @@
     empty digest in ``bucket_digests`` stands for an empty bucket.
     """
 
-    revision: int
+    revision: BoundedInteger
     note_id: str
-    next_service_number: int
-    next_data_centre_number: int
+    next_service_number: BoundedInteger
+    next_data_centre_number: BoundedInteger
     data_centres: tuple[DataCentre, ...]
     bucket_digests: tuple[bytes, ...]
 
@@ -189,9 +191,7 @@
         rows = await self._key_value.get_range(
             self._note_key(first), self._note_key(last + 1)
         )
-        return tuple(
-            msgspec.msgpack.decode(value, type=ReleaseDelta) for _, value in rows
-        )
+        return tuple(_decode(value, ReleaseDelta, key) for key, value in rows)
 
     async def accept(self, before: Release, delta: ReleaseDelta) -> AcceptResult:
         """Accept ``delta`` on top of ``before`` unless another note came first.
@@ -206,7 +206,7 @@
             )
         try:
             expected = await self._key_value.get(self._head_key)
-            head = _decode_head(expected) if expected else None
+            head = self._decode_head(expected) if expected else None
             if _is_behind(head, before):
                 return StoreBehind(head.revision if head else 0)
             if head is not None and head.revision > before.revision:
@@ -249,7 +249,7 @@
         head changed meanwhile.
         """
         expected = await self._key_value.get(self._head_key)
-        head = _decode_head(expected) if expected else None
+        head = self._decode_head(expected) if expected else None
         if not _is_behind(head, release):
             return False
         writes = [Write(self._head_key, _encode_head(release))]
@@ -278,7 +278,10 @@
 
     async def _read_head(self) -> ReleaseHead | None:
         value = await self._key_value.get(self._head_key)
-        return None if value is None else _decode_head(value)
+        return None if value is None else self._decode_head(value)
+
+    def _decode_head(self, value: bytes) -> ReleaseHead:
+        return _decode(value, ReleaseHead, self._head_key)
 
     async def _build_release(self, head: ReleaseHead) -> Release | None:
         buckets = []
@@ -328,8 +331,15 @@
         return f"{self._note_prefix}{revision:012d}"
 
 
-def _decode_head(value: bytes) -> ReleaseHead:
-    return msgspec.msgpack.decode(value, type=ReleaseHead)
+def _decode(value: bytes, value_type: type[Value], key: str) -> Value:
+    """Return a stored value; raises :class:`StoreUnavailable` if it is not one."""
+    try:
+        return msgspec.msgpack.decode(value, type=value_type)
+    except DECODE_ERRORS as error:
+        raise StoreUnavailable(
+            f"the value of {key} cannot be decoded: {error}; write back the one that "
+            "another writer replaced"
+        ) from error
 
 
 def _is_behind(head: ReleaseHead | None, release: Release) -> bool:
--- a/bilberrypath/protocol/http.py
+++ b/bilberrypath/protocol/http.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from bilberrypath.protocol.decoding import MAX_INTEGER
 from bilberrypath.protocol.outcome import (
     Answered,
     Outcome,
@@ -40,6 +41,7 @@
 AGENT_ENDED_REASON = "agent ended"
 DEFAULT_DEADLINE: Seconds = 10.0
 MAX_DEADLINE: Seconds = 120.0
+MAX_INTEGER_LENGTH = len(str(-MAX_INTEGER))  # bytes of a header
 _STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
     Reason.TOO_LARGE: 413,
@@ -83,10 +85,10 @@
     try:
         method = value_by_name[b":method"].decode("ascii")
         path = value_by_name[b":path"].decode("ascii")
-        deadline = int(value_by_name.get(DEADLINE_HEADER, b"-1")) / 1000
-        after_item = int(value_by_name.get(LAST_ITEM_HEADER, b"0"))
-        incarnation = int(value_by_name.get(INCARNATION_HEADER, b"0"))
-        age = int(value_by_name.get(AGE_HEADER, b"0")) / 1000
+        deadline = _parse_integer(value_by_name, DEADLINE_HEADER, -1) / 1000
+        after_item = _parse_integer(value_by_name, LAST_ITEM_HEADER)
+        incarnation = _parse_integer(value_by_name, INCARNATION_HEADER)
+        age = _parse_integer(value_by_name, AGE_HEADER) / 1000
         key = value_by_name.get(IDEMPOTENCY_KEY_HEADER, b"").decode("ascii")
     except (KeyError, ValueError) as error:
         return BadRequest(f"header {error}")
@@ -105,6 +107,21 @@
     )
 
 
+def _parse_integer(
+    value_by_name: dict[bytes, bytes], name: bytes, default: int = 0
+) -> int:
+    """Return the whole number in a header; raises ValueError if it is out of range."""
+    value = value_by_name.get(name)
+    if value is None:
+        return default
+    if len(value) > MAX_INTEGER_LENGTH or not -MAX_INTEGER <= int(value) <= MAX_INTEGER:
+        raise ValueError(
+            f"{name.decode()} is {value[:MAX_INTEGER_LENGTH]!r}, expected a whole "
+            f"number of at most {MAX_INTEGER}"
+        )
+    return int(value)
+
+
 def encode_request_head(head: RequestHead, authority: str) -> Headers:
     """Return the headers of a request."""
     headers = [
@@ -180,6 +197,6 @@
         reason = Reason(problem["reason"])
         if kind == b"not_run":
             return RefusedNotRun(reason, problem["elsewhere"], problem["retry_after"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return Unknown(Reason.UPSTREAM_LOST)
     return Unknown(reason)
--- a/bilberrypath/transport/control_calls.py
+++ b/bilberrypath/transport/control_calls.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bilberrypath.protocol import bulk
+from bilberrypath.protocol.decoding import DECODE_ERRORS
 from bilberrypath.state.release import Release, decode_bucket, encode_bucket
 
 if TYPE_CHECKING:
@@ -106,7 +107,10 @@
             f"{target}: reply is not sealed with the configured peer key; "
             "set the same peer_key on both sides"
         )
-    return msgspec.msgpack.decode(body, type=reply_type)
+    try:
+        return msgspec.msgpack.decode(body, type=reply_type)
+    except DECODE_ERRORS as error:
+        raise CallFailed(f"{target}: reply cannot be decoded: {error}") from error
 
 
 def encode_release(release: Release) -> bulk.ReleaseSnapshot:
--- a/tests/coordination/test_release_store.py
+++ b/tests/coordination/test_release_store.py
@@ -9,6 +9,7 @@
     Accepted,
     Conflict,
     StoreBehind,
+    StoreUnavailable,
     UnknownYet,
 )
 from bilberrypath.state.release import Release, ReleaseDelta, apply_note
@@ -169,3 +170,35 @@
         key_value.value_by_key.clear()
         assert run_now(store.restore(release, ())) is True
         assert run_now(store.read_snapshot()) == release
+
+
+class TestOddValues:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"\xc1",
+            b"\xa5odd!!",
+            b"\x91" * 30000 + b"\x01",
+            b"\x96" + b"\xcf" + b"\xff" * 8 + b"\xa0\x01\x01\x90\x90",
+            b"\x97\x01\xa0\x01\x01\x90\x90" + b"\x91" * 30000 + b"\x01",
+        ],
+        ids=["empty", "unused", "text", "nested", "revision", "nested after all"],
+    )
+    def test_odd_head_is_an_unusable_answer_that_names_the_key(
+        self, store, key_value, value
+    ):
+        """Guard against an odd value that ends the task which reads the store."""
+        accept(store, Release(), first_note())
+        key_value.value_by_key["/t/head"] = value
+        with pytest.raises(
+            StoreUnavailable, match="value of /t/head cannot be decoded"
+        ):
+            run_now(store.read(Release()))
+
+    def test_odd_note_is_an_unusable_answer_that_names_the_key(self, store, key_value):
+        accept(store, Release(), first_note())
+        key = next(key for key in key_value.value_by_key if "/note/" in key)
+        key_value.value_by_key[key] = b"\xc1"
+        with pytest.raises(StoreUnavailable, match=f"value of {key} cannot be decoded"):
+            run_now(store.read_deltas(1, 1))
