--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -132,7 +132,7 @@
             elif kind == "query":
                 effects += self.locator.query_waiting(now)
             elif kind == "retry":
-                effects += self.locator.retry(flow, now)
+                effects += self.locator.lost_flows.retry(flow, now)
             else:
                 effects += self.open_handler.handle_deadline(kind, flow, now)
         return effects
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -18,8 +18,8 @@
     TryCandidates,
 )
 from bilberrypath.coordination.lookup_memory import LookupMemory
+from bilberrypath.coordination.lost_flows import LostFlows
 from bilberrypath.coordination.query_rounds import QueryRounds
-from bilberrypath.coordination.unproven_losses import UnprovenLosses
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import ForwardedPacket, parse_address
 
@@ -31,25 +31,24 @@
     from bilberrypath.types import NodeId, Seconds
 
 LOOKUP_TIMEOUT: Seconds = 0.05  # several round trips; clients retransmit after 200 ms
-AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
-JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
-NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
 
 
 @define
 class FlowLocator:
-    """The part of an agent that finds a flow's holder, or proves that there is none.
+    """The part of an agent that finds a flow's holder among the agents of its service.
 
-    A flow that no agent has is looked up again until that is proven. Then it is reset
-    if no other service can have it; else its balancer is told.
+    ``lost_flows`` handles the flows for which there is none.
     """
 
     agent: FlowAgent = field(repr=False)
     lookups: ActiveLookups = Factory(ActiveLookups)
-    _memory: LookupMemory = Factory(LookupMemory)
-    _unproven_losses: UnprovenLosses = Factory(UnprovenLosses)
+    memory: LookupMemory = Factory(LookupMemory)
+    lost_flows: LostFlows = field(init=False)
     _query_rounds: QueryRounds = Factory(QueryRounds)
 
+    def __attrs_post_init__(self) -> None:
+        self.lost_flows = LostFlows(self.agent, self)
+
     def try_queue(self, forwarded: ForwardedPacket, packet: FlowPacket) -> bool:
         """Queue a packet if a lookup of its flow is running; return whether it was."""
         lookup = self.lookups.get(packet.flow)
@@ -65,9 +64,7 @@
         dropped if a lookup within the last ``NOT_FOUND_TTL`` did not find its flow.
         """
         agent = self.agent
-        if forwarded.hops == 0 and self._memory.was_recently_not_found(
-            packet.flow, now
-        ):
+        if forwarded.hops == 0 and self.memory.was_recently_not_found(packet.flow, now):
             notices = agent.send_location(forwarded, packet.flow, "")
             return [*notices, fx.Count("packet_dropped", "denied_before")]
         may_hold = agent.node_id not in forwarded.tried_agents
@@ -78,7 +75,7 @@
             return self._deliver_tentatively(forwarded, packet, now)
         if forwarded.is_lookup_done:
             return self._relay_to_next(forwarded, packet, now)
-        return self._query_agents(forwarded, packet, now, may_hold)
+        return self.query_agents(forwarded, packet, now, may_hold)
 
     def handle_returned(
         self, packet: FlowPacket, held: HeldFlow | None, now: Seconds
@@ -91,7 +88,7 @@
         not choose this upstream.
         """
         agent = self.agent
-        forwarded = self._memory.tentative_by_flow.pop(packet.flow, None)
+        forwarded = self.memory.tentative_by_flow.pop(packet.flow, None)
         if self.lookups.get(packet.flow) is not None:
             return []
         if forwarded is not None:
@@ -107,21 +104,14 @@
             home_agent="",
             tried_agents=(),
             hops=0,
-            may_reset=held.is_chosen or self._is_only_service(packet.flow),
+            may_reset=held.is_chosen or self.lost_flows.is_only_service(packet.flow),
             datagram=packet.datagram,
         )
         return [
             fx.Count("flow_refused", "lost"),
-            *self._query_agents(forwarded, packet, now),
+            *self.query_agents(forwarded, packet, now),
         ]
 
-    def _is_only_service(self, flow: bytes) -> bool:
-        """Return whether a flow's route has no service but this agent's.
-
-        That includes services which the route named until recently.
-        """
-        return {self.agent.service}.issuperset(self.agent.routes.list_services(flow))
-
     def _deliver_tentatively(
         self, forwarded: ForwardedPacket, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
@@ -129,7 +119,7 @@
         agent = self.agent
         held = agent.flows.add(packet, is_confirmed=False, now=now)
         agent.flows.record_client_packet(held, packet, now)
-        self._memory.record_tentative(packet.flow, forwarded)
+        self.memory.record_tentative(packet.flow, forwarded)
         return [
             ffx.SendToUpstream(packet.datagram),
             *agent.send_location(forwarded, packet.flow, agent.node_id),
@@ -138,7 +128,7 @@
 
     def abandon_tentative_deliveries(self, now: Seconds) -> list[FlowEffect]:
         """Look up the unconfirmed flows, which this agent's upstream cannot have."""
-        tentative = self._memory.take_tentative()
+        tentative = self.memory.take_tentative()
         effects: list[FlowEffect] = []
         for flow, forwarded in tentative.items():
             held = self.agent.flows.get(flow)
@@ -154,7 +144,7 @@
                 possible_holders=(),
                 has_queried_all=True,
             )
-            effects += self._query_agents(restarted, packet, now)
+            effects += self.query_agents(restarted, packet, now)
         return effects
 
     def _relay_to_next(
@@ -176,10 +166,10 @@
             return agent.relay_to(target, relayed, packet)
         if forwarded.is_lookup_done:
             lookup = FlowLookup([(forwarded, packet)], tried, set())
-            return self._handle_no_holder(
+            return self.lost_flows.handle_no_holder(
                 packet.flow, lookup, NoHolder(is_certain=True), now
             )
-        return self._query_agents(forwarded, packet, now)
+        return self.query_agents(forwarded, packet, now)
 
     def answer_query(self, query: msg.FlowQuery, now: Seconds) -> msg.FlowQueryReply:
         """Return the reply to a query for one or more flows."""
@@ -240,30 +230,7 @@
             flow, self.lookups.compute_result(flow), now
         )
 
-    def _is_agent_list_settled(self, flow: bytes, now: Seconds) -> bool:
-        """Return whether the list of agents is complete enough to reset a flow.
-
-        Agents that start together are added to the list one by one, and one that is
-        not listed yet may have the flow. After a power failure, when the upstream
-        started together with this process, so did the others: only a flow that was
-        opened since can be at an agent that is not listed yet. Such an agent has
-        joined once no other did for ``JOINT_START_SETTLE_TIME``, or
-        ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow.
-        """
-        quiet_for = now - self.agent.agents_changed_at
-        if not self.agent.upstream.started_together(now):
-            return quiet_for > AGENTS_SETTLE_TIME
-        if quiet_for > JOINT_START_SETTLE_TIME:
-            return True
-        loss = self._unproven_losses.get(flow)
-        is_list_known = self.agent.agents_changed_at <= now
-        return (
-            is_list_known
-            and loss is not None
-            and now - loss.since >= NEW_FLOW_JOIN_TIME
-        )
-
-    def _query_agents(
+    def query_agents(
         self,
         forwarded: ForwardedPacket,
         packet: FlowPacket,
@@ -319,13 +286,13 @@
         self.agent.deadlines.clear(("lookup", flow))
         lookup = self.lookups.pop(flow)
         if not isinstance(result, NoHolder):
-            self._unproven_losses.forget(flow)
+            self.lost_flows.forget(flow)
         if isinstance(result, HolderFound):
             self.agent.redirects.record(flow, result.holder, now)
             return self._relay_queued(lookup, result.holder, "found")
         if isinstance(result, TryCandidates):
             return self._relay_to_candidates(lookup, result, now)
-        return self._handle_no_holder(flow, lookup, result, now)
+        return self.lost_flows.handle_no_holder(flow, lookup, result, now)
 
     def _relay_to_candidates(
         self, lookup: FlowLookup, result: TryCandidates, now: Seconds
@@ -342,7 +309,7 @@
             possible_holders=result.candidates[1:],
             is_lookup_done=True,
             has_queried_all=result.is_complete
-            and self._is_agent_list_settled(packet.flow, now),
+            and self.lost_flows.is_agent_list_settled(packet.flow, now),
         )
         reduced = FlowLookup([(relayed, packet)], lookup.tried_agents, set())
         return self._relay_queued(reduced, result.candidates[0], "try_each")
@@ -359,74 +326,3 @@
         flow = lookup.queued_packets[0][1].flow
         fields = {"to": target, "reason": reason, "tried": list(lookup.tried_agents)}
         return [*effects, ffx.LogDecision("flow_handed_over", flow, fields)]
-
-    def _retry_later(self, lookup: FlowLookup, now: Seconds) -> None:
-        """Have a lookup without a holder repeated among the agents not yet asked."""
-        forwarded, packet = lookup.queued_packets[-1]
-        denied_by = {*lookup.tried_agents, *lookup.queried_ids} - lookup.pending_ids
-        retry_at = self._unproven_losses.record(forwarded, packet, denied_by, now)
-        if retry_at is not None:
-            self.agent.deadlines.set(("retry", packet.flow), retry_at)
-
-    def retry(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
-        """Ask agents that were not asked before for a flow without a known holder."""
-        unproven = self._unproven_losses.get(flow)
-        is_known = self.agent.flows.get(flow) is not None or self.agent.redirects.find(
-            flow, now
-        )
-        if unproven is None or is_known or self.lookups.get(flow) is not None:
-            self._unproven_losses.forget(flow)
-            return []
-        restarted = msgspec.structs.replace(
-            unproven.forwarded,
-            tried_agents=tuple(sorted(unproven.denied_by)),
-            is_lookup_done=False,
-            possible_holders=(),
-            has_queried_all=True,
-            wants_location=False,  # the balancer was told of the first lookup
-        )
-        return self._query_agents(restarted, unproven.packet, now)
-
-    def _handle_no_holder(
-        self, flow: bytes, lookup: FlowLookup, result: NoHolder, now: Seconds
-    ) -> list[FlowEffect]:
-        """Reset a flow that certainly no agent has, or look it up again later.
-
-        A flow that another service may have is not reset: its origin balancer is told
-        that this service certainly does not have it.
-        """
-        agent = self.agent
-        forwarded, packet = lookup.queued_packets[-1]
-        is_settled = self._is_agent_list_settled(flow, now)
-        queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
-        may_reset = self._is_only_service(flow) and not packet.is_rst
-        may_reset &= all(f.may_reset for f in queued)
-        is_proven = (
-            result.is_certain and is_settled and all(f.has_queried_all for f in queued)
-        )
-        is_repeated = self._unproven_losses.get(flow) is not None
-        notices: list[FlowEffect] = []
-        if is_proven or not is_repeated:
-            notified = forwarded
-            if not may_reset:
-                notified = msgspec.structs.replace(forwarded, wants_location=True)
-            notices = agent.send_location(notified, flow, "", is_certain=is_proven)
-        if is_proven:
-            self._unproven_losses.forget(flow)
-            if may_reset:
-                reset = agent.reset(flow, packet.acknowledged, "nobody_has_it")
-                return [*notices, *reset]
-        else:
-            self._memory.record_not_found(flow, now)
-            if not packet.is_rst:
-                self._retry_later(lookup, now)
-        fields = {
-            "certain": result.is_certain,
-            "settled": is_settled,
-            "silent": sorted(lookup.pending_ids),
-        }
-        return [
-            *notices,
-            fx.Count("flow_search", "nobody"),
-            ffx.LogDecision("flow_not_found", flow, fields),
-        ]
--- /dev/null
+++ b/bilberrypath/coordination/lost_flows.py
@@ -0,0 +1,141 @@
+"""Flows without a known holder: proof that an agent's service does not have them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import Factory, define, field
+
+from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination.unproven_losses import UnprovenLosses
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_effects import FlowEffect
+    from bilberrypath.coordination.flow_locator import FlowLocator
+    from bilberrypath.coordination.flow_lookup import FlowLookup, NoHolder
+    from bilberrypath.types import Seconds
+
+AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
+JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
+NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
+
+
+@define
+class LostFlows:
+    """The part of an agent that handles the flows which a lookup did not find.
+
+    Such a flow is looked up again until it is proven that no agent of the service has
+    it. Then it is reset if no other service can have it; else its balancer is told.
+    """
+
+    agent: FlowAgent = field(repr=False)
+    locator: FlowLocator = field(repr=False)
+    _unproven_losses: UnprovenLosses = Factory(UnprovenLosses)
+
+    def forget(self, flow: bytes) -> None:
+        """Forget a flow that a lookup has found."""
+        self._unproven_losses.forget(flow)
+
+    def is_only_service(self, flow: bytes) -> bool:
+        """Return whether a flow's route has no service but this agent's.
+
+        That includes services which the route named until recently.
+        """
+        return {self.agent.service}.issuperset(self.agent.routes.list_services(flow))
+
+    def is_agent_list_settled(self, flow: bytes, now: Seconds) -> bool:
+        """Return whether the list of agents is complete enough to reset a flow.
+
+        Agents that start together are added to the list one by one, and one that is
+        not listed yet may have the flow. After a power failure, when the upstream
+        started together with this process, so did the others: only a flow that was
+        opened since can be at an agent that is not listed yet. Such an agent has
+        joined once no other did for ``JOINT_START_SETTLE_TIME``, or
+        ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow.
+        """
+        quiet_for = now - self.agent.agents_changed_at
+        if not self.agent.upstream.started_together(now):
+            return quiet_for > AGENTS_SETTLE_TIME
+        if quiet_for > JOINT_START_SETTLE_TIME:
+            return True
+        loss = self._unproven_losses.get(flow)
+        is_list_known = self.agent.agents_changed_at <= now
+        return (
+            is_list_known
+            and loss is not None
+            and now - loss.since >= NEW_FLOW_JOIN_TIME
+        )
+
+    def handle_no_holder(
+        self, flow: bytes, lookup: FlowLookup, result: NoHolder, now: Seconds
+    ) -> list[FlowEffect]:
+        """Reset a flow that certainly no agent has, or look it up again later.
+
+        A flow that another service may have is not reset: its origin balancer is told
+        that this service certainly does not have it.
+        """
+        agent = self.agent
+        forwarded, packet = lookup.queued_packets[-1]
+        is_settled = self.is_agent_list_settled(flow, now)
+        queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
+        may_reset = self.is_only_service(flow) and not packet.is_rst
+        may_reset &= all(f.may_reset for f in queued)
+        is_proven = (
+            result.is_certain and is_settled and all(f.has_queried_all for f in queued)
+        )
+        is_repeated = self._unproven_losses.get(flow) is not None
+        notices: list[FlowEffect] = []
+        if is_proven or not is_repeated:
+            notified = forwarded
+            if not may_reset:
+                notified = msgspec.structs.replace(forwarded, wants_location=True)
+            notices = agent.send_location(notified, flow, "", is_certain=is_proven)
+        if is_proven:
+            self._unproven_losses.forget(flow)
+            if may_reset:
+                reset = agent.reset(flow, packet.acknowledged, "nobody_has_it")
+                return [*notices, *reset]
+        else:
+            self.locator.memory.record_not_found(flow, now)
+            if not packet.is_rst:
+                self._retry_later(lookup, now)
+        fields = {
+            "certain": result.is_certain,
+            "settled": is_settled,
+            "silent": sorted(lookup.pending_ids),
+        }
+        return [
+            *notices,
+            fx.Count("flow_search", "nobody"),
+            ffx.LogDecision("flow_not_found", flow, fields),
+        ]
+
+    def retry(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
+        """Ask agents that were not asked before for a flow without a known holder."""
+        unproven = self._unproven_losses.get(flow)
+        is_known = self.agent.flows.get(flow) is not None or self.agent.redirects.find(
+            flow, now
+        )
+        if unproven is None or is_known or self.locator.lookups.get(flow) is not None:
+            self._unproven_losses.forget(flow)
+            return []
+        restarted = msgspec.structs.replace(
+            unproven.forwarded,
+            tried_agents=tuple(sorted(unproven.denied_by)),
+            is_lookup_done=False,
+            possible_holders=(),
+            has_queried_all=True,
+            wants_location=False,  # the balancer was told of the first lookup
+        )
+        return self.locator.query_agents(restarted, unproven.packet, now)
+
+    def _retry_later(self, lookup: FlowLookup, now: Seconds) -> None:
+        """Have a lookup without a holder repeated among the agents not yet asked."""
+        forwarded, packet = lookup.queued_packets[-1]
+        denied_by = {*lookup.tried_agents, *lookup.queried_ids} - lookup.pending_ids
+        retry_at = self._unproven_losses.record(forwarded, packet, denied_by, now)
+        if retry_at is not None:
+            self.agent.deadlines.set(("retry", packet.flow), retry_at)
--- a/tests/coordination/test_flow_properties.py
+++ b/tests/coordination/test_flow_properties.py
@@ -302,7 +302,7 @@
     ),
     "unknown flows are reset without a lookup": (
         FlowLocator,
-        "_query_agents",
+        "query_agents",
         skip_lookup,
         keeps_flows,
         make_schedules("agent_added", "balancer_ends"),
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -100,7 +100,7 @@
     ),
     "unknown flows are reset without a lookup": (
         FlowLocator,
-        "_query_agents",
+        "query_agents",
         skip_lookup,
         lambda: affinity.TestAffinity().test_new_agents_do_not_move_flows(),
     ),
