--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -10,14 +10,11 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import evolve
-
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination import flow_events as fev
 from bilberrypath.coordination.deadlines import Deadlines
-from bilberrypath.coordination.events import STARTUP_WINDOW
 from bilberrypath.coordination.flow_location_cache import FlowLocationCache
 from bilberrypath.coordination.flow_locator import FlowLocator
 from bilberrypath.coordination.flow_registration import FlowRegistration
@@ -30,10 +27,10 @@
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
+from bilberrypath.coordination.upstream_packets import UpstreamPackets
 from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
-from bilberrypath.state.member_digest import digest_agents
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
@@ -42,7 +39,6 @@
     from bilberrypath.coordination.events import Event
     from bilberrypath.coordination.flow_agent_setup import FlowAgentSetup
     from bilberrypath.coordination.flow_effects import FlowEffect
-    from bilberrypath.coordination.held_flows import HeldFlow
     from bilberrypath.protocol.flow_packet import FlowPacket, PacketCodec
     from bilberrypath.types import Address, NodeId, Seconds
 
@@ -69,6 +65,7 @@
         self.upstream = UpstreamMonitor(self, now)
         self.open_handler = OpenHandler(self)
         self.locator = FlowLocator(self)
+        self.upstream_packets = UpstreamPackets(self)
         self._started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
         self._load_reporter = LoadReporter(rng, now)
@@ -85,20 +82,6 @@
         """The service that the upstream runs."""
         return self.registration.own_member.service
 
-    def may_have_former_flows(self, now: Seconds) -> bool:
-        """Return whether the upstream may have flows of routes of other services.
-
-        These are flows whose route named this service when they were opened, and names
-        only others now. An agent that does not know all flows cannot rule them out.
-        """
-        if not self.upstream.tracks_all_flows(now):
-            return True
-        for endpoint in self.flows.count_by_endpoint:
-            route = self.routes.route_by_endpoint.get(endpoint)
-            if route is not None and self.service not in route.list_services():
-                return True
-        return False
-
     def may_end(self, now: Seconds) -> bool:
         """Return whether this process can exit without interrupting a request.
 
@@ -115,7 +98,7 @@
 
     def is_joining(self, now: Seconds) -> bool:
         """Return whether this process just started and may learn of more agents."""
-        is_new = now - self._started_at < STARTUP_WINDOW
+        is_new = now - self._started_at < ev.STARTUP_WINDOW
         return is_new and now - self.agents_changed_at < JOIN_QUIET_TIME
 
     def next_timer_at(self) -> Seconds | None:
@@ -246,38 +229,7 @@
     def handle_upstream_packet(self, datagram: bytes, now: Seconds) -> list[FlowEffect]:
         """Return the effects of a packet that the upstream sent or returned."""
         self._shift_for_pause(now)
-        packet = self.codec.parse_upstream_packet(datagram)
-        if packet is None:
-            return [fx.Count("packet_dropped", "not_a_packet")]
-        effects = self.upstream.record_received(now)
-        if packet.is_returned:
-            return effects + self._handle_returned(packet, now)
-        held = self.flows.get(packet.flow)
-        if held is None:
-            if packet.is_rst or packet.is_fin:
-                return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
-            held = self._adopt_from_upstream(packet, now)
-        if packet.is_syn_ack:
-            effects += self.open_handler.record_accepted(packet.flow, now)
-        self.flows.record_upstream_packet(held, packet, now)
-        return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
-
-    def _adopt_from_upstream(self, packet: FlowPacket, now: Seconds) -> HeldFlow:
-        """Hold a flow that this agent has no record of but the upstream serves."""
-        held = self.flows.add(packet, is_confirmed=True, now=now)
-        held.acknowledged = packet.sequence
-        return held
-
-    def _handle_returned(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
-        """Handle a packet whose flow or open the upstream did not accept."""
-        unmarked = evolve(
-            packet, is_returned=False, datagram=self.codec.clear_returned_flag(packet)
-        )
-        held = self.flows.remove(packet.flow, now)
-        count = fx.Count("upstream_refused", "open" if packet.is_syn else "packet")
-        if packet.is_syn:
-            return [count, *self.open_handler.handle_returned(unmarked, now)]
-        return [count, *self.locator.handle_returned(unmarked, held, now)]
+        return self.upstream_packets.handle(datagram, now)
 
     def reset(self, flow: bytes, acknowledged: int, reason: str) -> list[FlowEffect]:
         """Send a reset for a flow to its client, and log and count the reason."""
@@ -335,8 +287,8 @@
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
         self.is_leaving = True
-        has_upstream = self.upstream.is_alive
-        self.registration.announce(Status.DRAINING if has_upstream else Status.LEFT)
+        status = Status.DRAINING if self.upstream.is_alive else Status.LEFT
+        self.registration.announce(status)
         heartbeats = self.registration.send_heartbeats(0, 0, now)
         return [*heartbeats, *self.send_load_report(now)]
 
@@ -403,9 +355,12 @@
     ) -> list[FlowEffect]:
         if not self.registration.handle_flow_ack(message, sender, now):
             return []
-        effects = self._update_agents(message, now)
         balancer = format_node_id(sender)
-        return effects + self.routes.observe_revision(balancer, message.revision, now)
+        effects = self.routes.observe_revision(balancer, message.revision, now)
+        if self.registration.adopt_agents(message, self.placement, now):
+            self.agents_changed_at = now
+            effects += self.open_handler.retry_queued(now)
+        return effects
 
     @_handle_message.register(msg.RoutesChanged)
     def _(
@@ -422,32 +377,6 @@
     def _(self, message: msg.Pong, sender: Address, now: Seconds) -> list[FlowEffect]:
         return []
 
-    # Shared
-
-    def _update_agents(
-        self, ack: msg.FlowHeartbeatAck, now: Seconds
-    ) -> list[FlowEffect]:
-        """Adopt the list of agents in an acknowledgement, or the changes to it.
-
-        Changes to another list than the one held here are ignored: the next heartbeat
-        names the digest that they must apply to. Queued opens are placed again.
-        """
-        registration = self.registration
-        if ack.agents is not None:
-            changed = self.placement.update_agents(ack.agents, self.node_id, now)
-            registration.agents_digest = digest_agents(ack.agents)
-        elif ack.changed_agents and ack.base_digest == registration.agents_digest:
-            changed = self.placement.apply_changes(
-                ack.changed_agents, self.service, self.node_id, now
-            )
-            registration.agents_digest = ack.agents_digest
-        else:
-            return []
-        if not changed and self.agents_changed_at <= now:
-            return []
-        self.agents_changed_at = now
-        return self.open_handler.retry_queued(now)
-
     def send_load_report(self, now: Seconds) -> list[FlowEffect]:
         """Send the upstream's load to some of the other agents."""
         report = msg.LoadReport(
--- a/bilberrypath/coordination/flow_registration.py
+++ b/bilberrypath/coordination/flow_registration.py
@@ -10,9 +10,11 @@
 from bilberrypath.coordination.events import STARTUP_WINDOW
 from bilberrypath.coordination.registration import Registration
 from bilberrypath.protocol.flow_messages import FlowHeartbeat, FlowHeartbeatAck
+from bilberrypath.state.member_digest import digest_agents
 
 if TYPE_CHECKING:
     from bilberrypath.coordination.effects import Effect
+    from bilberrypath.coordination.open_placement import OpenPlacement
     from bilberrypath.types import Address, Revision, Seconds
 
 
@@ -21,11 +23,13 @@
     """A registration whose heartbeats carry the routes revision and agents digest.
 
     For ``STARTUP_WINDOW`` after the start one is sent at each tick, so that agents
-    that start together discover each other quickly.
+    that start together discover each other quickly. ``_has_list`` is true once a list
+    of agents was adopted.
     """
 
     routes_revision: Revision = 0
     agents_digest: int = 0
+    _has_list: bool = False
     _startup_until: Seconds | None = None
 
     def tick(self, load: int, running: int, now: Seconds) -> list[Effect]:
@@ -56,6 +60,29 @@
             for target in self._list_targets(now)
         ]
 
+    def adopt_agents(
+        self, ack: FlowHeartbeatAck, placement: OpenPlacement, now: Seconds
+    ) -> bool:
+        """Adopt the list of agents in an acknowledgement, or the changes to it.
+
+        Return whether this is the first list, or an agent came or went. Changes to
+        another list than the one held here are ignored: the next heartbeat names the
+        digest that they must apply to.
+        """
+        own = self.own_member
+        if ack.agents is not None:
+            is_changed = placement.update_agents(ack.agents, own.node_id, now)
+            self.agents_digest = digest_agents(ack.agents)
+        elif ack.changed_agents and ack.base_digest == self.agents_digest:
+            is_changed = placement.apply_changes(
+                ack.changed_agents, own.service, own.node_id, now
+            )
+            self.agents_digest = ack.agents_digest
+        else:
+            return False
+        is_first_list, self._has_list = not self._has_list, True
+        return is_changed or is_first_list
+
     def handle_flow_ack(
         self, ack: FlowHeartbeatAck, balancer: Address, now: Seconds
     ) -> bool:
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -94,6 +94,21 @@
             return True
         return self._is_first_report_overdue(now) and not self.health.has_received_any
 
+    def may_have_former_flows(self, now: Seconds) -> bool:
+        """Return whether the upstream may have flows of routes of other services.
+
+        These are flows whose route named this service when they were opened, and names
+        only others now. An agent that does not know all flows cannot rule them out.
+        """
+        if not self.tracks_all_flows(now):
+            return True
+        agent = self.agent
+        for endpoint in agent.flows.count_by_endpoint:
+            route = agent.routes.route_by_endpoint.get(endpoint)
+            if route is not None and agent.service not in route.list_services():
+                return True
+        return False
+
     def started_together(self, now: Seconds) -> bool:
         """Return whether this process and its upstream have just started together.
 
@@ -282,7 +297,7 @@
 
         That it has none any more goes with the next heartbeat.
         """
-        may_have = self.agent.may_have_former_flows(now)
+        may_have = self.may_have_former_flows(now)
         registration = self.agent.registration
         is_changed = registration.announce_former_flows(may_have)
         if not is_changed or not may_have:
--- a/tests/coordination/test_flow_properties.py
+++ b/tests/coordination/test_flow_properties.py
@@ -14,10 +14,10 @@
 from hypothesis.errors import NoSuchExample
 
 from bilberrypath.coordination.events import Leave
-from bilberrypath.coordination.flow_agent import FlowAgent
 from bilberrypath.coordination.flow_locator import FlowLocator
 from bilberrypath.coordination.open_handler import OpenHandler
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
+from bilberrypath.coordination.upstream_packets import UpstreamPackets
 from tests.coordination.test_injected_faults import skip_lookup
 from tests.support.flow_world import find_holder, make_table, make_world
 
@@ -308,9 +308,9 @@
         make_schedules("agent_added", "balancer_ends"),
     ),
     "returned packets are ignored": (
-        FlowAgent,
+        UpstreamPackets,
         "_handle_returned",
-        lambda agent, packet, now: [],
+        lambda packets, packet, now: [],
         keeps_flows,
         make_schedules("all_processes_die"),
     ),
--- a/tests/coordination/test_flow_services.py
+++ b/tests/coordination/test_flow_services.py
@@ -1,7 +1,7 @@
 """Tests of flows that more than one service may have."""
 
-from bilberrypath.coordination.flow_agent import FlowAgent
 from bilberrypath.coordination.flow_resolver import MAX_TRIED_SERVICES, PendingLookup
+from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
 from bilberrypath.platform.packet_codec import ACK
 from bilberrypath.protocol.flow_messages import ForwardedPacket
 from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
@@ -199,7 +199,7 @@
     ):
         """Guard against a reset before the members with former flows are known."""
         monkeypatch.setattr(
-            FlowAgent, "may_have_former_flows", lambda agent, now: False
+            UpstreamMonitor, "may_have_former_flows", lambda monitor, now: False
         )
         world, clients = make_moved_world()
         add_new_balancer(world)
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -7,7 +7,6 @@
 import pytest
 
 from bilberrypath.coordination.failure_rate import FailureRate
-from bilberrypath.coordination.flow_agent import FlowAgent
 from bilberrypath.coordination.flow_balancer import FlowBalancer
 from bilberrypath.coordination.flow_location_cache import FlowLocationCache
 from bilberrypath.coordination.flow_locator import FlowLocator
@@ -21,6 +20,7 @@
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
 from bilberrypath.coordination.upstream_health import RejectReason, UpstreamHealth
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
+from bilberrypath.coordination.upstream_packets import UpstreamPackets
 from bilberrypath.state.route_delta import index_route_table
 from bilberrypath.state.store_position import get_store_revision
 from tests.coordination import test_flow_affinity as affinity
@@ -227,9 +227,9 @@
         ),
     ),
     "returned packets are ignored": (
-        FlowAgent,
+        UpstreamPackets,
         "_handle_returned",
-        lambda agent, packet, now: [],
+        lambda packets, packet, now: [],
         lambda: affinity.TestAffinity().test_flows_survive_a_restart_of_all_processes(),
     ),
     "an agent whose machine answers counts as gone": (
