Lookups in several services go on without an answer; a first record says what it cannot know

A lookup whose last service did not answer in time ended, and with it the denials that other services were about to report, so that a lost flow waited for its client's next copy. It waits for the denials now. The first record of a restarted agent said that its upstream has no former flows, until the first tick; a test of that failed before. Routes of one service are listed without a copy, as that is done for each packet.

--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -255,7 +255,7 @@
         )
         target = self._choose_agent(flow, lookup.service, lookup.tried_agents)
         if target is None or len(lookup.tried_agents) >= MAX_TRIED_AGENTS:
-            if lookup.untried_services:
+            if len(lookup.services) > 1:
                 return [*effects, *self._try_next_service(lookup, now)]
             self._end_lookup(flow)
             return [*effects, fx.Count("packet_dropped", "no_answer")]
--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -114,6 +114,8 @@
         route = self.route_by_endpoint.get(endpoint)
         present = [] if route is None else route.list_services()
         former = self.former_services.list(endpoint)
+        if not former:
+            return present
         return [*present, *(name for name in former if name not in present)]
 
     def may_be_newer(self, revision: Revision) -> bool:
@@ -258,11 +260,12 @@
     def _replace_route(self, endpoint: bytes, route: FlowRoute | None) -> None:
         """Replace or remove a route; keep its services of before as former ones."""
         before = self.route_by_endpoint.pop(endpoint, None)
-        services = [] if route is None else route.list_services()
         if route is not None:
             self.route_by_endpoint[endpoint] = route
-        if before is not None and before.list_services() != services:
-            left = [name for name in before.list_services() if name not in services]
+        services = [] if route is None else route.list_services()
+        services_before = [] if before is None else before.list_services()
+        left = [name for name in services_before if name not in services]
+        if left:
             self.former_services.record(endpoint, left)
 
     def _store_delta(self, base_digest: int, delta: RouteDelta) -> None:
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -65,6 +65,7 @@
         self._is_gone = False
         self._next_probe_at = float("inf")
         self._has_started_together = False
+        agent.registration.announce_former_flows(self.may_have_former_flows(now))
 
     def awaits_first_report(self, now: Seconds) -> bool:
         """Return whether the first report since this process's start is still due."""
--- a/bilberrypath/state/routes.py
+++ b/bilberrypath/state/routes.py
@@ -53,6 +53,8 @@
 
     def list_services(self) -> list[ServiceName]:
         """Return the services of the route, also those without weight, once each."""
+        if len(self.targets) == 1:
+            return [self.targets[0].service]
         return list(dict.fromkeys(target.service for target in self.targets))
 
     def allows(self, service: ServiceName) -> bool:
--- a/tests/coordination/test_flow_services.py
+++ b/tests/coordination/test_flow_services.py
@@ -258,6 +258,14 @@
         world.run(40.0)
         assert table.list_services_with_former_flows() == []
 
+    def test_first_heartbeat_of_a_restarted_agent_announces_that_it_cannot_know(self):
+        """Guard against a first record that replaces one with former flows."""
+        world, _ = make_moved_world()
+        world.kill(BOARD_HOSTS[0])
+        restart_agent(world, BOARD_HOSTS[0])
+        agent = world.node_by_host[BOARD_HOSTS[0]]
+        assert agent.registration.own_member.may_have_former_flows
+
     def test_only_a_limited_number_of_services_is_tried_for_one_packet(self):
         world = make_two_service_world(make_split_table(1, board=1))
         balancer = world.node_by_host[BALANCERS[0]]
