An agent reports each lookup that a balancer asked for, also while it repeats its own

Ruled out: the lookups in a second service; in the model, lost flows are reset after 0.9 s before and after the change.

Change: only packets that do not want a location are answered for a first or a certain lookup alone. The new test failed before.

--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -86,13 +86,10 @@
         is_proven = (
             result.is_certain and is_settled and all(f.has_queried_all for f in queued)
         )
-        is_repeated = self._unproven_losses.get(flow) is not None
-        notices: list[FlowEffect] = []
-        if is_proven or not is_repeated:
-            notified = forwarded
-            if not may_reset:
-                notified = msgspec.structs.replace(forwarded, wants_location=True)
-            notices = agent.send_location(notified, flow, "", is_certain=is_proven)
+        is_news = is_proven or self._unproven_losses.get(flow) is None
+        if is_news and not may_reset:
+            forwarded = msgspec.structs.replace(forwarded, wants_location=True)
+        notices = agent.send_location(forwarded, flow, "", is_certain=is_proven)
         if is_proven:
             self._unproven_losses.forget(flow)
             if may_reset:
--- a/tests/coordination/test_flow_services.py
+++ b/tests/coordination/test_flow_services.py
@@ -3,7 +3,7 @@
 from bilberrypath.coordination.flow_resolver import MAX_TRIED_SERVICES, PendingLookup
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
 from bilberrypath.platform.packet_codec import ACK
-from bilberrypath.protocol.flow_messages import ForwardedPacket
+from bilberrypath.protocol.flow_messages import FlowLocation, ForwardedPacket
 from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
 from tests.support.flow_world import (
     ADDRESS,
@@ -184,6 +184,43 @@
         assert client.resets == 0
 
 
+class TestUncertainLookups:
+    def test_agent_reports_a_packet_that_arrives_while_it_repeats_a_lookup(
+        self, monkeypatch
+    ):
+        """Guard against a balancer that takes a busy agent for an unresponsive one.
+
+        One agent is away, so that the lookup is not certain and is repeated each 0.2 s.
+        The second packet of the flow is queued in the repeated lookup.
+        """
+        sent = []
+        send = FlowWorld._send
+
+        def record_and_send(world, host, effect):
+            if isinstance(effect.message, FlowLocation) and effect.to[0] == "10.1.0.1":
+                sent.append((host, effect.message))
+            send(world, host, effect)
+
+        monkeypatch.setattr(FlowWorld, "_send", record_and_send)
+        world = make_two_service_world(make_split_table(1, board=1))
+        world.kill(BOARD_HOSTS[1])
+        host = BOARD_HOSTS[0]
+        agent = world.node_by_host[host]
+        flow = world.make_client().flow
+        forwarded = ForwardedPacket(
+            *(1, "board", "10.1.0.1:7600", True, "", (), 0, True),
+            datagram=write_packet(flow, ACK, 2, 101, b"x"),
+        )
+        for wait in (0.26, 0.1):
+            effects = agent.handle_forwarded_packet(
+                forwarded, ("10.1.0.1", 7600), world.now
+            )
+            world.perform(host, effects)
+            world.run(wait)
+        assert agent.locator.lookups.get(flow) is None
+        assert sent == [(host, FlowLocation(flow, "", "board", False, ("board",)))] * 2
+
+
 class TestMovedRoute:
     def test_new_balancer_finds_flows_of_the_service_that_the_route_named_before(self):
         """Guard against a reset by the new service of a route that was moved."""
