Balancers reset looked-up flows, by what is known when the last denial arrives

Agents that started beside older upstreams reset nothing for 1.25 report periods, in which the others hear theirs. A lookup that began before an announcement must not end with a reset that ignores it: denials go to the balancer, which resets the flow if all services that may have it by now are certain, and asks the others else. That holds for routes of one service too. Agents reset only what a balancer cannot follow: flows above its limit of pending lookups, and those at a cached location.

--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -4,9 +4,9 @@
 finds the holder of the flow. If the location is not reported in time, the home agent is
 skipped as an unresponsive peer, and the packet goes to the next agent in rank.
 
-A flow that several services may have is looked up in one after the other. It is reset
-here once each of them is certain not to have it; agents reset the flows that only their
-own service can have.
+The services that may have a flow are asked one after the other. It is reset once each
+of them is certain not to have it, by what is known at that moment: a service may have
+been added since the lookup began.
 """
 
 from __future__ import annotations
@@ -27,7 +27,6 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.protocol.flow_messages import FlowLocation
     from bilberrypath.protocol.flow_packet import FlowPacket
-    from bilberrypath.state.routes import FlowRoute
     from bilberrypath.types import NodeId, Seconds, ServiceName
 
 PLACEMENT_TIMEOUT: Seconds = (
@@ -36,8 +35,6 @@
 LOCATION_TIMEOUT: Seconds = 0.15  # a lookup among a service's agents takes 0.06 s
 # Agents repeat a lookup for so long until their service is certain.
 DENIAL_TIMEOUT: Seconds = RETRY_LIMIT + LOCATION_TIMEOUT
-# Within it, an agent whose upstream returned the packet has asked the other agents.
-TRIAL_TIMEOUT: Seconds = 0.5
 MAX_TRIED_AGENTS = 4  # per lookup; the client's next retransmission starts a new one
 MAX_PENDING_LOOKUPS = 4096  # flows
 MAX_TRIED_SERVICES = 16  # per copy of a client's packet; the next one tries the others
@@ -110,7 +107,7 @@
         lookup = self._lookup_by_flow.get(packet.flow)
         if lookup is not None and not self._is_outdated(lookup, packet, now):
             return self._continue_lookup(lookup, packet, now)
-        services = self._list_services(route, packet)
+        services = self._list_services(packet)
         if not services:
             return [fx.Count("packet_dropped", "no_target")]
         lookup = PendingLookup(packet, services, now)
@@ -156,17 +153,20 @@
         lookup = self._lookup_by_flow.get(location.flow)
         if lookup is None:
             return []
-        lookup.add_services(location.services)
-        if len(lookup.services) == 1 or (location.holder and location.is_certain):
+        if lookup.packet.is_syn or (location.holder and location.is_certain):
             self._end_lookup(location.flow)
             return []
+        lookup.add_services(location.services)
         if location.holder:
-            self._set_state(lookup, LookupState.TRIAL, TRIAL_TIMEOUT, now)
+            self._set_state(lookup, LookupState.TRIAL, DENIAL_TIMEOUT, now)
             return []
         if location.is_certain:
             lookup.denied_by.add(location.service)
+            lookup.add_services(self._list_services(lookup.packet))
             if lookup.denied_by.issuperset(lookup.services):
                 return self._reset_lost(lookup)
+            if lookup.state is LookupState.DENIALS and lookup.untried_services:
+                return self._try_next_service(lookup, now)
         is_of_tried_service = location.service in ("", lookup.service)
         if lookup.state is LookupState.DENIALS or not is_of_tried_service:
             return []
@@ -255,10 +255,11 @@
         )
         target = self._choose_agent(flow, lookup.service, lookup.tried_agents)
         if target is None or len(lookup.tried_agents) >= MAX_TRIED_AGENTS:
-            if len(lookup.services) > 1:
-                return [*effects, *self._try_next_service(lookup, now)]
+            count = fx.Count("packet_dropped", "no_answer")
+            if not lookup.packet.is_syn:
+                return [*effects, count, *self._try_next_service(lookup, now)]
             self._end_lookup(flow)
-            return [*effects, fx.Count("packet_dropped", "no_answer")]
+            return [*effects, count]
         fields = {
             "late": unresponsive_agent,
             "to": target,
@@ -290,9 +291,14 @@
     def _forward_to_last_tried(
         self, lookup: PendingLookup, packet: FlowPacket
     ) -> fx.SendControl:
-        """Forward a packet to the agent that was tried last."""
+        """Forward a packet to the agent that was tried last.
+
+        The agent may reset the flow only if its denial would not be handled here, as
+        the lookup is none of the pending ones.
+        """
         agent_id = lookup.tried_agents[-1]
-        may_reset = len(lookup.services) == 1
+        is_pending = self._lookup_by_flow.get(packet.flow) is lookup
+        may_reset = not is_pending and self.may_reset(packet.flow)
         return self.balancer.forward(packet, lookup.service, agent_id, True, may_reset)
 
     def _try_next_service(
@@ -315,16 +321,15 @@
         self._set_state(lookup, LookupState.DENIALS, DENIAL_TIMEOUT, now)
         return []
 
-    def _list_services(
-        self, route: FlowRoute, packet: FlowPacket
-    ) -> tuple[ServiceName, ...]:
+    def _list_services(self, packet: FlowPacket) -> tuple[ServiceName, ...]:
         """Return the services that may have the flow of a packet, the likeliest first.
 
         An open goes to the service that the route gives it, and to no other. An open
         flow may also be at another service of the route, at one that the route named
         before, or at one whose agents cannot rule that out.
         """
-        chosen = route.choose_service(packet.flow)
+        route = self.balancer.routes.find_route(packet.flow)
+        chosen = None if route is None else route.choose_service(packet.flow)
         first = () if chosen is None else (chosen,)
         if packet.is_syn:
             return first
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -50,15 +50,18 @@
         """Return whether the list of agents is complete enough to reset a flow.
 
         Agents that start together are added to the list one by one, and one that is
-        not listed yet may have the flow. After a power failure, when the upstream
+        not listed yet may have the flow; nor may they have heard their upstreams, and
+        announced former flows. After a power failure, when the upstream
         started together with this process, so did the others: only a flow that was
         opened since can be at an agent that is not listed yet. Such an agent has
         joined once no other did for ``JOINT_START_SETTLE_TIME``, or
         ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow.
         """
         quiet_for = now - self.agent.agents_changed_at
-        if not self.agent.upstream.started_together(now):
-            return quiet_for > AGENTS_SETTLE_TIME
+        upstream = self.agent.upstream
+        if not upstream.started_together(now):
+            is_quiet = quiet_for > AGENTS_SETTLE_TIME
+            return is_quiet and not upstream.may_others_be_silent(now)
         if quiet_for > JOINT_START_SETTLE_TIME:
             return True
         loss = self._unproven_losses.get(flow)
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -41,6 +41,7 @@
 MAX_EARLY_REPORTS = (
     10  # an upstream that starts with its agent repeats its first report 5 times
 )
+HEARD_AFTER_PERIODS = 1.25  # report periods; an upstream that is alive reports each
 UPSTREAM_PROBE_PERIOD: Seconds = 1.0  # while the upstream is silent
 NOT_SERVING_REASONS = (RejectReason.ABSENT, RejectReason.DRAINING, RejectReason.LOST)
 
@@ -67,6 +68,14 @@
         self._has_started_together = False
         agent.registration.announce_former_flows(self.may_have_former_flows(now))
 
+    def may_others_be_silent(self, now: Seconds) -> bool:
+        """Return whether agents that started with this one may await their upstreams.
+
+        Their upstreams may have flows that no process knows of yet.
+        """
+        timeout = HEARD_AFTER_PERIODS * self.agent.setup.report_period
+        return now - self._started_at < timeout
+
     def awaits_first_report(self, now: Seconds) -> bool:
         """Return whether the first report since this process's start is still due."""
         return not self._has_received_report and not self._is_first_report_overdue(now)
@@ -99,10 +108,12 @@
         """Return whether the upstream may have flows of routes of other services.
 
         These are flows whose route named this service when they were opened, and names
-        only others now. An agent that does not know all flows cannot rule them out.
+        only others now. An agent that does not know all flows cannot rule them out. It
+        learns whether it does from its upstream's first report or packet; agents that
+        start beside older upstreams reset no flow before that.
         """
         if not self.tracks_all_flows(now):
-            return True
+            return self.health.has_received_any
         agent = self.agent
         for endpoint in agent.flows.count_by_endpoint:
             route = agent.routes.route_by_endpoint.get(endpoint)
