--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -29,14 +29,14 @@
     ``origin_balancer`` received the packet from the client; it is sent the location
     of the flow if ``wants_location``. ``home_agent`` keeps the redirect of the flow;
     it is empty until the packet reaches the first agent. ``tried_agents`` cannot have
-    or accept the flow, and ``hops`` counts the agents that relayed the packet. A flow
-    that no agent of the service has is reset only if ``may_reset``: no other service
-    can have it. Else the origin balancer is told, which asks the other services. An
-    open with ``has_waited`` was already queued for an upstream's report and is not
-    queued again. ``is_lookup_done`` means that a lookup ended without a
-    holder while some agents could not rule out that their upstream has the flow;
-    ``possible_holders`` are those of them whose upstream is still to be tried.
-    ``has_queried_all`` means that the lookup reached all agents that may have the flow.
+    or accept the flow, and ``hops`` counts the agents that relayed the packet. An agent
+    resets a flow that its service does not have only if ``may_reset``: no other service
+    can have it, and no balancer waits for the report. An open with ``has_waited`` was
+    already queued for an upstream's report and is not queued again. ``is_lookup_done``
+    means that a lookup ended without a holder while some agents could not rule out that
+    their upstream has the flow; ``possible_holders`` are those of them whose upstream
+    is still to be tried. ``has_queried_all`` means that the lookup reached all agents
+    that may have the flow.
     ``relayed_by`` are the agents that relayed an open because of their load.
     ``unanswered_count`` counts the agents that an open was relayed to and that did not
     answer: each of them may have accepted it nevertheless. ``client_data_centre`` is
