--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -136,12 +136,20 @@
         return self._try_next_service(lookup, now)
 
     def may_reset(self, flow: bytes) -> bool:
-        """Return whether agents may reset a flow that their service does not have."""
-        services = self.balancer.routes.list_services(flow)
-        if len(services) > 1:
-            return False
-        others = self.balancer.members.table.list_services_with_former_flows()
-        return not others or {*services, *others} == {*services}
+        """Return whether agents may reset a flow that their service does not have.
+
+        This is called for each packet of a flow with a cached location, so the usual
+        case, in which no route has former services, comes first.
+        """
+        routes = self.balancer.routes
+        table = self.balancer.members.table
+        route = routes.find_route(flow)
+        if route is None:
+            return True
+        if not (len(routes.former_services) or table.has_former_flows):
+            return len(route.targets) == 1
+        others = table.list_services_with_former_flows()
+        return len({*routes.list_services(flow), *others}) == 1
 
     def handle_location(self, location: FlowLocation, now: Seconds) -> list[FlowEffect]:
         """Process the location of a flow, and finish the lookup that it settles.
--- a/bilberrypath/state/former_services.py
+++ b/bilberrypath/state/former_services.py
@@ -33,6 +33,9 @@
     _recorded: list[tuple[bytes, ServiceName]] = Factory(list)
     _queue: deque[tuple[Seconds, bytes, ServiceName]] = Factory(deque)
 
+    def __len__(self) -> int:
+        return len(self._expires_at_by_service_by_endpoint)
+
     def record(self, endpoint: bytes, services: Iterable[ServiceName]) -> None:
         """Record services that a route no longer names."""
         expires_at_by_service = self._expires_at_by_service_by_endpoint.setdefault(
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -185,6 +185,11 @@
         agents = self._agents_by_service.get(service)
         return () if agents is None else agents.member_by_id.values()
 
+    @property
+    def has_former_flows(self) -> bool:
+        """Whether an agent may have flows of routes of other services."""
+        return bool(self._service_by_former_holder)
+
     def list_services_with_former_flows(self) -> list[ServiceName]:
         """Return the services whose agents may have flows of routes of other services.
 
