--- a/tests/coordination/test_flow_services.py
+++ b/tests/coordination/test_flow_services.py
@@ -1,5 +1,7 @@
 """Tests of flows that more than one service may have."""
 
+import pytest
+
 from bilberrypath.coordination.flow_resolver import MAX_TRIED_SERVICES, PendingLookup
 from bilberrypath.coordination.upstream_monitor import (
     HEARD_AFTER_PERIODS,
@@ -235,16 +237,18 @@
         assert all(client.answers for client in clients)
         assert count_foreign(world) == 0
 
-    def test_new_balancer_learns_of_the_former_service_from_agents_of_the_new_one(
-        self, monkeypatch
-    ):
-        """Guard against a reset before the members with former flows are known."""
-        monkeypatch.setattr(
-            UpstreamMonitor, "may_have_former_flows", lambda monitor, now: False
-        )
-        world, clients = make_moved_world()
-        add_new_balancer(world)
-        use_until_answered(world, clients, 1.0)
+    def test_flows_stay_whole_before_members_are_known(self):
+        """Guard against a reset by a balancer that knows of no former flows yet.
+
+        It learns of the former service from the agents of the new one.
+        """
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(
+                UpstreamMonitor, "may_have_former_flows", lambda monitor, now: False
+            )
+            world, clients = make_moved_world()
+            add_new_balancer(world)
+            use_until_answered(world, clients, 1.0)
         assert sum(client.resets for client in clients) == 0
         assert all(client.answers for client in clients)
 
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -4,6 +4,7 @@
 test that passes without the replacement and must fail with it.
 """
 
+import msgspec
 import pytest
 
 from bilberrypath.coordination.failure_rate import FailureRate
@@ -26,11 +27,14 @@
 from tests.coordination import test_flow_affinity as affinity
 from tests.coordination import test_flow_opens as opens
 from tests.coordination import test_flow_recovery as recovery
+from tests.coordination import test_flow_services as services
 from tests.coordination import test_route_tracker
+from tests.coordination import test_upstream_monitor as upstream_reports
 from tests.support.flow_world import make_table
 
 find_reject_reason = UpstreamHealth.find_reject_reason
 adopt_if_newer = RouteTracker.adopt_if_newer
+handle_location = FlowResolver.handle_location
 
 
 def ignore_reject_reason(reason):
@@ -290,6 +294,42 @@
             opens.TestOpens().test_dead_home_agent_delays_opens_by_less_than_a_retransmission_timeout()
         ),
     ),
+    "an uncertain report counts as a denial": (
+        FlowResolver,
+        "handle_location",
+        lambda resolver, location, now: handle_location(
+            resolver, msgspec.structs.replace(location, is_certain=True), now
+        ),
+        lambda: (
+            services.TestSplitRoute().test_uncertain_lookup_in_one_service_does_not_reset_the_flow_in_another()
+        ),
+    ),
+    "flows are looked up in the present services of their route alone": (
+        RouteTracker,
+        "list_services",
+        lambda tracker, flow: tracker.find_route(flow).list_services(),
+        lambda: (
+            services.TestMovedRoute().test_flows_stay_whole_before_members_are_known()
+        ),
+    ),
+    "agents do not announce former flows": (
+        UpstreamMonitor,
+        "may_have_former_flows",
+        lambda monitor, now: False,
+        lambda: (
+            services.TestMovedRoute().test_flows_are_found_after_all_processes_restarted()
+        ),
+    ),
+    "reports with an unknown service are accepted": (
+        UpstreamMonitor,
+        "find_report_error",
+        lambda monitor, report: None,
+        lambda: (
+            upstream_reports.TestForeignReports().test_report_of_another_writer_does_not_reset_flows_of_the_live_upstream(
+                {"service": "not-configured"}
+            )
+        ),
+    ),
 }
 
 
