Soak: stand-in upstreams number their SYN-ACKs apart, as the platform's do

Cause: in the stand-ins all SYN-ACKs had the number 100. Allowed by the pages: two servers accept copies of one open, and only the one whose number is acknowledged has the flow open.

The check stays as strict: an upstream now also returns packets of a flow that its client has not chosen, and the soak watches the upstream that the client chose.

--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -14,6 +14,8 @@
     1023: "flows were reset while their agent was down and their upstream was up",
     7011: "an agent that had few other agents in its list had one of them reset a flow",
     7103: "a flow was reset with an upstream that had accepted it but was not chosen",
+    281409: "stand-in upstreams gave one number to all SYN-ACKs, so that an agent took "
+    "its own for the one that the client chose",
     9117: "a watch started while the store did not answer lasted far longer than that",
     3002: "flows of an agent suspended for two seconds were reset by other agents; "
     "later: an upstream that was 0.88 s older than its agent counted as its age",
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -98,7 +98,8 @@
     ``service_time`` is the time from a request to its answer in seconds.
     ``is_silent`` stops it from answering and reporting. ``starts`` counts its
     starts, ``started_at`` is in milliseconds, and ``sequence`` counts the reports of
-    one start. ``flows`` holds its open flows, ``opens`` lists (time, flow) of accepted
+    one start. ``flows`` holds its flows, ``opened`` those whose client confirmed that
+    it accepted this upstream's SYN-ACK, ``opens`` lists (time, flow) of accepted
     opens, and ``foreign`` counts by flow the packets of flows that it does not hold.
     ``acked_draining_at`` is when the agent first acknowledged that it is draining.
     """
@@ -112,6 +113,7 @@
     started_at: int = 0
     sequence: int = 0
     flows: set = Factory(set)
+    opened: set = Factory(set)
     opens: list = Factory(list)
     foreign: Counter = Factory(Counter)
     acked_draining_at: float | None = None
@@ -133,6 +135,7 @@
         self.started_at = time.time_ns() // 1_000_000
         self.sequence = 0
         self.flows.clear()
+        self.opened.clear()
         self.draining = False
         self.acked_draining_at = None
         self.is_silent = False
@@ -150,11 +153,17 @@
             self._health_server.close()
             self._reporting.cancel()
         self.flows.clear()
+        self.opened.clear()
 
     @property
     def is_up(self):
         return self._transport is not None
 
+    @property
+    def first_sequence(self):
+        """Return the sequence number of its SYN-ACKs, which no other upstream has."""
+        return 100 + int(self.host.rpartition(".")[2])
+
     def _receive(self, datagram):
         packet = self._codec.parse_client_packet(datagram)
         if packet is None or self.is_silent:
@@ -163,8 +172,10 @@
             if packet.flow not in self.flows:
                 self.flows.add(packet.flow)
                 self.opens.append((time.monotonic(), packet.flow))
-            self._send(write_packet(packet.flow, SYN | ACK, 100, 1, back=True))
-        elif packet.flow not in self.flows:
+            self._send(
+                write_packet(packet.flow, SYN | ACK, self.first_sequence, 1, back=True)
+            )
+        elif not self._has_opened(packet):
             self.foreign[packet.flow] += 1
             returned = bytearray(datagram)
             returned[22] |= BOUNCED  # the flags
@@ -176,10 +187,20 @@
                 self.service_time, self._answer, packet.flow, datagram, starts
             )
 
+    def _has_opened(self, packet):
+        """Return whether a flow is open here; forget one whose client chose another."""
+        if packet.flow in self.flows and packet.flow not in self.opened:
+            if packet.acknowledged == self.first_sequence + 1:
+                self.opened.add(packet.flow)
+            else:
+                self.flows.discard(packet.flow)
+        return packet.flow in self.flows
+
     def _answer(self, flow, datagram, starts):
         if self.is_up and starts == self.starts and not self.is_silent:
             data = datagram[34:]  # without the header
-            self._send(write_packet(flow, ACK, 101, 2, data, back=True))
+            sequence = self.first_sequence + 1
+            self._send(write_packet(flow, ACK, sequence, 2, data, back=True))
 
     def _send(self, datagram):
         if self._transport is not None:
@@ -217,13 +238,16 @@
 class StandInClient:
     """One flow of a client that sends copies and retransmits as the protocol defines.
 
-    ``answers`` lists the payloads of received answers, and ``sent_requests``
-    holds those of the requests sent. ``resets`` counts received resets.
+    ``acknowledged`` is the sequence number after that of the first SYN-ACK, whose
+    upstream it goes on with. ``answers`` lists the payloads of received answers, and
+    ``sent_requests`` holds those of the requests sent. ``resets`` counts received
+    resets.
     """
 
     fabric: "Fabric"
     flow: bytes
     opened: bool = False
+    acknowledged: int = 0
     answers: list = Factory(list)
     sent_requests: set = Factory(set)
     resets: int = 0
@@ -244,7 +268,7 @@
         answered_before = len(self.answers)
         timeout = 0.2
         for _ in range(tries):
-            self.fabric.send(write_packet(self.flow, ACK, 2, 101, data))
+            self.fabric.send(write_packet(self.flow, ACK, 2, self.acknowledged, data))
             if await self._wait(
                 lambda: data in self.answers[answered_before:] or self.resets, timeout
             ):
@@ -253,7 +277,9 @@
         return data in self.answers[answered_before:]
 
     def handle_packet(self, packet):
-        self.opened |= packet.is_syn_ack
+        if packet.is_syn_ack and not self.opened:
+            self.opened = True
+            self.acknowledged = packet.sequence + 1
         self.resets += packet.is_rst
         if packet.data_length:
             self.answers.append(packet.datagram[34:])
@@ -417,9 +443,13 @@
         self.store.close()
 
     def find_holder(self, flow):
-        """Return the host whose upstream has a flow, or None."""
+        """Return the host whose upstream the client of a flow went on with, or None.
+
+        Another upstream may have accepted a copy of the open, and have the flow too.
+        """
+        accepted_sequence = self.fabric.client_by_flow[flow].acknowledged - 1
         for host, upstream in self.upstream_by_host.items():
-            if flow in upstream.flows:
+            if flow in upstream.flows and upstream.first_sequence == accepted_sequence:
                 return host
         return None
 
