--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -57,10 +57,10 @@
 class PendingLookup:
     """A flow whose location was requested, and the agents tried so far.
 
-    ``packet`` is the packet that started the lookup and is sent again to each
-    further agent. ``services`` may have the flow, ``service`` is the one whose agents
-    are being tried, and ``untried_services`` are those after it. ``denied_by`` are the
-    services that are certain not to have the flow.
+    ``packet`` is the packet that started the lookup, or its last round, and is sent
+    again to each further agent. ``services`` may have the flow, ``service`` is the one
+    whose agents are being tried, and ``untried_services`` are those after it.
+    ``denied_by`` are the services that are certain not to have the flow.
     """
 
     packet: FlowPacket
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -50,11 +50,11 @@
         """Return whether the list of agents is complete enough to reset a flow.
 
         Agents that start together are added to the list one by one, and one that is
-        not listed yet may have the flow; nor may they have heard their upstreams, and
-        announced former flows. After a power failure, when the upstream
-        started together with this process, so did the others: only a flow that was
-        opened since can be at an agent that is not listed yet. Such an agent has
-        joined once no other did for ``JOINT_START_SETTLE_TIME``, or
+        not listed yet may have the flow. Beside upstreams that lived on, they may also
+        still have to hear these and to announce former flows. After a power failure,
+        when the upstream started together with this process, so did the others: only a
+        flow that was opened since can be at an agent that is not listed yet. Such an
+        agent has joined once no other did for ``JOINT_START_SETTLE_TIME``, or
         ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow.
         """
         quiet_for = now - self.agent.agents_changed_at
