Log what the proof of a lost flow rests on, and why an agent ends

New lines: 'agents' (each change of the list of agents that are asked for flows), 'flow_tried' (a packet sent to an upstream that may not have the flow), 'leaving' (the status that an agent announces, and its upstream). 'flow_not_found' counts the agents that were asked, 'upstream_silent' and 'upstream_lost' say for how long nothing came.

Lines begin with node, role, time and event, so that one that is cut keeps them. The 'member' line gave the member's ID in the field 'node', which hid the process that wrote it; it is 'member' now, with 'member_role'.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -43,6 +43,7 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 JOIN_QUIET_TIME: Seconds = 0.3  # no new agent for longer than a heartbeat's period
+MAX_LOGGED_PEERS = 8  # of those added or dropped, in one line
 IDLE_MARGIN: Seconds = 5.0  # added to the idle timeout, to outlast both ends of a flow
 
 
@@ -69,6 +70,7 @@
         self._started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
         self._load_reporter = LoadReporter(rng, now)
+        self._logged_peer_ids: frozenset[NodeId] = frozenset()
         self.is_leaving = False
         self.pause_detector = PauseDetector(now)
 
@@ -289,8 +291,16 @@
         self.is_leaving = True
         status = Status.DRAINING if self.upstream.is_alive else Status.LEFT
         self.registration.announce(status)
-        heartbeats = self.registration.send_heartbeats(0, 0, now)
-        return [*heartbeats, *self.send_load_report(now)]
+        fields = {
+            "status": status.name.lower(),
+            "flows": len(self.flows),
+            **self.upstream.describe(now),
+        }
+        return [
+            fx.LogStateChange("leaving", fields),
+            *self.registration.send_heartbeats(0, 0, now),
+            *self.send_load_report(now),
+        ]
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
@@ -302,12 +312,26 @@
         effects += self.upstream.tick(now)
         idle_limit = self.routes.table.idle_timeout + IDLE_MARGIN
         self.placement.drop_unlisted(now)
+        effects += self._log_changed_peers()
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
             effects += self.send_load_report(now)
         return effects
 
+    def _log_changed_peers(self) -> list[FlowEffect]:
+        """Log which other agents of the service were added to the list or dropped."""
+        peers = self.placement.peer_by_id
+        if peers.keys() == self._logged_peer_ids:
+            return []
+        previous, self._logged_peer_ids = self._logged_peer_ids, frozenset(peers)
+        fields = {
+            "count": len(peers),
+            "added": sorted(peers.keys() - previous)[:MAX_LOGGED_PEERS],
+            "dropped": sorted(previous - peers.keys())[:MAX_LOGGED_PEERS],
+        }
+        return [fx.LogStateChange("agents", fields)]
+
     # Messages
 
     @dispatchmethod
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -124,6 +124,9 @@
             ffx.SendToUpstream(packet.datagram),
             *agent.send_location(forwarded, packet.flow, agent.node_id),
             fx.Count("flow_adopted", "guess"),
+            ffx.LogDecision(
+                "flow_tried", packet.flow, {"tried": list(forwarded.tried_agents)}
+            ),
         ]
 
     def abandon_tentative_deliveries(self, now: Seconds) -> list[FlowEffect]:
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -104,6 +104,7 @@
                 self._retry_later(lookup, now)
         fields = {
             "certain": result.is_certain,
+            "asked": len(lookup.queried_ids),
             "settled": is_settled,
             "silent": sorted(lookup.pending_ids),
         }
--- a/bilberrypath/coordination/membership.py
+++ b/bilberrypath/coordination/membership.py
@@ -275,8 +275,8 @@
         if previous is not None and _format_status(previous) == _format_status(member):
             return []
         fields = {
-            "node": member.node_id,
-            "role": member.role.name.lower(),
+            "member": member.node_id,
+            "member_role": member.role.name.lower(),
             "data_centre": member.data_centre,
             "status": _format_status(member),
         }
--- a/bilberrypath/coordination/upstream_health.py
+++ b/bilberrypath/coordination/upstream_health.py
@@ -118,6 +118,12 @@
         """Whether a report or packet has arrived since this process started."""
         return max(self._reported_at, self._received_at) > float("-inf")
 
+    def compute_silence(self, now: Seconds) -> Seconds | None:
+        """Return the time since the last report or packet, None before the first."""
+        if not self.has_received_any:
+            return None
+        return now - max(self._reported_at, self._received_at)
+
     def record_open_timeout(self, now: Seconds) -> bool:
         """Record an unanswered open; return whether the upstream is now judged lost."""
         self._open_timeout_count += 1
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -91,6 +91,15 @@
         report = self.health.report
         return 1 if report is None else report.slots
 
+    def describe(self, now: Seconds) -> dict[str, str | float | None]:
+        """Return log fields: why it takes no opens, and how long it has been silent."""
+        reason = self.health.find_reject_reason(0.0, 0, 1, now)
+        silent_for = self.health.compute_silence(now)
+        return {
+            "unable": "" if reason is None else reason.value,
+            "silent_for": None if silent_for is None else round(silent_for, 3),
+        }
+
     def tracks_all_flows(self, now: Seconds) -> bool:
         """Return whether the upstream has no flow that is unknown to this agent.
 
@@ -227,7 +236,9 @@
         """Give a silent upstream no more opens, and find out whether it is gone."""
         self._next_probe_at = now + UPSTREAM_PROBE_PERIOD
         return [
-            fx.LogStateChange("upstream_silent", {"reason": reason}),
+            fx.LogStateChange(
+                "upstream_silent", {"reason": reason, **self.describe(now)}
+            ),
             ProbeUpstream(),
             *self.announce_status(reason, now),
         ]
@@ -242,7 +253,8 @@
     def _declare_gone(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Log that the upstream is gone, reset its flows, and announce the status."""
         self._is_gone = True
-        effects = [fx.LogStateChange("upstream_lost", {"reason": reason})]
+        fields = {"reason": reason, "flows": len(self.agent.flows)}
+        effects = [fx.LogStateChange("upstream_lost", {**fields, **self.describe(now)})]
         effects += self._reset_flows("upstream_lost", now)
         return effects + self.announce_status(reason, now)
 
--- a/bilberrypath/transport/json_log.py
+++ b/bilberrypath/transport/json_log.py
@@ -158,12 +158,11 @@
     whole_seconds, fraction = divmod(line.unix_time, 1)
     date_time = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(whole_seconds))
     timestamp = f"{date_time}.{int(fraction * MICROSECONDS_PER_SECOND):06}Z"
-    ends = {"timestamp": timestamp, "event": line.event}
+    begin = {**bound_fields, "timestamp": timestamp, "event": line.event}
     try:
-        return json.dumps({**bound_fields, **line.fields, **ends}, default=repr)
+        return json.dumps({**begin, **line.fields}, default=repr)
     except (TypeError, ValueError):  # keys that are no text, or a cycle
-        fields = {"fields": repr(line.fields)}
-        return json.dumps({**bound_fields, **fields, **ends})
+        return json.dumps({**begin, "fields": repr(line.fields)})
 
 
 def _seconds_until(deadline: Seconds) -> Seconds:
