An agent that is away counts as one that has not answered, not as one without flows

Callers saw an open flow reset (nobody_has_it) although its upstream was alive. The process beside the upstream was away for some seconds in a planned restart.

Cause: a flow is reset once every agent of its service denies it, and 'every agent' was the current list. That list tells which processes answer: balancers remove an agent after a silence, and balancers that restart while it is away never hear it. An agent that is not listed was not asked, and its absence counted as a denial.

Ruled out: pauses (none were made), a restart of the upstream.

An agent that vanished from the list without having announced that it left is kept as absent. It is asked for flows, its redirects stay, and a lookup that it did not answer proves nothing, until its machine has failed or its flows are older than a flow may be. Agents tell each other who is absent, in load reports and replies to queries, since one that has just started knows only the list. FlowAgent's exchange of load moves to a module of its own.

--- /dev/null
+++ b/bilberrypath/coordination/absent_agents.py
@@ -0,0 +1,86 @@
+"""Agents that are not listed any more, although their upstreams may be alive.
+
+The list of a service's agents tells which processes answer. An agent whose process is
+away leaves it: balancers remove it after a silence, and one that has just started never
+heard it. The agent's upstream goes on meanwhile, and keeps its flows. So an agent that
+vanished without a word about its upstream is still asked for flows, and counts as one
+that has not answered, until its machine has failed or all of its flows are too old.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
+    from bilberrypath.protocol.flow_messages import AbsentAgent
+    from bilberrypath.types import NodeId, Seconds
+
+MAX_SENT_AGENTS = 16  # in one message; about 400 bytes
+
+
+@define
+class AbsentAgents:
+    """The absent agents of one service, with the time since when each is absent.
+
+    Agents tell each other, since one that has just started knows only the list.
+    ``_failed_ids`` are those whose machines have failed; they are kept so that a report
+    of another agent does not make them count again.
+    """
+
+    _since_by_id: dict[NodeId, Seconds] = Factory(dict)
+    _failed_ids: set[NodeId] = Factory(set)
+
+    def record(self, node_id: NodeId, since: Seconds) -> None:
+        """Record that an agent is absent; an earlier time is kept."""
+        known_since = self._since_by_id.get(node_id, since)
+        self._since_by_id[node_id] = min(known_since, since)
+
+    def forget(self, node_id: NodeId) -> None:
+        """Forget an agent that is listed again, or whose upstream has no flows."""
+        self._since_by_id.pop(node_id, None)
+        self._failed_ids.discard(node_id)
+
+    def clear(self) -> None:
+        """Forget all agents."""
+        self._since_by_id.clear()
+        self._failed_ids.clear()
+
+    def list_ids(self) -> list[NodeId]:
+        """Return the agents whose upstreams may have flows."""
+        return [
+            node_id for node_id in self._since_by_id if node_id not in self._failed_ids
+        ]
+
+    def make_report(self, now: Seconds) -> tuple[AbsentAgent, ...]:
+        """Return what to tell another agent: who is absent, and for how long.
+
+        At most ``MAX_SENT_AGENTS`` are named, those that vanished last.
+        """
+        latest = self.list_ids()[-MAX_SENT_AGENTS:]
+        return tuple((node_id, now - self._since_by_id[node_id]) for node_id in latest)
+
+    def sweep(
+        self, flow_lifetime: Seconds, peers: UnresponsivePeers, now: Seconds
+    ) -> None:
+        """Drop the agents whose flows are too old; mark those that have failed."""
+        for node_id, since in list(self._since_by_id.items()):
+            if now - since > flow_lifetime:
+                self.forget(node_id)
+            elif peers.has_failed(node_id, now):
+                self._failed_ids.add(node_id)
+
+    def merge(
+        self,
+        reported: Iterable[AbsentAgent],
+        known_ids: Iterable[NodeId],
+        now: Seconds,
+    ) -> None:
+        """Merge what another agent reported; ``known_ids`` are not absent here."""
+        for node_id, absent_for in reported:
+            if node_id not in known_ids and absent_for >= 0:
+                self.record(node_id, now - absent_for)
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -25,6 +25,7 @@
 from bilberrypath.coordination.packet_relay import list_notified, make_relayed
 from bilberrypath.coordination.pause_detector import PauseDetector
 from bilberrypath.coordination.route_tracker import RouteTracker
+from bilberrypath.coordination.service_peers import ServicePeers
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
 from bilberrypath.coordination.upstream_packets import UpstreamPackets
@@ -43,7 +44,6 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 JOIN_QUIET_TIME: Seconds = 0.3  # no new agent for longer than a heartbeat's period
-MAX_LOGGED_PEERS = 8  # of those added or dropped, in one line
 IDLE_MARGIN: Seconds = 5.0  # added to the idle timeout, to outlast both ends of a flow
 
 
@@ -69,8 +69,7 @@
         self.upstream_packets = UpstreamPackets(self)
         self._started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
-        self._load_reporter = LoadReporter(rng, now)
-        self._logged_peer_ids: frozenset[NodeId] = frozenset()
+        self.peers = ServicePeers(self, LoadReporter(rng, now))
         self.is_leaving = False
         self.pause_detector = PauseDetector(now)
 
@@ -186,7 +185,7 @@
         It may not if the holder has failed or is no known peer, if it has already tried
         the packet or sent it here, or if this agent has relayed the packet before.
         """
-        is_known_peer = holder in self.placement.peer_by_id
+        is_known_peer = self.placement.may_have_flows(holder)
         if self.node_id in forwarded.relayed_by or self.unresponsive_peers.has_failed(
             holder, now
         ):
@@ -299,7 +298,7 @@
         return [
             fx.LogStateChange("leaving", fields),
             *self.registration.send_heartbeats(0, 0, now),
-            *self.send_load_report(now),
+            *self.peers.send_load_report(now),
         ]
 
     @handle.register(ev.Tick)
@@ -311,26 +310,9 @@
         effects += self.unresponsive_peers.probe_machines(now)
         effects += self.upstream.tick(now)
         idle_limit = self.routes.table.idle_timeout + IDLE_MARGIN
-        self.placement.drop_unlisted(now)
-        effects += self._log_changed_peers()
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
-        if self._load_reporter.is_due(self._compute_utilization(now), now):
-            effects += self.send_load_report(now)
-        return effects
-
-    def _log_changed_peers(self) -> list[FlowEffect]:
-        """Log which other agents of the service were added to the list or dropped."""
-        peers = self.placement.peer_by_id
-        if peers.keys() == self._logged_peer_ids:
-            return []
-        previous, self._logged_peer_ids = self._logged_peer_ids, frozenset(peers)
-        fields = {
-            "count": len(peers),
-            "added": sorted(peers.keys() - previous)[:MAX_LOGGED_PEERS],
-            "dropped": sorted(previous - peers.keys())[:MAX_LOGGED_PEERS],
-        }
-        return [fx.LogStateChange("agents", fields)]
+        return effects + self.peers.tick(now)
 
     # Messages
 
@@ -367,10 +349,7 @@
     def _(
         self, message: msg.LoadReport, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        node_id = format_node_id(sender)
-        peer = self.placement.peer_by_id.get(node_id)
-        if peer is not None and message.service == self.service:
-            peer.handle_report(message, now)
+        self.peers.handle_load_report(message, format_node_id(sender), now)
         return []
 
     @_handle_message.register(msg.FlowHeartbeatAck)
@@ -401,20 +380,6 @@
     def _(self, message: msg.Pong, sender: Address, now: Seconds) -> list[FlowEffect]:
         return []
 
-    def send_load_report(self, now: Seconds) -> list[FlowEffect]:
-        """Send the upstream's load to some of the other agents."""
-        report = msg.LoadReport(
-            self.routes.revision,
-            self.service,
-            not self.is_leaving and self.upstream.find_reject_reason(now) is None,
-            round(self._compute_utilization(now), 3),
-            self.upstream.slots,
-        )
-        return self._load_reporter.send(report, list(self.placement.peer_by_id), now)
-
-    def _compute_utilization(self, now: Seconds) -> float:
-        return self.flows.compute_utilization(self.upstream.slots, now)
-
     def _shift_for_pause(self, now: Seconds) -> None:
         pause = self.pause_detector.record(now)
         if pause:
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -185,6 +185,7 @@
             not upstream.tracks_all_flows(now),
             upstream.health.has_received_any,
             tuple(others),
+            self.agent.placement.absent.make_report(now),
         )
 
     def _find_holder(self, flow: bytes, now: Seconds) -> NodeId:
@@ -193,7 +194,7 @@
         if agent.flows.get(flow) is not None:
             return agent.node_id
         holder = agent.redirects.find(flow, now)
-        is_known_peer = holder is not None and holder in agent.placement.peer_by_id
+        is_known_peer = holder is not None and agent.placement.may_have_flows(holder)
         if is_known_peer and not agent.unresponsive_peers.has_failed(holder, now):
             return holder
         return ""
@@ -206,6 +207,7 @@
         A holder that counts as failed at this agent is ignored.
         """
         effects: list[FlowEffect] = []
+        self.agent.peers.learn_absent(reply.absent, now)
         for flow, holder in ((reply.flow, reply.holder), *reply.other_holders):
             if self.agent.unresponsive_peers.has_failed(holder, now):
                 holder = ""
@@ -312,6 +314,7 @@
             possible_holders=result.candidates[1:],
             is_lookup_done=True,
             has_queried_all=result.is_complete
+            and not self.lost_flows.list_unasked(lookup, now)
             and self.lost_flows.is_agent_list_settled(packet.flow, now),
         )
         reduced = FlowLookup([(relayed, packet)], lookup.tried_agents, set())
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -16,7 +16,7 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.coordination.flow_locator import FlowLocator
     from bilberrypath.coordination.flow_lookup import FlowLookup, NoHolder
-    from bilberrypath.types import Seconds
+    from bilberrypath.types import NodeId, Seconds
 
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
@@ -72,6 +72,20 @@
             and now - loss.since >= NEW_FLOW_JOIN_TIME
         )
 
+    def list_unasked(self, lookup: FlowLookup, now: Seconds) -> list[NodeId]:
+        """Return the absent agents that a lookup did not ask.
+
+        It began before this agent learned of them.
+        """
+        agent = self.agent
+        asked = {*lookup.tried_agents, *lookup.queried_ids, agent.node_id}
+        return [
+            node_id
+            for node_id in agent.placement.absent.list_ids()
+            if node_id not in asked
+            and not agent.unresponsive_peers.has_failed(node_id, now)
+        ]
+
     def handle_no_holder(
         self, flow: bytes, lookup: FlowLookup, result: NoHolder, now: Seconds
     ) -> list[FlowEffect]:
@@ -86,9 +100,10 @@
         queued = [queued_forwarded for queued_forwarded, _ in lookup.queued_packets]
         may_reset = self.is_only_service(flow) and not packet.is_rst
         may_reset &= all(f.may_reset for f in queued)
-        is_proven = (
-            result.is_certain and is_settled and all(f.has_queried_all for f in queued)
-        )
+        unasked = self.list_unasked(lookup, now)
+        is_certain = result.is_certain and not unasked
+        has_queried_all = all(f.has_queried_all for f in queued)
+        is_proven = is_certain and is_settled and has_queried_all
         is_news = is_proven or self._unproven_losses.get(flow) is None
         if is_news and not may_reset:
             forwarded = msgspec.structs.replace(forwarded, wants_location=True)
@@ -103,10 +118,10 @@
             if not packet.is_rst:
                 self._retry_later(lookup, now)
         fields = {
-            "certain": result.is_certain,
+            "certain": is_certain,
             "asked": len(lookup.queried_ids),
             "settled": is_settled,
-            "silent": sorted(lookup.pending_ids),
+            "silent": sorted({*lookup.pending_ids, *unasked}),
         }
         return [
             *notices,
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -12,6 +12,9 @@
 
 from attrs import Factory, define, frozen
 
+from bilberrypath.coordination.absent_agents import AbsentAgents
+from bilberrypath.state.members import Status
+
 if TYPE_CHECKING:
     from collections.abc import Container
     from random import Random
@@ -100,11 +103,13 @@
     """The known peers of an agent, and the choice among them for an open.
 
     ``_unlisted_ids`` are peers that are gone by the list of agents, and are kept until
-    their last load report is old.
+    their last load report is old. ``absent`` are those dropped then, unless they had
+    announced that they left: they get no opens, but may have flows.
     """
 
     rng: Random
     peer_by_id: dict[NodeId, PeerAgent] = Factory(dict)
+    absent: AbsentAgents = Factory(AbsentAgents)
     _unlisted_ids: set[NodeId] = Factory(set)
 
     def update_agents(
@@ -143,9 +148,12 @@
                 continue
             if member.service != service:
                 self.peer_by_id.pop(member.node_id, None)
+                self.absent.forget(member.node_id)
             elif not member.is_gone:
                 self._set_member(member)
-            elif member.node_id in self.peer_by_id:
+            elif member.status is Status.LEFT:
+                self.absent.forget(member.node_id)
+            if member.is_gone and member.node_id in self.peer_by_id:
                 self.peer_by_id[member.node_id].member = member
                 self._unlisted_ids.add(member.node_id)
         self.drop_unlisted(now)
@@ -158,9 +166,21 @@
             if peer is None or now - peer.reported_at > MAX_REPORT_AGE:
                 self.peer_by_id.pop(node_id, None)
                 self._unlisted_ids.discard(node_id)
+                if peer is not None and peer.member.status is not Status.LEFT:
+                    self.absent.record(node_id, now)
+
+    def may_have_flows(self, node_id: NodeId) -> bool:
+        """Return whether an agent is a known one of the service, listed or absent."""
+        return node_id in self.peer_by_id or node_id in self.absent.list_ids()
+
+    def forget_all(self) -> None:
+        """Forget all peers, as this agent belongs to another service now."""
+        self.peer_by_id.clear()
+        self.absent.clear()
 
     def _set_member(self, member: Member) -> None:
         self._unlisted_ids.discard(member.node_id)
+        self.absent.forget(member.node_id)
         peer = self.peer_by_id.get(member.node_id)
         if peer is None:
             self.peer_by_id[member.node_id] = PeerAgent(member)
@@ -168,16 +188,16 @@
             peer.member = member
 
     def list_near_first(self, client_data_centre: DataCentreName) -> list[NodeId]:
-        """Return all peers, those in a client's data centre first.
+        """Return all agents that may have a flow, those near its client first.
 
-        Opens are placed there if the load allows it, so that a peer there is the most
-        likely holder of a flow of that client.
+        Opens are placed in the client's data centre if the load allows it, so that a
+        peer there is the most likely holder. Absent agents come last.
         """
         ranked = [
             (peer.member.data_centre != client_data_centre, node_id)
             for node_id, peer in self.peer_by_id.items()
         ]
-        return [node_id for _, node_id in sorted(ranked)]
+        return [node_id for _, node_id in sorted(ranked)] + self.absent.list_ids()
 
     def choose_less_busy(
         self, own: OwnLoad, constraints: PlacementConstraints, now: Seconds
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -313,7 +313,7 @@
         return [
             fx.LogStateChange("serving", fields),
             *self.agent.registration.send_heartbeats(0, 0, now),
-            *self.agent.send_load_report(now),
+            *self.agent.peers.send_load_report(now),
         ]
 
     def _announce_former_flows(self, now: Seconds) -> list[FlowEffect]:
@@ -393,6 +393,6 @@
         self.agent.registration.own_member = msgspec.structs.replace(
             previous, service=service, version=previous.version + 1
         )
-        self.agent.placement.peer_by_id.clear()
+        self.agent.placement.forget_all()
         fields = {"service": service, "before": previous.service}
         return [fx.LogStateChange("upstream_service", fields)]
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -22,6 +22,9 @@
 from bilberrypath.state.members import Member  # noqa: TC001
 from bilberrypath.types import Address, NodeId  # noqa: TC001
 
+# The node ID of an agent, and for how many seconds it has been absent.
+AbsentAgent = tuple[CheckedNodeId, float]
+
 
 class ForwardedPacket(ControlStruct, tag=20):
     """A client's packet on its way to an upstream.
@@ -92,7 +95,8 @@
     may have the flow without a record at the agent. ``has_upstream_reported`` means
     that a report or packet has arrived from the upstream since, and the upstream will
     therefore return packets of flows that it does not hold. Both apply to all flows of
-    the query; ``other_holders`` has the holder of each of its other flows.
+    the query; ``other_holders`` has the holder of each of its other flows. ``absent``
+    are agents that may have flows, although they are not listed any more.
     """
 
     flow: bytes
@@ -100,6 +104,7 @@
     may_hold: bool
     has_upstream_reported: bool = True
     other_holders: tuple[tuple[bytes, str], ...] = ()
+    absent: tuple[AbsentAgent, ...] = ()
 
 
 class LoadReport(ControlStruct, tag=24):
@@ -107,7 +112,8 @@
 
     ``utilization`` is running requests over ``slots``: the mean of the current value
     and the recent average. ``may_take_opens`` is false while the agent would refuse an
-    open.
+    open. ``absent`` are agents that may have flows, although they are not listed any
+    more.
     """
 
     revision: int
@@ -115,6 +121,7 @@
     may_take_opens: bool
     utilization: float
     slots: int
+    absent: tuple[AbsentAgent, ...] = ()
 
 
 class FlowHeartbeat(ControlStruct, tag=25):
