An agent announces that it left only if its upstream is known to be gone

An agent that was asked to end while its upstream was only silent, or had not reported since the agent's start, announced 'left'. Others drop such an agent at once, as it has no flows, and reset those of its upstream (nobody_has_it), which lived on: two short restarts in a row, or a restart during a pause of the upstream.

Cause: 'not known to be alive' was announced as 'gone'. The status is 'draining' now unless the upstream said that it ended or its port is closed; an agent whose upstream never existed learns that from the port as well. The check of a report's sender moves to a module of its own.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -288,7 +288,7 @@
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
         self.is_leaving = True
-        status = Status.DRAINING if self.upstream.is_alive else Status.LEFT
+        status = Status.LEFT if self.upstream.is_gone else Status.DRAINING
         self.registration.announce(status)
         fields = {
             "status": status.name.lower(),
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -15,13 +15,13 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination.events import STARTUP_WINDOW
 from bilberrypath.coordination.flow_effects import ProbeUpstream
+from bilberrypath.coordination.report_check import find_report_error
 from bilberrypath.coordination.upstream_health import (
     SILENT_AFTER_PERIODS,
     RejectReason,
     ReportKind,
     UpstreamHealth,
 )
-from bilberrypath.protocol.flow_messages import format_node_id
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
@@ -85,6 +85,11 @@
         """Whether the upstream has reported and is not lost."""
         return self.health.report is not None and not self.health.is_lost
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether the upstream is known to have ended, and its flows with it."""
+        return self._is_gone
+
     @property
     def slots(self) -> int:
         """The number of requests that the upstream runs at once, 1 while unknown."""
@@ -149,32 +154,13 @@
         return effects + self.announce_status("tick", now)
 
     def find_report_error(self, report: UpstreamReport) -> str | None:
-        """Return why a report cannot be that of this agent's upstream, or None.
-
-        Other writers can send reports too. One is only accepted if it gives the
-        upstream's address and a known service: that of the settings, the upstream's
-        last one, or one of the configuration in force.
-        """
-        setup = self.agent.setup
-        if report.address != setup.upstream_address:
-            return (
-                f"address {format_node_id(report.address)} is not that of the upstream "
-                f"beside this agent, {format_node_id(setup.upstream_address)}"
-            )
-        own_services = {setup.own_member.service, self.agent.service}
-        configured_services = self.agent.routes.limits_by_service
-        if report.service in own_services or report.service in configured_services:
-            return None
-        return (
-            f"service {report.service!r} is not in configuration "
-            f"{self.agent.routes.table.version}; add it there, or report "
-            f"{self.agent.service!r}"
-        )
+        """Return why a report cannot be that of this upstream, or None."""
+        return find_report_error(self.agent, report)
 
     def handle_report(self, event: UpstreamReport, now: Seconds) -> list[FlowEffect]:
         """Process an upstream report, and retry the opens that waited for it.
 
-        One that :meth:`find_report_error` rejects changes nothing.
+        One that :func:`find_report_error` rejects changes nothing.
         """
         error = self.find_report_error(event)
         if error is not None:
@@ -220,7 +206,8 @@
         """
         self._has_seen_all_flows = True
         effects = self.agent.locator.abandon_tentative_deliveries(now)
-        if self.health.report is None or self._is_gone:
+        was_gone, self._is_gone = self._is_gone, True
+        if self.health.report is None or was_gone:
             return effects
         self.health.mark_lost()
         return effects + self._declare_gone("nothing_listens", now)
