A note accepted beside another operator's is not refused as on a restored store

Of two operators who accepted notes at the same time, one could be told "not accepted: the release store holds revision 2 and lacks the release in force; balancers are restoring it, try again" (exit code 5). The store held revision 3, had never been set back, and nothing was being restored.

The command read the store first and asked the balancers after that. A note that the other operator accepted, and a balancer adopted, between the two made the balancer newer than what had been read, and that counted as a store that is behind. The only other source of this result, the check of the head in ReleaseStore.accept, cannot give it without a restored store.

The new test orders the steps so: StoreBehind(1) before, Accepted(3) now.

Balancers are now asked first, as DESIGN.md says. What they have in force comes from the store, so a read that begins after their replies lacks it only if the store was restored.

--- a/bilberrypath/operator_client.py
+++ b/bilberrypath/operator_client.py
@@ -91,6 +91,8 @@
         accepted is :class:`Accepted`, so that an attempt can be repeated under its ID.
         """
         store = self.open_store()
+        # Before the store is read: only a restored store lacks what they report.
+        replies = await self._fetch_configured_balancer_statuses()
         try:
             accepted = await store.find_note(note.note_id)
             if accepted is not None:
@@ -98,7 +100,7 @@
             release, note_errors = await self.check(note)
         except StoreUnavailable:
             return UnknownYet("")
-        if await self._is_store_behind(release):
+        if any(_is_missing(reply, release) for reply in replies):
             return StoreBehind(release.revision)
         if note_errors:
             return NoteRejected(tuple(note_errors))
@@ -136,15 +138,15 @@
         rows.sort(key=lambda row: (row.member.data_centre, row.member.node_id))
         return newest, rows
 
-    async def _is_store_behind(self, stored_release: Release) -> bool:
-        """Return whether a balancer has a release that the store lacks."""
+    async def _fetch_configured_balancer_statuses(self) -> list[bulk.StatusReply]:
+        """Query the balancers in the settings; skip those that do not answer."""
         replies = await asyncio.gather(
             *(
                 self._fetch_balancer_status(address)
                 for address in self.settings.balancers
             )
         )
-        return any(_is_missing(reply, stored_release) for reply in replies if reply)
+        return [reply for reply in replies if reply]
 
     async def _fetch_all_balancer_statuses(self) -> list[bulk.StatusReply]:
         """Query the balancers in the settings and all that these list as members."""
@@ -182,8 +184,9 @@
 def _is_missing(reply: bulk.StatusReply, stored_release: Release) -> bool:
     """Return whether a store with ``stored_release`` lacks a balancer's release.
 
-    At the same revision the notes differ if the store was restored to an older state
-    and has accepted another note since.
+    The reply must be older than the read of the store. At the same revision the notes
+    differ if the store was restored to an older state and has accepted another note
+    since.
     """
     if reply.revision == stored_release.revision:
         return reply.note_id != stored_release.note_id
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -30,10 +30,18 @@
 
 @pytest.fixture
 def accept(store, monkeypatch):
-    """Return a function that accepts a note while a balancer has some release."""
+    """Return a function that accepts a note while a balancer has some release.
 
-    async def accept(status):
+    Another operator's ``other_note`` is accepted just before the balancer is asked.
+    """
+
+    async def accept(status, other_note=None):
         async def fetch_status(client, address):
+            if other_note is not None:
+                before = await store.read_snapshot()
+                after = apply_note(before, other_note)
+                delta = ReleaseDelta(after.revision, after.digest(), other_note)
+                await store.accept(before, delta)
             return status
 
         monkeypatch.setattr(OperatorClient, "open_store", lambda client: store)
@@ -66,3 +74,10 @@
     ):
         """Guard against a note in force that is lost to one accepted beside it."""
         assert await accept(make_status(1, "lost")) == StoreBehind(1)
+
+    async def test_note_beside_that_of_another_operator_is_not_told_as_store_behind(
+        self, accept
+    ):
+        """Guard against a store read that is older than the balancers' statuses."""
+        other_note = out_note("other", "winelands")
+        assert await accept(make_status(2, "other"), other_note) == Accepted(3)
