Flows of an upstream that announces its end are reset once it has ended, not before

Callers saw their flow reset a moment before its upstream ended: the upstream says that it leaves (DELETE), and the agent reset its remaining flows at once.

Cause: an announcement was taken for the fact.

The agent probes the upstream's address every 50 ms from the notice on, and resets the flows when the connection is refused. It does not end before that. The model's upstream that has ended refuses a probe at once, as the kernel does, instead of after 0.5 s.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -87,8 +87,11 @@
         """Return whether this process can exit without interrupting a request.
 
         It can if no request is running and none is about to begin on a flow that was
-        just opened, or if the upstream is not alive.
+        just opened, or if the upstream is not alive. Flows of one that is about to end
+        are still to be reset.
         """
+        if self.upstream.awaits_end:
+            return False
         is_idle = self.flows.busy_count + self.flows.count_awaiting_data(now) == 0
         return is_idle or not self.upstream.is_alive
 
@@ -117,6 +120,8 @@
                 effects += self.locator.query_waiting(now)
             elif kind == "retry":
                 effects += self.locator.lost_flows.retry(flow, now)
+            elif kind == "end":
+                effects += self.upstream.probe_until_end(now)
             else:
                 effects += self.open_handler.handle_deadline(kind, flow, now)
         return effects
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -43,6 +43,7 @@
 )
 HEARD_AFTER_PERIODS = 1.25  # report periods; an upstream that is alive reports each
 UPSTREAM_PROBE_PERIOD: Seconds = 1.0  # while the upstream is silent
+END_PROBE_PERIOD: Seconds = 0.05  # from its notice until it has ended
 NOT_SERVING_REASONS = (RejectReason.ABSENT, RejectReason.DRAINING, RejectReason.LOST)
 
 
@@ -54,7 +55,8 @@
 
     An upstream that is only silent may be paused or slow, and still run the requests of
     its flows. It gets no opens, but its flows are reset only once it is known to be
-    gone: it said so, or a probe of its address failed. ``_is_gone`` states that.
+    gone, as nothing listens at its address: ``_is_gone`` states that. An upstream that
+    announced its end still lives for a moment; ``awaits_end`` is true until it is gone.
     """
 
     def __init__(self, agent: FlowAgent, now: Seconds) -> None:
@@ -64,6 +66,7 @@
         self._has_seen_all_flows = agent.setup.tracks_all_flows
         self._has_received_report = False
         self._is_gone = False
+        self.awaits_end = False
         self._next_probe_at = float("inf")
         self._has_started_together = False
         agent.registration.announce_former_flows(self.may_have_former_flows(now))
@@ -173,6 +176,8 @@
         self._has_received_report = True
         kind = self.health.handle_report(event, now)
         self._is_gone = self._is_gone and kind is ReportKind.OUTDATED
+        if kind is ReportKind.NEW_START or not event.draining:
+            self.awaits_end = False
         effects: list[FlowEffect] = []
         if kind is ReportKind.NEW_START:
             effects += self._handle_new_start(event, is_first_report, now)
@@ -183,7 +188,7 @@
         return effects + self.agent.open_handler.retry_queued(now)
 
     def handle_end(self, event: UpstreamLeft, now: Seconds) -> list[FlowEffect]:
-        """Process the upstream's notice that it ends, and reset its flows.
+        """Process the upstream's notice that it ends; its flows are reset once it has.
 
         If it was not draining, the notice may be that of an earlier start. The upstream
         then gets no opens until its next report, and keeps its flows.
@@ -195,9 +200,15 @@
             self.health.report = evolve(report, draining=True)
             count = fx.Count("report_dropped", "end_without_drain")
             return [count, *self.announce_status("end_without_drain", now)]
-        self.health.clear_report()
-        self._has_seen_all_flows = True
-        return self._declare_gone("left", now)
+        self.awaits_end = True
+        return self.probe_until_end(now)
+
+    def probe_until_end(self, now: Seconds) -> list[FlowEffect]:
+        """Find out whether an upstream that announced its end has ended."""
+        if not self.awaits_end:
+            return []
+        self.agent.deadlines.set(("end", b""), now + END_PROBE_PERIOD)
+        return [ProbeUpstream()]
 
     def handle_unreachable(self, now: Seconds) -> list[FlowEffect]:
         """Handle a refused packet or a failed probe: the upstream does not exist.
@@ -210,7 +221,11 @@
         if self.health.report is None or was_gone:
             return effects
         self.health.mark_lost()
-        return effects + self._declare_gone("nothing_listens", now)
+        if not self.awaits_end:
+            return effects + self._declare_gone("nothing_listens", now)
+        self.awaits_end = False
+        self.health.clear_report()
+        return effects + self._declare_gone("left", now)
 
     def record_received(self, now: Seconds) -> list[FlowEffect]:
         """Record a packet of the upstream, and announce its status if it was lost."""
--- a/tests/coordination/test_flow_recovery.py
+++ b/tests/coordination/test_flow_recovery.py
@@ -516,6 +516,7 @@
         upstream.draining = True
         upstream.report()
         world.feed("10.2.0.1", UpstreamLeft(upstream.name))
+        upstream.is_up = False
         world.run(0.1)
         assert all(client.resets == 1 for client in lost_clients)
 
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -257,9 +257,9 @@
         )
 
     def _probe_upstream(self, host):
-        """Probe an upstream; one that is silent still accepts connections."""
+        """Probe an upstream; one that is silent accepts, one that ended refuses."""
         if not self.upstream_by_host[host].is_up:
-            self.after(0.5, lambda: self.feed(host, fev.UpstreamUnreachable()))
+            self.after(LINK_DELAY, lambda: self.feed(host, fev.UpstreamUnreachable()))
 
     def _start(self, host, node):
         self.node_by_host[host] = node
