A probe of the upstream that times out does not show that it is gone

An upstream that is paused for long stops to take connections once its queue of new ones is full. The probe of the agent then timed out, which counted like a refusal: all flows of the living upstream were reset (upstream_lost).

Only a refused connection shows that nothing listens. The test failed before.

--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -141,14 +141,15 @@
     def probe_upstream(self) -> None:
         """Start to check whether the upstream, which fell silent, still exists.
 
-        The core receives ``UpstreamUnreachable`` unless a connection is accepted; the
-        kernel accepts one for a process that is paused or slow.
+        The core receives ``UpstreamUnreachable`` if a connection is refused. The kernel
+        accepts one for a process that is paused or slow, or drops it once the process
+        has too many that wait.
         """
         self.start(self._probe_upstream())
 
     async def _probe_upstream(self) -> None:
         result = await probe_address(self._agent_settings.upstream)
-        if result is not ProbeResult.ACCEPTED:
+        if result is ProbeResult.REFUSED:
             self._handle_upstream_refused()
 
     def probe_machine(self, node_id: NodeId) -> None:
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -9,8 +10,10 @@
 from bilberrypath.platform.packet_codec import ACK, PlatformPacketCodec
 from bilberrypath.protocol.flow_messages import ForwardedPacket, encode_flow_message
 from bilberrypath.protocol.flow_packet import pack_flow_key
+from bilberrypath.transport import flow_agent_daemon
 from bilberrypath.transport.bound_sockets import BoundSockets
 from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
+from bilberrypath.transport.machine_probe import ProbeResult
 from tests.support.flow_model import write_packet
 from tests.support.flow_world import ADDRESS
 
@@ -58,3 +61,19 @@
         assert not any(
             event == "internal_error" for event, _ in daemon.metrics.count_by_event
         )
+
+
+class TestProbeOfTheUpstream:
+    async def test_only_a_refused_connection_shows_that_it_is_gone(
+        self, daemon, monkeypatch
+    ):
+        """Guard against giving up the flows of an upstream that is only paused."""
+        results = [ProbeResult.UNREACHABLE, ProbeResult.ACCEPTED, ProbeResult.REFUSED]
+        is_gone = []
+        for result in results:
+            probe = AsyncMock(return_value=result)
+            monkeypatch.setattr(flow_agent_daemon, "probe_address", probe)
+            await daemon._probe_upstream()
+            is_gone.append(daemon.core.upstream.is_gone)
+        daemon.sockets.close()
+        assert is_gone == [False, False, True]
