The balancer that looks a flow up counts its trials at other upstreams

Each trial is reported to the balancer as a holder that is not certain. The balancer counts these and forwards a packet with what is left. Peers that are about to be dropped from an agent's list are told to others at once, not only once they count as absent.

--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -137,13 +137,15 @@
         agent_id: NodeId,
         wants_location: bool,
         may_reset: bool,
+        may_try: bool = True,
         max_trials: int = MAX_TRIALS,
     ) -> fx.SendControl:
         """Return the effect that forwards a packet to an agent.
 
         ``wants_location`` makes the agent report the flow's location, and
         ``may_reset`` allows a reset if no agent of the service has the flow.
-        ``max_trials`` limits its deliveries to upstreams that may not have it.
+        ``may_try`` and ``max_trials`` limit deliveries to upstreams that may not have
+        it; see :class:`~bilberrypath.protocol.flow_messages.ForwardedPacket`.
         """
         message = msg.ForwardedPacket(
             self.routes.revision,
@@ -156,6 +158,7 @@
             may_reset=may_reset,
             datagram=packet.datagram,
             client_data_centre=self.members.own_member.data_centre,
+            may_try=may_try,
             max_trials=max_trials,
         )
         return fx.SendControl(parse_address(agent_id), message)
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -20,7 +20,6 @@
 from bilberrypath.coordination.lookup_memory import LookupMemory
 from bilberrypath.coordination.lost_flows import LostFlows
 from bilberrypath.coordination.query_rounds import QueryRounds
-from bilberrypath.coordination.trial_budget import MAX_TRIALS
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import ForwardedPacket, parse_address
 
@@ -72,8 +71,8 @@
         may_hold &= self.may_hold(packet.flow, now)
         if may_hold and forwarded.is_lookup_done:
             return self._deliver_tentatively(forwarded, packet, now)
-        trials_left = self._count_trials_left(forwarded, packet.flow, now)
-        if may_hold and trials_left and agent.upstream.health.has_received_any:
+        may_try = may_hold and agent.upstream.health.has_received_any
+        if may_try and self._count_trials_left(forwarded, packet.flow, now):
             self.memory.trials.record(packet.flow, 1, now)
             return self._deliver_tentatively(forwarded, packet, now)
         if forwarded.is_lookup_done:
@@ -88,8 +87,9 @@
     def _count_trials_left(
         self, forwarded: ForwardedPacket, flow: bytes, now: Seconds
     ) -> int:
-        limit = min(forwarded.max_trials, MAX_TRIALS)
-        return self.memory.trials.count_left(flow, limit, now)
+        if not forwarded.may_try:
+            return 0
+        return min(forwarded.max_trials, self.memory.trials.count_left(flow, now))
 
     def handle_returned(
         self, packet: FlowPacket, held: HeldFlow | None, now: Seconds
@@ -202,7 +202,7 @@
             upstream.health.has_received_any,
             tuple(others),
             returned,
-            self.agent.placement.absent.make_report(now),
+            self.agent.placement.report_absent(now),
         )
 
     def _find_holder(self, flow: bytes, now: Seconds) -> NodeId:
@@ -330,7 +330,7 @@
         forwarded, packet = lookup.queued_packets[0]
         flow = packet.flow
         candidates = result.candidates
-        if self._may_be_at_silent_agent(lookup, now) or not forwarded.max_trials:
+        if self._may_be_at_silent_agent(lookup, now) or not forwarded.may_try:
             left = self._count_trials_left(forwarded, flow, now)
             candidates = candidates[:left]
         has_queried_all = (
--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -20,7 +20,7 @@
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.agent_ranking import AgentRanking
 from bilberrypath.coordination.deadlines import Deadlines
-from bilberrypath.coordination.trial_budget import MAX_TRIALS
+from bilberrypath.coordination.trial_budget import MAX_TRIALS, TrialBudget
 from bilberrypath.coordination.unproven_losses import RETRY_LIMIT
 
 if TYPE_CHECKING:
@@ -93,6 +93,7 @@
     balancer: FlowBalancer = field(repr=False)
     ranking: AgentRanking = Factory(AgentRanking)
     deadlines: Deadlines[bytes] = Factory(Deadlines)
+    trials: TrialBudget = Factory(TrialBudget)
     _lookup_by_flow: dict[bytes, PendingLookup] = Factory(dict)
 
     def resolve(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
@@ -131,7 +132,7 @@
         self, lookup: PendingLookup, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
         if lookup.state is not LookupState.DENIALS:
-            return [self._forward_to_last_tried(lookup, packet)]
+            return [self._forward_to_last_tried(lookup, packet, now)]
         lookup.packet = packet
         lookup.start_round()
         return self._try_next_service(lookup, now)
@@ -167,6 +168,7 @@
             return []
         lookup.add_services(location.services)
         if location.holder:
+            self.trials.record(location.flow, 1, now)
             self._set_state(lookup, LookupState.TRIAL, DENIAL_TIMEOUT, now)
             return []
         if location.is_certain:
@@ -244,7 +246,7 @@
         packet = lookup.packet
         timeout = PLACEMENT_TIMEOUT if packet.is_syn else LOCATION_TIMEOUT
         self._set_state(lookup, LookupState.TRYING, timeout, now)
-        return self._forward_to_last_tried(lookup, packet)
+        return self._forward_to_last_tried(lookup, packet, now)
 
     def _try_next_agent(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
         """Mark the last agent as unresponsive, and forward the packet to the next.
@@ -298,33 +300,34 @@
         return None if agent_id in tried_agents else agent_id
 
     def _forward_to_last_tried(
-        self, lookup: PendingLookup, packet: FlowPacket
+        self, lookup: PendingLookup, packet: FlowPacket, now: Seconds
     ) -> fx.SendControl:
         """Forward a packet to the agent that was tried last.
 
         The agent may reset the flow only if its denial would not be handled here, as
-        the lookup is none of the pending ones.
+        the lookup is none of the pending ones. The services that the route names, or
+        named recently, share the flow's trials. One that is only asked since its agents
+        know too little may try none before these are certain not to have the flow.
         """
         agent_id = lookup.tried_agents[-1]
         is_pending = self._lookup_by_flow.get(packet.flow) is lookup
         may_reset = not is_pending and self.may_reset(packet.flow)
-        max_trials = self._choose_max_trials(lookup)
+        flow = packet.flow
+        likely_services = self.balancer.routes.list_services(flow)
+        is_likely = lookup.service in likely_services
+        trials_left = self.trials.count_left(flow, now)
         return self.balancer.forward(
-            packet, lookup.service, agent_id, True, may_reset, max_trials
+            packet,
+            lookup.service,
+            agent_id,
+            wants_location=True,
+            may_reset=may_reset,
+            may_try=is_likely or lookup.denied_by.issuperset(likely_services),
+            max_trials=min(
+                trials_left, max(1, MAX_TRIALS // max(1, len(likely_services)))
+            ),
         )
 
-    def _choose_max_trials(self, lookup: PendingLookup) -> int:
-        """Return how many upstreams of a service may be tried while an agent is silent.
-
-        The services that the route names, or named recently, share the trials. Those
-        that only have agents which know too little are not tried before all of them
-        are certain not to have the flow.
-        """
-        likely = self.balancer.routes.list_services(lookup.packet.flow)
-        if lookup.service in likely:
-            return max(1, MAX_TRIALS // len(likely))
-        return MAX_TRIALS if lookup.denied_by.issuperset(likely) else 0
-
     def _try_next_service(
         self, lookup: PendingLookup, now: Seconds
     ) -> list[FlowEffect]:
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -12,14 +12,14 @@
 
 from attrs import Factory, define, frozen
 
-from bilberrypath.coordination.absent_agents import AbsentAgents
+from bilberrypath.coordination.absent_agents import MAX_SENT_AGENTS, AbsentAgents
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
     from collections.abc import Container
     from random import Random
 
-    from bilberrypath.protocol.flow_messages import LoadReport
+    from bilberrypath.protocol.flow_messages import AbsentAgent, LoadReport
     from bilberrypath.state.members import Member
     from bilberrypath.types import DataCentreName, NodeId, Seconds, ServiceName
 
@@ -169,6 +169,18 @@
                 if peer is not None and peer.member.status is not Status.LEFT:
                     self.absent.record(node_id, now)
 
+    def report_absent(self, now: Seconds) -> tuple[AbsentAgent, ...]:
+        """Return what to tell another agent of those that may be unknown to it.
+
+        Besides the absent agents these are peers that are about to be dropped.
+        """
+        unlisted = [
+            (node_id, 0.0)
+            for node_id in sorted(self._unlisted_ids & self.peer_by_id.keys())
+            if self.peer_by_id[node_id].member.status is not Status.LEFT
+        ]
+        return (*self.absent.make_report(now), *unlisted[:MAX_SENT_AGENTS])
+
     def may_have_flows(self, node_id: NodeId) -> bool:
         """Return whether an agent is a known one of the service, listed or absent."""
         return node_id in self.peer_by_id or node_id in self.absent.list_ids()
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -48,7 +48,7 @@
             not agent.is_leaving and may_take_opens,
             round(self._compute_utilization(now), 3),
             agent.upstream.slots,
-            agent.placement.absent.make_report(now),
+            agent.placement.report_absent(now),
         )
         return self._load_reporter.send(report, list(agent.placement.peer_by_id), now)
 
--- a/bilberrypath/coordination/trial_budget.py
+++ b/bilberrypath/coordination/trial_budget.py
@@ -26,15 +26,14 @@
 
     _times_by_flow: dict[bytes, deque[Seconds]] = Factory(dict)
 
-    def count_left(self, flow: bytes, limit: int, now: Seconds) -> int:
+    def count_left(self, flow: bytes, now: Seconds) -> int:
         """Return how many more trials a flow may have now."""
         times = self._times_by_flow.get(flow, ())
-        recent = sum(now - at < TRIAL_WINDOW for at in times)
-        return max(0, limit - recent)
+        return MAX_TRIALS - sum(now - at < TRIAL_WINDOW for at in times)
 
     def record(self, flow: bytes, count: int, now: Seconds) -> None:
         """Record trials of a flow."""
         times = self._times_by_flow.setdefault(flow, deque(maxlen=MAX_TRIALS))
-        times.extend([now] * count)
+        times.extend([now] * min(count, MAX_TRIALS))
         if len(self._times_by_flow) > MAX_FLOWS:
             del self._times_by_flow[next(iter(self._times_by_flow))]
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -43,9 +43,9 @@
     ``relayed_by`` are the agents that relayed an open because of their load.
     ``unanswered_count`` counts the agents that an open was relayed to and that did not
     answer: each of them may have accepted it nevertheless. ``client_data_centre`` is
-    the data centre of the balancer, and so of the client. ``max_trials`` limits how
-    many upstreams that may not have the flow are sent its packet while an agent does
-    not answer; 0 means none in any case.
+    the data centre of the balancer, and so of the client. Upstreams
+    that may not have the flow are sent its packet only if ``may_try``, and while an
+    agent does not answer ``max_trials`` of them at most.
     """
 
     revision: int
@@ -64,6 +64,7 @@
     client_data_centre: str = ""
     has_queried_all: bool = True
     unanswered_count: int = 0
+    may_try: bool = True
     max_trials: int = 2
 
 
