An upstream that a flow is only tried at gets two of its packets at most

An agent that had restarted sent a client's packet to its upstream to learn whether the flow is there, and every further packet too until the upstream answered. An upstream that was paused meanwhile, or a client's whole window at once, made three and more packets at a server without the flow and none at its own. The other packets wait now until the upstream has answered.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -158,6 +158,8 @@
     ) -> list[FlowEffect]:
         """Deliver, queue or relay a packet, or place or look up its flow."""
         held = self.flows.get(packet.flow)
+        if held is not None and not held.may_take(packet):
+            return [fx.Count("packet_queued", "not_confirmed")]
         if held is not None:
             self.flows.record_client_packet(held, packet, now)
             tried = forwarded.tried_agents if packet.is_syn else ()
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -133,6 +133,7 @@
         agent = self.agent
         held = agent.flows.add(packet, is_confirmed=False, now=now)
         agent.flows.record_client_packet(held, packet, now)
+        held.trial_count = 1
         self.memory.record_tentative(packet.flow, forwarded)
         return [
             ffx.SendToUpstream(packet.datagram),
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define
 
 from bilberrypath.coordination.failure_rate import FailureRate
+from bilberrypath.coordination.trial_budget import MAX_TRIALS
 from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 )
 MAX_BUSY_TIME: Seconds = 10.0  # a request unanswered for longer counts as abandoned
 UNANSWERED_TIMEOUT: Seconds = 1.0  # a busy upstream answers within a third of this
+MAX_WAITING_PACKETS = 16  # per flow; a client has no more in flight
 SEQUENCE_MODULUS = 1 << 32  # sequence numbers have 32 bits
 MAX_ANSWER_BYTES = 1 << 20  # more than an upstream sends on a flow before it is chosen
 FIRST_DATA_TIMEOUT: Seconds = 0.05  # several round trips to a client
@@ -48,7 +50,9 @@
     the upstream has sent more. ``upstream_acknowledged`` is the upstream's last
     acknowledgement, None before the first. ``acknowledged`` is the client's last, for
     use in a reset. ``is_live`` is true until the flow has ended. ``has_failed`` is true
-    once the running request has been counted as unanswered.
+    once the running request has been counted as unanswered. ``trial_count`` counts the
+    packets that were delivered while nothing but a trial showed that it is here, and
+    ``waiting`` are those that came after them.
     """
 
     seen_at: Seconds
@@ -63,6 +67,27 @@
     upstream_closed: bool = False
     is_live: bool = True
     has_failed: bool = False
+    trial_count: int = 0
+    waiting: list[bytes] | None = None
+
+    def may_take(self, packet: FlowPacket) -> bool:
+        """Return whether the upstream may be sent a packet; else it waits here.
+
+        A flow that is only tried there may be at another upstream, and gets
+        ``MAX_TRIALS`` packets; an upstream that has the flow answers the second.
+        """
+        if not self.is_open or self.is_confirmed:
+            return True
+        self.trial_count += 1
+        if self.trial_count <= MAX_TRIALS:
+            return True
+        self.waiting = [*(self.waiting or ()), packet.datagram][-MAX_WAITING_PACKETS:]
+        return False
+
+    def take_waiting(self) -> list[bytes]:
+        """Remove and return the packets that waited until the flow was confirmed."""
+        waiting, self.waiting = self.waiting or [], None
+        return waiting
 
     @property
     def is_ended(self) -> bool:
--- a/bilberrypath/coordination/upstream_packets.py
+++ b/bilberrypath/coordination/upstream_packets.py
@@ -45,6 +45,7 @@
             agent.locator.memory.forget_returned(packet.flow)
             effects += agent.open_handler.record_accepted(packet.flow, now)
         agent.flows.record_upstream_packet(held, packet, now)
+        effects += [ffx.SendToUpstream(datagram) for datagram in held.take_waiting()]
         return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
 
     def _adopt(self, packet: FlowPacket, now: Seconds) -> HeldFlow:
