An upstream that is silent after its agent's start is probed, not taken for one without flows

An agent that restarted and heard nothing from its upstream for two report periods denied all flows that it did not know, so that those of a paused upstream could be reset. Silence was taken for a statement. The agent probes the address instead, as it does when an upstream falls silent later; only a refused connection shows that there are no flows. Test: TestOverdueFirstReport, which failed before.

--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -55,7 +55,7 @@
 
     An upstream that is only silent may be paused or slow, and still run the requests of
     its flows. It gets no opens, but its flows are reset only once it is known to be
-    gone, as nothing listens at its address: ``_is_gone`` states that. An upstream that
+    gone, as nothing listens at its address: ``is_gone`` states that. An upstream that
     announced its end still lives for a moment; ``awaits_end`` is true until it is gone.
     """
 
@@ -65,9 +65,9 @@
         self._started_at = now
         self._has_seen_all_flows = agent.setup.tracks_all_flows
         self._has_received_report = False
-        self._is_gone = False
+        self.is_gone = False
         self.awaits_end = False
-        self._next_probe_at = float("inf")
+        self._next_probe_at = float("-inf")
         self._has_started_together = False
         agent.registration.announce_former_flows(self.may_have_former_flows(now))
 
@@ -88,11 +88,6 @@
         """Whether the upstream has reported and is not lost."""
         return self.health.report is not None and not self.health.is_lost
 
-    @property
-    def is_gone(self) -> bool:
-        """Whether the upstream is known to have ended, and its flows with it."""
-        return self._is_gone
-
     @property
     def slots(self) -> int:
         """The number of requests that the upstream runs at once, 1 while unknown."""
@@ -111,15 +106,11 @@
     def tracks_all_flows(self, now: Seconds) -> bool:
         """Return whether the upstream has no flow that is unknown to this agent.
 
-        That is so once this process has seen the upstream start or has run for the
-        lifetime of a flow. It is also so if nothing has arrived from the upstream in
-        the first ``SILENT_AFTER_PERIODS`` report periods: an upstream that is alive
-        reports within one or two periods of this process's start.
+        That is so once this process has seen the upstream start, found that nothing
+        listens at its address, or has run for the lifetime of a flow.
         """
         lifetime = self.agent.setup.flow_lifetime
-        if self._has_seen_all_flows or now - self._started_at > lifetime:
-            return True
-        return self._is_first_report_overdue(now) and not self.health.has_received_any
+        return self._has_seen_all_flows or now - self._started_at > lifetime
 
     def may_have_former_flows(self, now: Seconds) -> bool:
         """Return whether the upstream may have flows of routes of other services.
@@ -150,8 +141,7 @@
         effects: list[FlowEffect] = []
         if self.health.mark_lost_if_absent(now):
             effects += self.suspect("absent", now)
-        if now >= self._next_probe_at:
-            effects += self._probe_while_silent(now)
+        effects += self._probe_if_doubtful(now)
         if self.tracks_all_flows(now):
             effects += self.agent.locator.abandon_tentative_deliveries(now)
         return effects + self.announce_status("tick", now)
@@ -175,7 +165,7 @@
         is_first_report = not self._has_received_report
         self._has_received_report = True
         kind = self.health.handle_report(event, now)
-        self._is_gone = self._is_gone and kind is ReportKind.OUTDATED
+        self.is_gone = self.is_gone and kind is ReportKind.OUTDATED
         if kind is ReportKind.NEW_START or not event.draining:
             self.awaits_end = False
         effects: list[FlowEffect] = []
@@ -217,7 +207,7 @@
         """
         self._has_seen_all_flows = True
         effects = self.agent.locator.abandon_tentative_deliveries(now)
-        was_gone, self._is_gone = self._is_gone, True
+        was_gone, self.is_gone = self.is_gone, True
         if self.health.report is None or was_gone:
             return effects
         self.health.mark_lost()
@@ -231,7 +221,7 @@
         """Record a packet of the upstream, and announce its status if it was lost."""
         was_lost = self.health.is_lost
         self.health.record_received(now)
-        self._is_gone = False
+        self.is_gone = False
         return self.announce_status("heard", now) if was_lost else []
 
     def suspect(self, reason: str, now: Seconds) -> list[FlowEffect]:
@@ -245,16 +235,23 @@
             *self.announce_status(reason, now),
         ]
 
-    def _probe_while_silent(self, now: Seconds) -> list[FlowEffect]:
-        if not self.health.is_lost or self._is_gone or self.health.report is None:
-            self._next_probe_at = float("inf")
+    def _probe_if_doubtful(self, now: Seconds) -> list[FlowEffect]:
+        """Probe an upstream that is silent, or not heard since this process's start.
+
+        It may be paused, and still have its flows.
+        """
+        is_silent = self.health.is_lost and self.health.report is not None
+        is_overdue = self._is_first_report_overdue(now)
+        is_unheard = is_overdue and not self.health.has_received_any
+        is_doubtful = (is_silent or is_unheard) and not self.is_gone
+        if not is_doubtful or now < self._next_probe_at:
             return []
         self._next_probe_at = now + UPSTREAM_PROBE_PERIOD
         return [ProbeUpstream()]
 
     def _declare_gone(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Log that the upstream is gone, reset its flows, and announce the status."""
-        self._is_gone = True
+        self.is_gone = True
         fields = {"reason": reason, "flows": len(self.agent.flows)}
         effects = [fx.LogStateChange("upstream_lost", {**fields, **self.describe(now)})]
         effects += self._reset_flows("upstream_lost", now)
