Machine probes go round all silent peers

Each tick probed the first eight that were due, so that beside more than about 48 silent peers the machines of the last were never probed and counted as failed: their flows could be reset. Those that were probed longest ago come first now. Test: TestMachineProbes, which failed before.

--- a/bilberrypath/coordination/unresponsive_peers.py
+++ b/bilberrypath/coordination/unresponsive_peers.py
@@ -98,6 +98,7 @@
             for node_id in self.since_by_id
             if now - self._probed_at_by_id.get(node_id, float("-inf")) >= PROBE_PERIOD
         ]
+        due.sort(key=lambda node_id: self._probed_at_by_id.get(node_id, float("-inf")))
         for node_id in due[:MAX_PROBES]:
             self._probed_at_by_id[node_id] = now
         return [ProbeMachine(node_id) for node_id in due[:MAX_PROBES]]
