Soak: long flows in a module of their own

The clients with long flows and the checks of what they receive move to `tests/support/long_flows.py` unchanged.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,9 +19,9 @@
 
 from attrs import Factory, define, field
 
-from bilberrypath.protocol.flow_packet import format_flow
 from tests.standins.tcp_proxy import TcpProxy
 from tests.support.flow_processes import FlowDeployment, make_config
+from tests.support.long_flows import LongFlows
 from tests.support.revision_watch import RevisionWatch
 
 DRAIN_LIMIT = 3.0  # seconds from an acknowledged drain to the last open
@@ -33,16 +33,6 @@
 FAULT_DURATION = (0.5, 3.0)  # seconds that a fault lasts; a range
 
 
-@define(eq=False)
-class LongFlow:
-    """A client's long-lived flow; a restart of its upstream loses the flow."""
-
-    client: object
-    holder: str  # host of the upstream that accepted the flow
-    upstream_starts: int  # how often that upstream had been started by then
-    lost: bool = False
-
-
 @define(eq=False)
 class Soak:
     """The run of one seed: a deployment, its clients, faults and findings."""
@@ -52,7 +42,6 @@
     proxy: TcpProxy
     rng: Random
     findings: list = Factory(list)  # violated guarantees, as text
-    long_flows: list = Factory(list)
     faults: list = Factory(list)  # names of the injected faults, in order
     served: int = 0  # requests on flows of their own that were answered
     request_count: int = 0  # requests on flows of their own
@@ -61,17 +50,19 @@
     _config_version: int = 1
     _paused_hosts: set = Factory(set)
     _is_stopping: bool = False
+    long_flows: LongFlows = field(init=False)
     _revisions: RevisionWatch = field(init=False)
 
     def __attrs_post_init__(self):
         self._revisions = RevisionWatch(self.deployment, self._record)
+        self.long_flows = LongFlows(self.deployment, self.rng, self._record)
 
     async def run(self, seconds):
         """Run clients and faults for some seconds, then check the final state."""
         tasks = [
             asyncio.create_task(work)
             for work in (
-                self._use_long_flows(),
+                self.long_flows.use_in_turn(),
                 self._use_short_flows(),
                 self._watch_revisions(),
                 self._inject_faults(time.monotonic() + seconds),
@@ -79,55 +70,13 @@
         ]
         await tasks[-1]
         await asyncio.sleep(SETTLE_TIME)
-        self._is_stopping = True
+        self._is_stopping = self.long_flows.is_stopping = True
         for task in tasks[:-1]:
             await task
         await self._check_final_state()
 
     # Clients
 
-    async def _use_long_flows(self):
-        """Keep up to 30 flows open, with a request every 20 ms on a random one."""
-        while not self._is_stopping:
-            if len(self.long_flows) < 30:
-                await self._open_long_flow()
-            long_flow = self.rng.choice(self.long_flows) if self.long_flows else None
-            if long_flow is not None:
-                await self._send_on_long_flow(long_flow)
-            await asyncio.sleep(0.02)
-
-    async def _open_long_flow(self):
-        client = self.deployment.fabric.make_client()
-        if not await client.open():
-            return
-        holder = self.deployment.find_holder(client.flow)
-        if holder is not None:
-            upstream_starts = self.deployment.upstream_by_host[holder].starts
-            self.long_flows.append(LongFlow(client, holder, upstream_starts))
-
-    async def _send_on_long_flow(self, long_flow):
-        request = f"{self.rng.random()}".encode()
-        await long_flow.client.send_request(request, tries=2)
-        self._check_answers(long_flow.client)
-        if long_flow.client.resets:
-            self._check_reset(long_flow)
-            self.long_flows.remove(long_flow)
-
-    def _check_answers(self, client):
-        """Check that each answer belongs to a request of the same flow."""
-        foreign = set(client.answers) - client.sent_requests
-        if foreign:
-            flow = format_flow(client.flow)
-            self._record("mixed", f"{flow} got answers {foreign} without a request")
-
-    def _check_reset(self, long_flow):
-        """Record a reset of a flow whose upstream is up and was not restarted."""
-        upstream = self.deployment.upstream_by_host[long_flow.holder]
-        is_serving = upstream.is_up and not upstream.is_silent
-        if is_serving and upstream.starts == long_flow.upstream_starts:
-            flow = format_flow(long_flow.client.flow)
-            self._record("flow", f"{flow} was reset while {long_flow.holder} served it")
-
     async def _use_short_flows(self):
         """Open a flow for each request, as clients do for bookings."""
         while not self._is_stopping:
@@ -136,7 +85,7 @@
             request = f"booking {self.request_count}".encode()
             if await client.open() and await client.send_request(request, tries=3):
                 self.served += 1
-            self._check_answers(client)
+            self.long_flows.check_answers(client)
             await asyncio.sleep(0.03)
 
     async def _watch_revisions(self):
@@ -307,8 +256,7 @@
         answered = [await client.send_request(b"end") for client in clients]
         if not all(opened) or not all(answered):
             self._record("end", f"{opened.count(True)} of 20 opens served at the end")
-        for long_flow in self.long_flows:
-            await self._check_long_flow(long_flow)
+        await self.long_flows.check_all_served()
         for host, upstream in self.deployment.upstream_by_host.items():
             count = max(upstream.foreign.values(), default=0)
             if count > FOREIGN_LIMIT * 4:
@@ -317,16 +265,6 @@
             if "internal_error" in path.read_text():
                 self._record("error", f"{path} contains an internal error")
 
-    async def _check_long_flow(self, long_flow):
-        upstream = self.deployment.upstream_by_host[long_flow.holder]
-        if not upstream.is_up or upstream.starts != long_flow.upstream_starts:
-            return
-        if not await long_flow.client.send_request(b"end"):
-            flow = format_flow(long_flow.client.flow)
-            self._record("flow", f"{flow} of {long_flow.holder} is unserved at the end")
-        if long_flow.client.resets:
-            self._check_reset(long_flow)
-
     def _record(self, kind, text):
         self.findings.append(f"{kind}: {text} (after {' '.join(self.faults[-6:])})")
 
@@ -384,7 +322,7 @@
         failed += bool(soak.findings)
         print(
             f"seed {seed}: faults {len(soak.faults)}, served {soak.served} of "
-            f"{soak.request_count}, boards {len(soak.long_flows)}, "
+            f"{soak.request_count}, boards {len(soak.long_flows.flows)}, "
             f"restores {soak.deployment.store.epoch - 1}, "
             f"findings {len(soak.findings)}"
             + (f", logs in {folder}" if soak.findings else ""),
