Soak with two services

A deployment of the soak had one service, so that no lookup ever met agents of another. `FlowDeployment` takes a number of services, each with a route; its agents and clients are spread over them. The soak's command has six agents and two services by default; its tests keep three and one.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,7 +20,7 @@
 from attrs import Factory, define, field
 
 from tests.standins.tcp_proxy import TcpProxy
-from tests.support.flow_processes import FlowDeployment, make_config
+from tests.support.flow_processes import FlowDeployment
 from tests.support.long_flows import LongFlows
 from tests.support.revision_watch import RevisionWatch
 
@@ -80,7 +80,7 @@
     async def _use_short_flows(self):
         """Open a flow for each request, as clients do for bookings."""
         while not self._is_stopping:
-            client = self.deployment.fabric.make_client()
+            client = self.deployment.make_client()
             self.request_count += 1
             request = f"booking {self.request_count}".encode()
             if await client.open() and await client.send_request(request, tries=3):
@@ -225,7 +225,7 @@
 
     async def _change_config(self, duration):
         self._config_version += self.rng.randint(1, 3)
-        self.deployment.store.put("op/config", make_config(self._config_version))
+        self.deployment.put_config(self._config_version)
 
     async def _take_out(self, duration):
         """Take a data centre out; check its opens if all processes have the change."""
@@ -251,7 +251,7 @@
     async def _check_final_state(self):
         await self.deployment.wait_until_served()
         await self._revisions.check_all_have(self._config_version)
-        clients = [self.deployment.fabric.make_client() for _ in range(20)]
+        clients = [self.deployment.make_client() for _ in range(20)]
         opened = [await client.open() for client in clients]
         answered = [await client.send_request(b"end") for client in clients]
         if not all(opened) or not all(answered):
@@ -269,10 +269,12 @@
         self.findings.append(f"{kind}: {text} (after {' '.join(self.faults[-6:])})")
 
 
-async def run_seed(seed, seconds, folder, network=72, balancers=2, agents=3, **options):
+async def run_seed(
+    seed, seconds, folder, network=72, balancers=2, agents=3, services=1, **options
+):
     """Run the soak of one seed; ``options`` are those of :class:`Soak`."""
     rng = Random(seed)
-    deployment = FlowDeployment(network, folder, rng, balancers, agents)
+    deployment = FlowDeployment(network, folder, rng, balancers, agents, services)
     try:
         proxy = TcpProxy(("127.0.0.1", 0))
         host, port = await proxy.start()
@@ -302,7 +304,8 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--balancers", type=int, default=2)
-    parser.add_argument("--agents", type=int, default=3)
+    parser.add_argument("--agents", type=int, default=6)
+    parser.add_argument("--services", type=int, default=2)
     parser.add_argument("--network", type=int, default=72)
     args = parser.parse_args()
     failed = 0
@@ -316,6 +319,7 @@
                 args.network,
                 args.balancers,
                 args.agents,
+                args.services,
                 with_restores=True,
             )
         )
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -34,7 +34,7 @@
 FLOW_LIFETIME = 20  # seconds
 ROOT = Path(__file__).parents[2]
 ADDRESS = ("198.18.0.1", 443)
-SERVICE = "board"
+SERVICE = "board"  # the first; others have a number appended
 
 NODE_INI = """[node]
 peer_address = {host}:7720
@@ -60,11 +60,30 @@
 """
 
 
-def make_config(version, routes=None, cold_opens_per_s=0.0):
-    """Return the operator's configuration with one route, or with those given."""
+def name_service(index):
+    return f"{SERVICE}{index or ''}"
+
+
+def make_address(index):
+    """Return the address that clients of a service send to."""
+    return ADDRESS[0], ADDRESS[1] + index
+
+
+def make_config(version, routes=None, cold_opens_per_s=0.0, service_count=1):
+    """Return the operator's configuration with a route to each service.
+
+    If ``routes`` are given, it has those.
+    """
+    names = [name_service(index) for index in range(service_count)]
     if routes is None:
-        routes = [{"host": ADDRESS[0], "prefix": "/443/", "service": SERVICE}]
-    services = [{"name": SERVICE, "maxConns": 2000, "coldPerS": cold_opens_per_s}]
+        addresses = [make_address(index) for index in range(service_count)]
+        routes = [
+            {"host": host, "prefix": f"/{port}/", "service": name}
+            for (host, port), name in zip(addresses, names, strict=True)
+        ]
+    services = [
+        {"name": name, "maxConns": 2000, "coldPerS": cold_opens_per_s} for name in names
+    ]
     limits = {"idleTimeoutMs": 15000}
     return {
         "version": version,
@@ -106,6 +125,7 @@
 
     host: str
     data_centre: str
+    service: str = SERVICE
     service_time: float = 0.02
     draining: bool = False
     is_silent: bool = False
@@ -221,7 +241,7 @@
         is_draining = self.draining
         state = "draining" if is_draining else "ready"
         body = (
-            f'{{"service":"{SERVICE}","address":"{self.host}:{APP_PORT}",'
+            f'{{"service":"{self.service}","address":"{self.host}:{APP_PORT}",'
             f'"zone":"{self.data_centre}","version":"v1","slots":3,"state":"{state}",'
             f'"coldRemainingMs":0,"seq":{self.sequence},"born":{self.started_at}}}'
         )
@@ -348,12 +368,14 @@
     rng: object
     balancer_count: int = 2
     agent_count: int = 3
+    service_count: int = 1
     store: PlatformStore = field(init=False)
     fabric: Fabric = field(init=False)
     upstream_by_host: dict = Factory(dict)
     process_by_host: dict = Factory(dict)
     data_centre_by_host: dict = Factory(dict)
     store_address: str = ""
+    _made_count: int = 0  # clients made
 
     @property
     def balancers(self):
@@ -368,13 +390,14 @@
         self.store = PlatformStore()
         host, port = await self.store.start()
         self.store_address = self.store_address or f"{host}:{port}"
-        self.store.put("op/config", make_config(1))
+        self.put_config(1)
         self.fabric = Fabric(f"127.{self.network}.9.1", self.rng)
         await self.fabric.start()
         for index, host in enumerate([*self.balancers, *self.agents]):
             self.data_centre_by_host[host] = "abc"[index % 3]
-        for host in self.agents:
-            upstream = StandInUpstream(host, self.data_centre_by_host[host])
+        for index, host in enumerate(self.agents):
+            service = name_service(index % self.service_count)
+            upstream = StandInUpstream(host, self.data_centre_by_host[host], service)
             self.upstream_by_host[host] = upstream
             await upstream.start()
         for host in [*self.balancers, *self.agents]:
@@ -382,15 +405,28 @@
         self.fabric.balancers = self.balancers
         await self.wait_until_served()
 
+    def put_config(self, version):
+        """Write a configuration with a route to each service."""
+        config = make_config(version, service_count=self.service_count)
+        self.store.put("op/config", config)
+
+    def make_client(self):
+        """Return a client with a flow to the services in turn."""
+        self._made_count += 1
+        return self.fabric.make_client(
+            make_address(self._made_count % self.service_count)
+        )
+
     async def launch(self, host, is_first_start=False):
         """Start the balancer or agent process of a host."""
         role = "balancer" if host in self.balancers else "agent"
+        upstream = self.upstream_by_host.get(host)
         values = {
             "host": host,
             "data_centre": self.data_centre_by_host[host],
             "seeds": ",".join(self.balancers[:3]),
             "store": self.store_address,
-            "service": SERVICE,
+            "service": SERVICE if role == "balancer" else upstream.service,
             "first": str(is_first_start).lower(),
         }
         role_ini = BALANCER_INI if role == "balancer" else AGENT_INI
@@ -427,7 +463,7 @@
             serving = set()
             up_hosts = {h for h, u in self.upstream_by_host.items() if u.is_up}
             while serving != up_hosts:
-                client = self.fabric.make_client()
+                client = self.make_client()
                 await client.open(copies=(0.0,))
                 serving = {h for h in up_hosts if self.upstream_by_host[h].opens}
 
--- a/tests/support/long_flows.py
+++ b/tests/support/long_flows.py
@@ -39,7 +39,7 @@
             await asyncio.sleep(0.02)
 
     async def _open(self):
-        client = self.deployment.fabric.make_client()
+        client = self.deployment.make_client()
         if not await client.open():
             return
         holder = self.deployment.find_holder(client.flow)
