Soak checks per flow where packets arrived, as rule FLOW states

The soak only compared the packets of a foreign flow at one upstream over the whole run with a bound that the rule does not have, so that a flow could lose all its packets to other upstreams unnoticed. That check stays. Upstreams now record when the packets of each flow come, and at the end each flow of each client is checked: in no span of 2 s (`reorderMs`) may three of its packets reach other upstreams and none its own, from its first packet at its upstream until that upstream stops or falls silent or the flow's lifetime is over.

Excused are spans in which the agent beside its upstream was killed or suspended, and 4 s after (`stableWindowMs`), as the rule counts those only for machines in touch. Planned restarts excuse nothing.

`events.txt` beside the logs has the times of faults, starts and ends of processes. The summary has the time by which the soak itself ran late, since that delays arrivals.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,8 +3,9 @@
     python -m tests.soak --seeds 10 --seconds 20
 
 Faults follow each other and overlap. While they last and afterwards, the soak checks
-what clients and upstreams received against the guarantees of the service. A seed that
-failed once is kept in ``tests/processes/test_flow_soak.py`` with its cause.
+what clients and upstreams received against the guarantees of the service.
+``events.txt`` beside the logs has the times of the faults. A seed that failed once is
+kept in ``tests/processes/test_flow_soak.py`` with its cause.
 """
 
 import argparse
@@ -19,8 +20,10 @@
 
 from attrs import Factory, define, field
 
+from bilberrypath.protocol.flow_packet import format_flow
 from tests.standins.tcp_proxy import TcpProxy
-from tests.support.flow_processes import FlowDeployment
+from tests.support.flow_processes import FLOW_LIFETIME, FlowDeployment, format_time
+from tests.support.foreign_packets import find_violations
 from tests.support.long_flows import LongFlows
 from tests.support.revision_watch import RevisionWatch
 
@@ -47,6 +50,7 @@
     request_count: int = 0  # requests on flows of their own
     out_since: dict = Factory(dict)  # when each data centre was taken out of service
     with_restores: bool = False  # whether the store is restored from older copies
+    lag: float = 0.0  # the longest time in seconds that this process ran late
     _config_version: int = 1
     _paused_hosts: set = Factory(set)
     _is_stopping: bool = False
@@ -65,6 +69,7 @@
                 self.long_flows.use_in_turn(),
                 self._use_short_flows(),
                 self._watch_revisions(),
+                self._measure_lag(),
                 self._inject_faults(time.monotonic() + seconds),
             )
         ]
@@ -93,6 +98,13 @@
             await self._revisions.check_all()
             await asyncio.sleep(0.2)
 
+    async def _measure_lag(self):
+        """Measure how late this process itself runs, which delays what it receives."""
+        while not self._is_stopping:
+            due = time.monotonic() + 0.05
+            await asyncio.sleep(0.05)
+            self.lag = max(self.lag, time.monotonic() - due)
+
     # Faults
 
     async def _inject_faults(self, until):
@@ -122,6 +134,7 @@
 
     async def _run_fault(self, fault):
         self.faults.append(fault.__name__.strip("_"))
+        self.deployment.write_event(self.faults[-1])
         await fault(self.rng.uniform(*FAULT_DURATION))
 
     async def _restart(self, duration):
@@ -147,11 +160,15 @@
         hosts = sorted(set(self.deployment.process_by_host) - self._paused_hosts)
         host = self.rng.choice(hosts)
         self._paused_hosts.add(host)
+        self.deployment.write_event(f"{host} is paused")
         process = self.deployment.process_by_host[host]
         process.send_signal(signal.SIGSTOP)
+        self.deployment.begin_disruption(host)
         await asyncio.sleep(duration)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGCONT)
+        self.deployment.end_disruptions(host)
+        self.deployment.write_event(f"{host} is resumed")
         self._paused_hosts.discard(host)
 
     def _choose_upstream(self):
@@ -170,7 +187,7 @@
     async def _silence_upstream(self, duration):
         upstream = self._choose_upstream()
         if upstream is not None:
-            upstream.is_silent = True
+            upstream.fall_silent()
             await asyncio.sleep(duration)
             upstream.stop()
             await upstream.start()
@@ -261,12 +278,21 @@
             count = max(upstream.foreign.values(), default=0)
             if count > FOREIGN_LIMIT * 4:
                 self._record("flow", f"{host} got {count} packets of a foreign flow")
+        for flow, host, gap in find_violations(self.deployment, FLOW_LIFETIME):
+            self._record(
+                "flow",
+                f"{len(gap.foreign)} packets of {format_flow(flow)} came elsewhere and "
+                f"none to {host} for {gap.end - gap.start:.2f} s from "
+                f"{format_time(gap.start)}",
+            )
         for path in self.deployment.folder.glob("*.log"):
             if "internal_error" in path.read_text():
                 self._record("error", f"{path} contains an internal error")
 
     def _record(self, kind, text):
-        self.findings.append(f"{kind}: {text} (after {' '.join(self.faults[-6:])})")
+        at = format_time(time.monotonic())
+        faults = " ".join(self.faults[-6:])
+        self.findings.append(f"{kind}: {text} (found at {at}, after {faults})")
 
 
 async def run_seed(
@@ -327,7 +353,7 @@
         print(
             f"seed {seed}: faults {len(soak.faults)}, served {soak.served} of "
             f"{soak.request_count}, boards {len(soak.long_flows.flows)}, "
-            f"restores {soak.deployment.store.epoch - 1}, "
+            f"restores {soak.deployment.store.epoch - 1}, lag {soak.lag:.2f} s, "
             f"findings {len(soak.findings)}"
             + (f", logs in {folder}" if soak.findings else ""),
             flush=True,
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -6,11 +6,14 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import signal
 import sys
 import time
-from collections import Counter
+from collections import Counter, defaultdict, deque
+from datetime import UTC, datetime
+from functools import partial
 from pathlib import Path
 
 from attrs import Factory, define, field
@@ -32,6 +35,7 @@
 APP_PORT, OUTBOUND_PORT, REPORT_PORT = 7724, 7725, 7726
 REPORT_PERIOD = 0.5  # seconds
 FLOW_LIFETIME = 20  # seconds
+MAX_ARRIVALS = 2000  # of a flow that an upstream keeps
 ROOT = Path(__file__).parents[2]
 ADDRESS = ("198.18.0.1", 443)
 SERVICE = "board"  # the first; others have a number appended
@@ -93,6 +97,12 @@
     }
 
 
+def format_time(at):
+    """Return a time of the monotonic clock as it is written in logs."""
+    now = datetime.now(UTC).timestamp()
+    return datetime.fromtimestamp(now - time.monotonic() + at, UTC).isoformat()
+
+
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(self, handler):
         self._handler = handler
@@ -110,6 +120,9 @@
     return transport
 
 
+make_arrivals = partial(deque, maxlen=MAX_ARRIVALS)
+
+
 @define(eq=False)
 class StandInUpstream:
     """A server that follows the platform's protocol: flows, answers and reports.
@@ -120,6 +133,8 @@
     one start. ``flows`` holds its flows, ``opened`` those whose client confirmed that
     it accepted this upstream's SYN-ACK, ``opens`` lists (time, flow) of accepted
     opens, and ``foreign`` counts by flow the packets of flows that it does not hold.
+    ``held_arrivals`` and ``foreign_arrivals`` have by flow the times when packets came
+    that are no opens, and ``ends`` the times when it stopped or fell silent.
     ``acked_draining_at`` is when the agent first acknowledged that it is draining.
     """
 
@@ -136,6 +151,9 @@
     opened: set = Factory(set)
     opens: list = Factory(list)
     foreign: Counter = Factory(Counter)
+    held_arrivals: dict = Factory(partial(defaultdict, make_arrivals))
+    foreign_arrivals: dict = Factory(partial(defaultdict, make_arrivals))
+    ends: list = Factory(list)
     acked_draining_at: float | None = None
     _transport: asyncio.DatagramTransport | None = None
     _health_server: asyncio.Server | None = None
@@ -168,6 +186,7 @@
     def stop(self):
         """Stop as in a crash: close the port, stop reporting and drop all flows."""
         if self._transport is not None:
+            self.ends.append(time.monotonic())
             self._transport.close()
             self._transport = None
             self._health_server.close()
@@ -175,6 +194,11 @@
         self.flows.clear()
         self.opened.clear()
 
+    def fall_silent(self):
+        """Stop answering and reporting until the next start."""
+        self.ends.append(time.monotonic())
+        self.is_silent = True
+
     @property
     def is_up(self):
         return self._transport is not None
@@ -186,7 +210,11 @@
 
     def _receive(self, datagram):
         packet = self._codec.parse_client_packet(datagram)
-        if packet is None or self.is_silent:
+        if packet is None:
+            return
+        if not packet.is_syn:
+            self._record_arrival(packet)
+        if self.is_silent:
             return
         if packet.is_syn:
             if packet.flow not in self.flows:
@@ -207,6 +235,16 @@
                 self.service_time, self._answer, packet.flow, datagram, starts
             )
 
+    def _record_arrival(self, packet):
+        if self.is_silent:
+            is_held = packet.flow in self.flows
+        else:
+            is_held = self._has_opened(packet)
+        if not is_held:
+            self.foreign_arrivals[packet.flow].append(time.monotonic())
+        elif not self.is_silent:
+            self.held_arrivals[packet.flow].append(time.monotonic())
+
     def _has_opened(self, packet):
         """Return whether a flow is open here; forget one whose client chose another."""
         if packet.flow in self.flows and packet.flow not in self.opened:
@@ -360,7 +398,8 @@
 
     ``network`` is the second octet of the addresses; deployments that run at the
     same time need different ones. ``store_address``, if set before the start, is
-    given to the balancers in place of the store's own address.
+    given to the balancers in place of the store's own address. ``disruptions_by_host``
+    has the [start, end] of times when a process was suspended, or away after a kill.
     """
 
     network: int
@@ -374,6 +413,7 @@
     upstream_by_host: dict = Factory(dict)
     process_by_host: dict = Factory(dict)
     data_centre_by_host: dict = Factory(dict)
+    disruptions_by_host: dict = Factory(partial(defaultdict, list))
     store_address: str = ""
     _made_count: int = 0  # clients made
 
@@ -417,8 +457,15 @@
             make_address(self._made_count % self.service_count)
         )
 
+    def write_event(self, text):
+        """Append a line to a file beside the logs, with the time as in these."""
+        with open(self.folder / "events.txt", "a") as events:
+            events.write(f"{format_time(time.monotonic())} {text}\n")
+
     async def launch(self, host, is_first_start=False):
         """Start the balancer or agent process of a host."""
+        self.write_event(f"{host} is started")
+        self.end_disruptions(host)
         role = "balancer" if host in self.balancers else "agent"
         upstream = self.upstream_by_host.get(host)
         values = {
@@ -449,9 +496,21 @@
     async def end(self, host, signal_number=signal.SIGKILL):
         """Signal the process of a host, wait for its end, and return its exit code."""
         process = self.process_by_host.pop(host)
+        if signal_number == signal.SIGKILL:
+            self.begin_disruption(host)
+        self.write_event(f"{host} is sent {signal.Signals(signal_number).name}")
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal_number)
-        return await process.wait()
+        exit_code = await process.wait()
+        self.write_event(f"{host} ended with {exit_code}")
+        return exit_code
+
+    def begin_disruption(self, host):
+        self.disruptions_by_host[host].append([time.monotonic(), math.inf])
+
+    def end_disruptions(self, host):
+        for disruption in self.disruptions_by_host[host]:
+            disruption[1] = min(disruption[1], time.monotonic())
 
     def signal(self, host, signal_number):
         """Send a signal to the process of a host."""
