Soak restarts many processes as planned work does

The soak restarted one process at a time, which was back within 0.75 s, used one long flow at a time, and took a balancer out of rotation before its end. A planned update restarts many at once, and some stay away for seconds. New faults, all by SIGTERM:

- `restart_round`: a random share of the processes, stopped 0.05 to 1 s apart, each started again 0.1 to 2.5 s after its end;
- `long_absence`: an agent starts again 2 to 8 s after its end, while the balancers restart one after the other.

A process that one of them started is not stopped again before it is ready. The rotation follows `GET /v1/ready`, asked twice a second, as the platform's does: two misses take a balancer out, and all are used if fewer than half are in. 30 long flows are used at the same time, each until its lifetime is over or its upstream has lost it.

The soak's command has these faults besides the others; `--only-rounds` leaves the others out. The seeds of the tests keep their faults. This can find open flows that are reset, or whose packets reach other upstreams, while the agent of a sound upstream is away.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,10 +2,11 @@
 
     python -m tests.soak --seeds 10 --seconds 20
 
-Faults follow each other and overlap. While they last and afterwards, the soak checks
-what clients and upstreams received against the guarantees of the service.
-``events.txt`` beside the logs has the times of the faults. A seed that failed once is
-kept in ``tests/processes/test_flow_soak.py`` with its cause.
+Faults follow each other and overlap; with ``--only-rounds``, these are only planned
+restarts of several processes. While they last and afterwards, the soak checks what
+clients and upstreams received against the guarantees of the service. ``events.txt``
+beside the logs has the times of the faults. A seed that failed once is kept in
+``tests/processes/test_flow_soak.py`` with its cause.
 """
 
 import argparse
@@ -25,6 +26,7 @@
 from tests.support.flow_processes import FLOW_LIFETIME, FlowDeployment, format_time
 from tests.support.foreign_packets import find_violations
 from tests.support.long_flows import LongFlows
+from tests.support.planned_restarts import PlannedRestarts, Rotation
 from tests.support.revision_watch import RevisionWatch
 
 DRAIN_LIMIT = 3.0  # seconds from an acknowledged drain to the last open
@@ -50,6 +52,8 @@
     request_count: int = 0  # requests on flows of their own
     out_since: dict = Factory(dict)  # when each data centre was taken out of service
     with_restores: bool = False  # whether the store is restored from older copies
+    with_rounds: bool = False  # whether processes are restarted in planned rounds
+    only_rounds: bool = False  # whether there are no other faults than these rounds
     lag: float = 0.0  # the longest time in seconds that this process ran late
     _config_version: int = 1
     _paused_hosts: set = Factory(set)
@@ -60,25 +64,33 @@
     def __attrs_post_init__(self):
         self._revisions = RevisionWatch(self.deployment, self._record)
         self.long_flows = LongFlows(self.deployment, self.rng, self._record)
+        self.with_rounds = self.with_rounds or self.only_rounds
 
     async def run(self, seconds):
         """Run clients and faults for some seconds, then check the final state."""
+        flows = self.long_flows
         tasks = [
             asyncio.create_task(work)
             for work in (
-                self.long_flows.use_in_turn(),
+                flows.use_all() if self.with_rounds else flows.use_in_turn(),
                 self._use_short_flows(),
                 self._watch_revisions(),
                 self._measure_lag(),
                 self._inject_faults(time.monotonic() + seconds),
             )
         ]
+        polling = asyncio.create_task(self._poll_rotation())
         await tasks[-1]
         await asyncio.sleep(SETTLE_TIME)
-        self._is_stopping = self.long_flows.is_stopping = True
+        self._is_stopping = flows.is_stopping = True
         for task in tasks[:-1]:
             await task
         await self._check_final_state()
+        polling.cancel()
+
+    async def _poll_rotation(self):
+        if self.with_rounds:
+            await Rotation(self.deployment).poll_forever()
 
     # Clients
 
@@ -123,12 +135,17 @@
             self._take_out,
         ]
         running = []
+        rounds = PlannedRestarts(self.deployment, self.rng, self._paused_hosts)
+        if self.only_rounds:
+            faults.clear()
         if self.with_restores:
             faults.append(self._restore_store)
             running.append(asyncio.create_task(self._run_fault(self._restore_store)))
         while time.monotonic() < until:
-            fault = self.rng.choice(faults)
-            running.append(asyncio.create_task(self._run_fault(fault)))
+            choices = faults + (rounds.list_faults() if self.with_rounds else [])
+            if choices:
+                fault = self.rng.choice(choices)
+                running.append(asyncio.create_task(self._run_fault(fault)))
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL))
         await asyncio.gather(*running)
 
@@ -158,6 +175,8 @@
 
     async def _pause(self, duration):
         hosts = sorted(set(self.deployment.process_by_host) - self._paused_hosts)
+        if not hosts:
+            return
         host = self.rng.choice(hosts)
         self._paused_hosts.add(host)
         self.deployment.write_event(f"{host} is paused")
@@ -332,6 +351,7 @@
     parser.add_argument("--balancers", type=int, default=2)
     parser.add_argument("--agents", type=int, default=6)
     parser.add_argument("--services", type=int, default=2)
+    parser.add_argument("--only-rounds", action="store_true")
     parser.add_argument("--network", type=int, default=72)
     args = parser.parse_args()
     failed = 0
@@ -346,7 +366,9 @@
                 args.balancers,
                 args.agents,
                 args.services,
-                with_restores=True,
+                with_restores=not args.only_rounds,
+                with_rounds=True,
+                only_rounds=args.only_rounds,
             )
         )
         failed += bool(soak.findings)
--- a/tests/support/long_flows.py
+++ b/tests/support/long_flows.py
@@ -5,8 +5,10 @@
 from attrs import Factory, define
 
 from bilberrypath.protocol.flow_packet import format_flow
+from tests.support.flow_processes import FLOW_LIFETIME
 
 FLOW_COUNT = 30
+REQUEST_INTERVAL = (0.05, 0.3)  # seconds; a range
 
 
 @define(eq=False)
@@ -35,25 +37,50 @@
                 await self._open()
             long_flow = self.rng.choice(self.flows) if self.flows else None
             if long_flow is not None:
-                await self._send_on(long_flow)
+                await self._send_on(long_flow, tries=2)
             await asyncio.sleep(0.02)
 
+    async def use_all(self):
+        """Use 30 flows at the same time, each for its lifetime or until it is lost."""
+        await asyncio.gather(*(self._use_flows() for _ in range(FLOW_COUNT)))
+
+    async def _use_flows(self):
+        loop = asyncio.get_running_loop()
+        while not self.is_stopping:
+            retire_at = loop.time() + FLOW_LIFETIME
+            long_flow = await self._open()
+            if long_flow is None:
+                await asyncio.sleep(REQUEST_INTERVAL[1])
+            while long_flow in self.flows and not self.is_stopping:
+                is_answered = await self._send_on(long_flow, tries=4)
+                is_lost = not is_answered and not self._is_held(long_flow)
+                is_over = is_lost or loop.time() > retire_at
+                if is_over and long_flow in self.flows:
+                    self.flows.remove(long_flow)
+                await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL))
+
     async def _open(self):
+        """Open a flow; return it, or None if it was not accepted."""
         client = self.deployment.make_client()
         if not await client.open():
-            return
+            return None
         holder = self.deployment.find_holder(client.flow)
-        if holder is not None:
-            upstream_starts = self.deployment.upstream_by_host[holder].starts
-            self.flows.append(LongFlow(client, holder, upstream_starts))
-
-    async def _send_on(self, long_flow):
+        if holder is None:
+            return None
+        upstream_starts = self.deployment.upstream_by_host[holder].starts
+        long_flow = LongFlow(client, holder, upstream_starts)
+        self.flows.append(long_flow)
+        return long_flow
+
+    async def _send_on(self, long_flow, tries):
+        """Send a request; return whether it was answered."""
         request = f"{self.rng.random()}".encode()
-        await long_flow.client.send_request(request, tries=2)
+        is_answered = await long_flow.client.send_request(request, tries)
         self.check_answers(long_flow.client)
         if long_flow.client.resets:
             self._check_reset(long_flow)
             self.flows.remove(long_flow)
+        return is_answered
 
     def _is_held(self, long_flow):
         """Return whether a flow's upstream is up and was not restarted."""
