--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,9 +2,11 @@
 
     python -m tests.soak --seeds 10 --seconds 20
 
-Faults follow each other and overlap. While they last and afterwards, the soak checks
-what clients and upstreams received against the guarantees of the service. A seed that
-failed once is kept in ``tests/processes/test_flow_soak.py`` with its cause.
+Faults follow each other and overlap; with ``--only-rounds``, these are only planned
+restarts of several processes. While they last and afterwards, the soak checks what
+clients and upstreams received against the guarantees of the service. ``events.txt``
+beside the logs has the times of the faults. A seed that failed once is kept in
+``tests/processes/test_flow_soak.py`` with its cause.
 """
 
 import argparse
@@ -21,7 +23,10 @@
 
 from bilberrypath.protocol.flow_packet import format_flow
 from tests.standins.tcp_proxy import TcpProxy
-from tests.support.flow_processes import FlowDeployment, make_config
+from tests.support.flow_processes import FLOW_LIFETIME, FlowDeployment, format_time
+from tests.support.foreign_packets import find_violations
+from tests.support.long_flows import LongFlows
+from tests.support.planned_restarts import PlannedRestarts, Rotation
 from tests.support.revision_watch import RevisionWatch
 
 DRAIN_LIMIT = 3.0  # seconds from an acknowledged drain to the last open
@@ -33,16 +38,6 @@
 FAULT_DURATION = (0.5, 3.0)  # seconds that a fault lasts; a range
 
 
-@define(eq=False)
-class LongFlow:
-    """A client's long-lived flow; a restart of its upstream loses the flow."""
-
-    client: object
-    holder: str  # host of the upstream that accepted the flow
-    upstream_starts: int  # how often that upstream had been started by then
-    lost: bool = False
-
-
 @define(eq=False)
 class Soak:
     """The run of one seed: a deployment, its clients, faults and findings."""
@@ -52,91 +47,62 @@
     proxy: TcpProxy
     rng: Random
     findings: list = Factory(list)  # violated guarantees, as text
-    long_flows: list = Factory(list)
     faults: list = Factory(list)  # names of the injected faults, in order
     served: int = 0  # requests on flows of their own that were answered
     request_count: int = 0  # requests on flows of their own
     out_since: dict = Factory(dict)  # when each data centre was taken out of service
     with_restores: bool = False  # whether the store is restored from older copies
+    with_rounds: bool = False  # whether processes are restarted in planned rounds
+    only_rounds: bool = False  # whether there are no other faults than these rounds
+    lag: float = 0.0  # the longest time in seconds that this process ran late
     _config_version: int = 1
     _paused_hosts: set = Factory(set)
     _is_stopping: bool = False
+    long_flows: LongFlows = field(init=False)
     _revisions: RevisionWatch = field(init=False)
 
     def __attrs_post_init__(self):
         self._revisions = RevisionWatch(self.deployment, self._record)
+        self.long_flows = LongFlows(self.deployment, self.rng, self._record)
+        self.with_rounds = self.with_rounds or self.only_rounds
 
     async def run(self, seconds):
         """Run clients and faults for some seconds, then check the final state."""
+        flows = self.long_flows
         tasks = [
             asyncio.create_task(work)
             for work in (
-                self._use_long_flows(),
+                flows.use_all() if self.with_rounds else flows.use_in_turn(),
                 self._use_short_flows(),
                 self._watch_revisions(),
+                self._measure_lag(),
                 self._inject_faults(time.monotonic() + seconds),
             )
         ]
+        polling = asyncio.create_task(self._poll_rotation())
         await tasks[-1]
         await asyncio.sleep(SETTLE_TIME)
-        self._is_stopping = True
+        self._is_stopping = flows.is_stopping = True
         for task in tasks[:-1]:
             await task
         await self._check_final_state()
+        polling.cancel()
 
-    # Clients
+    async def _poll_rotation(self):
+        if self.with_rounds:
+            await Rotation(self.deployment).poll_forever()
 
-    async def _use_long_flows(self):
-        """Keep up to 30 flows open, with a request every 20 ms on a random one."""
-        while not self._is_stopping:
-            if len(self.long_flows) < 30:
-                await self._open_long_flow()
-            long_flow = self.rng.choice(self.long_flows) if self.long_flows else None
-            if long_flow is not None:
-                await self._send_on_long_flow(long_flow)
-            await asyncio.sleep(0.02)
-
-    async def _open_long_flow(self):
-        client = self.deployment.fabric.make_client()
-        if not await client.open():
-            return
-        holder = self.deployment.find_holder(client.flow)
-        if holder is not None:
-            upstream_starts = self.deployment.upstream_by_host[holder].starts
-            self.long_flows.append(LongFlow(client, holder, upstream_starts))
-
-    async def _send_on_long_flow(self, long_flow):
-        request = f"{self.rng.random()}".encode()
-        await long_flow.client.send_request(request, tries=2)
-        self._check_answers(long_flow.client)
-        if long_flow.client.resets:
-            self._check_reset(long_flow)
-            self.long_flows.remove(long_flow)
-
-    def _check_answers(self, client):
-        """Check that each answer belongs to a request of the same flow."""
-        foreign = set(client.answers) - client.sent_requests
-        if foreign:
-            flow = format_flow(client.flow)
-            self._record("mixed", f"{flow} got answers {foreign} without a request")
-
-    def _check_reset(self, long_flow):
-        """Record a reset of a flow whose upstream is up and was not restarted."""
-        upstream = self.deployment.upstream_by_host[long_flow.holder]
-        is_serving = upstream.is_up and not upstream.is_silent
-        if is_serving and upstream.starts == long_flow.upstream_starts:
-            flow = format_flow(long_flow.client.flow)
-            self._record("flow", f"{flow} was reset while {long_flow.holder} served it")
+    # Clients
 
     async def _use_short_flows(self):
         """Open a flow for each request, as clients do for bookings."""
         while not self._is_stopping:
-            client = self.deployment.fabric.make_client()
+            client = self.deployment.make_client()
             self.request_count += 1
             request = f"booking {self.request_count}".encode()
             if await client.open() and await client.send_request(request, tries=3):
                 self.served += 1
-            self._check_answers(client)
+            self.long_flows.check_answers(client)
             await asyncio.sleep(0.03)
 
     async def _watch_revisions(self):
@@ -144,6 +110,13 @@
             await self._revisions.check_all()
             await asyncio.sleep(0.2)
 
+    async def _measure_lag(self):
+        """Measure how late this process itself runs, which delays what it receives."""
+        while not self._is_stopping:
+            due = time.monotonic() + 0.05
+            await asyncio.sleep(0.05)
+            self.lag = max(self.lag, time.monotonic() - due)
+
     # Faults
 
     async def _inject_faults(self, until):
@@ -162,17 +135,23 @@
             self._take_out,
         ]
         running = []
+        rounds = PlannedRestarts(self.deployment, self.rng, self._paused_hosts)
+        if self.only_rounds:
+            faults.clear()
         if self.with_restores:
             faults.append(self._restore_store)
             running.append(asyncio.create_task(self._run_fault(self._restore_store)))
         while time.monotonic() < until:
-            fault = self.rng.choice(faults)
-            running.append(asyncio.create_task(self._run_fault(fault)))
+            choices = faults + (rounds.list_faults() if self.with_rounds else [])
+            if choices:
+                fault = self.rng.choice(choices)
+                running.append(asyncio.create_task(self._run_fault(fault)))
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL))
         await asyncio.gather(*running)
 
     async def _run_fault(self, fault):
         self.faults.append(fault.__name__.strip("_"))
+        self.deployment.write_event(self.faults[-1])
         await fault(self.rng.uniform(*FAULT_DURATION))
 
     async def _restart(self, duration):
@@ -196,13 +175,19 @@
 
     async def _pause(self, duration):
         hosts = sorted(set(self.deployment.process_by_host) - self._paused_hosts)
+        if not hosts:
+            return
         host = self.rng.choice(hosts)
         self._paused_hosts.add(host)
+        self.deployment.write_event(f"{host} is paused")
         process = self.deployment.process_by_host[host]
         process.send_signal(signal.SIGSTOP)
+        self.deployment.begin_disruption(host)
         await asyncio.sleep(duration)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGCONT)
+        self.deployment.end_disruptions(host)
+        self.deployment.write_event(f"{host} is resumed")
         self._paused_hosts.discard(host)
 
     def _choose_upstream(self):
@@ -221,7 +206,7 @@
     async def _silence_upstream(self, duration):
         upstream = self._choose_upstream()
         if upstream is not None:
-            upstream.is_silent = True
+            upstream.fall_silent()
             await asyncio.sleep(duration)
             upstream.stop()
             await upstream.start()
@@ -276,7 +261,7 @@
 
     async def _change_config(self, duration):
         self._config_version += self.rng.randint(1, 3)
-        self.deployment.store.put("op/config", make_config(self._config_version))
+        self.deployment.put_config(self._config_version)
 
     async def _take_out(self, duration):
         """Take a data centre out; check its opens if all processes have the change."""
@@ -302,39 +287,39 @@
     async def _check_final_state(self):
         await self.deployment.wait_until_served()
         await self._revisions.check_all_have(self._config_version)
-        clients = [self.deployment.fabric.make_client() for _ in range(20)]
+        clients = [self.deployment.make_client() for _ in range(20)]
         opened = [await client.open() for client in clients]
         answered = [await client.send_request(b"end") for client in clients]
         if not all(opened) or not all(answered):
             self._record("end", f"{opened.count(True)} of 20 opens served at the end")
-        for long_flow in self.long_flows:
-            await self._check_long_flow(long_flow)
+        await self.long_flows.check_all_served()
         for host, upstream in self.deployment.upstream_by_host.items():
             count = max(upstream.foreign.values(), default=0)
             if count > FOREIGN_LIMIT * 4:
                 self._record("flow", f"{host} got {count} packets of a foreign flow")
+        for flow, host, gap in find_violations(self.deployment, FLOW_LIFETIME):
+            self._record(
+                "flow",
+                f"{len(gap.foreign)} packets of {format_flow(flow)} came elsewhere and "
+                f"none to {host} for {gap.end - gap.start:.2f} s from "
+                f"{format_time(gap.start)}",
+            )
         for path in self.deployment.folder.glob("*.log"):
             if "internal_error" in path.read_text():
                 self._record("error", f"{path} contains an internal error")
 
-    async def _check_long_flow(self, long_flow):
-        upstream = self.deployment.upstream_by_host[long_flow.holder]
-        if not upstream.is_up or upstream.starts != long_flow.upstream_starts:
-            return
-        if not await long_flow.client.send_request(b"end"):
-            flow = format_flow(long_flow.client.flow)
-            self._record("flow", f"{flow} of {long_flow.holder} is unserved at the end")
-        if long_flow.client.resets:
-            self._check_reset(long_flow)
-
     def _record(self, kind, text):
-        self.findings.append(f"{kind}: {text} (after {' '.join(self.faults[-6:])})")
+        at = format_time(time.monotonic())
+        faults = " ".join(self.faults[-6:])
+        self.findings.append(f"{kind}: {text} (found at {at}, after {faults})")
 
 
-async def run_seed(seed, seconds, folder, network=72, balancers=2, agents=3, **options):
+async def run_seed(
+    seed, seconds, folder, network=72, balancers=2, agents=3, services=1, **options
+):
     """Run the soak of one seed; ``options`` are those of :class:`Soak`."""
     rng = Random(seed)
-    deployment = FlowDeployment(network, folder, rng, balancers, agents)
+    deployment = FlowDeployment(network, folder, rng, balancers, agents, services)
     try:
         proxy = TcpProxy(("127.0.0.1", 0))
         host, port = await proxy.start()
@@ -364,7 +349,9 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--balancers", type=int, default=2)
-    parser.add_argument("--agents", type=int, default=3)
+    parser.add_argument("--agents", type=int, default=6)
+    parser.add_argument("--services", type=int, default=2)
+    parser.add_argument("--only-rounds", action="store_true")
     parser.add_argument("--network", type=int, default=72)
     args = parser.parse_args()
     failed = 0
@@ -378,14 +365,17 @@
                 args.network,
                 args.balancers,
                 args.agents,
-                with_restores=True,
+                args.services,
+                with_restores=not args.only_rounds,
+                with_rounds=True,
+                only_rounds=args.only_rounds,
             )
         )
         failed += bool(soak.findings)
         print(
             f"seed {seed}: faults {len(soak.faults)}, served {soak.served} of "
-            f"{soak.request_count}, boards {len(soak.long_flows)}, "
-            f"restores {soak.deployment.store.epoch - 1}, "
+            f"{soak.request_count}, boards {len(soak.long_flows.flows)}, "
+            f"restores {soak.deployment.store.epoch - 1}, lag {soak.lag:.2f} s, "
             f"findings {len(soak.findings)}"
             + (f", logs in {folder}" if soak.findings else ""),
             flush=True,
--- a/tests/support/flow_processes.py
+++ b/tests/support/flow_processes.py
@@ -6,11 +6,14 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import signal
 import sys
 import time
-from collections import Counter
+from collections import Counter, defaultdict, deque
+from datetime import UTC, datetime
+from functools import partial
 from pathlib import Path
 
 from attrs import Factory, define, field
@@ -32,9 +35,10 @@
 APP_PORT, OUTBOUND_PORT, REPORT_PORT = 7724, 7725, 7726
 REPORT_PERIOD = 0.5  # seconds
 FLOW_LIFETIME = 20  # seconds
+MAX_ARRIVALS = 2000  # of a flow that an upstream keeps
 ROOT = Path(__file__).parents[2]
 ADDRESS = ("198.18.0.1", 443)
-SERVICE = "board"
+SERVICE = "board"  # the first; others have a number appended
 
 NODE_INI = """[node]
 peer_address = {host}:7720
@@ -60,11 +64,30 @@
 """
 
 
-def make_config(version, routes=None, cold_opens_per_s=0.0):
-    """Return the operator's configuration with one route, or with those given."""
+def name_service(index):
+    return f"{SERVICE}{index or ''}"
+
+
+def make_address(index):
+    """Return the address that clients of a service send to."""
+    return ADDRESS[0], ADDRESS[1] + index
+
+
+def make_config(version, routes=None, cold_opens_per_s=0.0, service_count=1):
+    """Return the operator's configuration with a route to each service.
+
+    If ``routes`` are given, it has those.
+    """
+    names = [name_service(index) for index in range(service_count)]
     if routes is None:
-        routes = [{"host": ADDRESS[0], "prefix": "/443/", "service": SERVICE}]
-    services = [{"name": SERVICE, "maxConns": 2000, "coldPerS": cold_opens_per_s}]
+        addresses = [make_address(index) for index in range(service_count)]
+        routes = [
+            {"host": host, "prefix": f"/{port}/", "service": name}
+            for (host, port), name in zip(addresses, names, strict=True)
+        ]
+    services = [
+        {"name": name, "maxConns": 2000, "coldPerS": cold_opens_per_s} for name in names
+    ]
     limits = {"idleTimeoutMs": 15000}
     return {
         "version": version,
@@ -74,6 +97,12 @@
     }
 
 
+def format_time(at):
+    """Return a time of the monotonic clock as it is written in logs."""
+    now = datetime.now(UTC).timestamp()
+    return datetime.fromtimestamp(now - time.monotonic() + at, UTC).isoformat()
+
+
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(self, handler):
         self._handler = handler
@@ -91,6 +120,9 @@
     return transport
 
 
+make_arrivals = partial(deque, maxlen=MAX_ARRIVALS)
+
+
 @define(eq=False)
 class StandInUpstream:
     """A server that follows the platform's protocol: flows, answers and reports.
@@ -101,11 +133,14 @@
     one start. ``flows`` holds its flows, ``opened`` those whose client confirmed that
     it accepted this upstream's SYN-ACK, ``opens`` lists (time, flow) of accepted
     opens, and ``foreign`` counts by flow the packets of flows that it does not hold.
+    ``held_arrivals`` and ``foreign_arrivals`` have by flow the times when packets came
+    that are no opens, and ``ends`` the times when it stopped or fell silent.
     ``acked_draining_at`` is when the agent first acknowledged that it is draining.
     """
 
     host: str
     data_centre: str
+    service: str = SERVICE
     service_time: float = 0.02
     draining: bool = False
     is_silent: bool = False
@@ -116,6 +151,9 @@
     opened: set = Factory(set)
     opens: list = Factory(list)
     foreign: Counter = Factory(Counter)
+    held_arrivals: dict = Factory(partial(defaultdict, make_arrivals))
+    foreign_arrivals: dict = Factory(partial(defaultdict, make_arrivals))
+    ends: list = Factory(list)
     acked_draining_at: float | None = None
     _transport: asyncio.DatagramTransport | None = None
     _health_server: asyncio.Server | None = None
@@ -148,6 +186,7 @@
     def stop(self):
         """Stop as in a crash: close the port, stop reporting and drop all flows."""
         if self._transport is not None:
+            self.ends.append(time.monotonic())
             self._transport.close()
             self._transport = None
             self._health_server.close()
@@ -155,6 +194,11 @@
         self.flows.clear()
         self.opened.clear()
 
+    def fall_silent(self):
+        """Stop answering and reporting until the next start."""
+        self.ends.append(time.monotonic())
+        self.is_silent = True
+
     @property
     def is_up(self):
         return self._transport is not None
@@ -166,7 +210,11 @@
 
     def _receive(self, datagram):
         packet = self._codec.parse_client_packet(datagram)
-        if packet is None or self.is_silent:
+        if packet is None:
+            return
+        if not packet.is_syn:
+            self._record_arrival(packet)
+        if self.is_silent:
             return
         if packet.is_syn:
             if packet.flow not in self.flows:
@@ -187,6 +235,16 @@
                 self.service_time, self._answer, packet.flow, datagram, starts
             )
 
+    def _record_arrival(self, packet):
+        if self.is_silent:
+            is_held = packet.flow in self.flows
+        else:
+            is_held = self._has_opened(packet)
+        if not is_held:
+            self.foreign_arrivals[packet.flow].append(time.monotonic())
+        elif not self.is_silent:
+            self.held_arrivals[packet.flow].append(time.monotonic())
+
     def _has_opened(self, packet):
         """Return whether a flow is open here; forget one whose client chose another."""
         if packet.flow in self.flows and packet.flow not in self.opened:
@@ -221,7 +279,7 @@
         is_draining = self.draining
         state = "draining" if is_draining else "ready"
         body = (
-            f'{{"service":"{SERVICE}","address":"{self.host}:{APP_PORT}",'
+            f'{{"service":"{self.service}","address":"{self.host}:{APP_PORT}",'
             f'"zone":"{self.data_centre}","version":"v1","slots":3,"state":"{state}",'
             f'"coldRemainingMs":0,"seq":{self.sequence},"born":{self.started_at}}}'
         )
@@ -340,7 +398,8 @@
 
     ``network`` is the second octet of the addresses; deployments that run at the
     same time need different ones. ``store_address``, if set before the start, is
-    given to the balancers in place of the store's own address.
+    given to the balancers in place of the store's own address. ``disruptions_by_host``
+    has the [start, end] of times when a process was suspended, or away after a kill.
     """
 
     network: int
@@ -348,12 +407,15 @@
     rng: object
     balancer_count: int = 2
     agent_count: int = 3
+    service_count: int = 1
     store: PlatformStore = field(init=False)
     fabric: Fabric = field(init=False)
     upstream_by_host: dict = Factory(dict)
     process_by_host: dict = Factory(dict)
     data_centre_by_host: dict = Factory(dict)
+    disruptions_by_host: dict = Factory(partial(defaultdict, list))
     store_address: str = ""
+    _made_count: int = 0  # clients made
 
     @property
     def balancers(self):
@@ -368,13 +430,14 @@
         self.store = PlatformStore()
         host, port = await self.store.start()
         self.store_address = self.store_address or f"{host}:{port}"
-        self.store.put("op/config", make_config(1))
+        self.put_config(1)
         self.fabric = Fabric(f"127.{self.network}.9.1", self.rng)
         await self.fabric.start()
         for index, host in enumerate([*self.balancers, *self.agents]):
             self.data_centre_by_host[host] = "abc"[index % 3]
-        for host in self.agents:
-            upstream = StandInUpstream(host, self.data_centre_by_host[host])
+        for index, host in enumerate(self.agents):
+            service = name_service(index % self.service_count)
+            upstream = StandInUpstream(host, self.data_centre_by_host[host], service)
             self.upstream_by_host[host] = upstream
             await upstream.start()
         for host in [*self.balancers, *self.agents]:
@@ -382,15 +445,35 @@
         self.fabric.balancers = self.balancers
         await self.wait_until_served()
 
+    def put_config(self, version):
+        """Write a configuration with a route to each service."""
+        config = make_config(version, service_count=self.service_count)
+        self.store.put("op/config", config)
+
+    def make_client(self):
+        """Return a client with a flow to the services in turn."""
+        self._made_count += 1
+        return self.fabric.make_client(
+            make_address(self._made_count % self.service_count)
+        )
+
+    def write_event(self, text):
+        """Append a line to a file beside the logs, with the time as in these."""
+        with open(self.folder / "events.txt", "a") as events:
+            events.write(f"{format_time(time.monotonic())} {text}\n")
+
     async def launch(self, host, is_first_start=False):
         """Start the balancer or agent process of a host."""
+        self.write_event(f"{host} is started")
+        self.end_disruptions(host)
         role = "balancer" if host in self.balancers else "agent"
+        upstream = self.upstream_by_host.get(host)
         values = {
             "host": host,
             "data_centre": self.data_centre_by_host[host],
             "seeds": ",".join(self.balancers[:3]),
             "store": self.store_address,
-            "service": SERVICE,
+            "service": SERVICE if role == "balancer" else upstream.service,
             "first": str(is_first_start).lower(),
         }
         role_ini = BALANCER_INI if role == "balancer" else AGENT_INI
@@ -413,9 +496,21 @@
     async def end(self, host, signal_number=signal.SIGKILL):
         """Signal the process of a host, wait for its end, and return its exit code."""
         process = self.process_by_host.pop(host)
+        if signal_number == signal.SIGKILL:
+            self.begin_disruption(host)
+        self.write_event(f"{host} is sent {signal.Signals(signal_number).name}")
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal_number)
-        return await process.wait()
+        exit_code = await process.wait()
+        self.write_event(f"{host} ended with {exit_code}")
+        return exit_code
+
+    def begin_disruption(self, host):
+        self.disruptions_by_host[host].append([time.monotonic(), math.inf])
+
+    def end_disruptions(self, host):
+        for disruption in self.disruptions_by_host[host]:
+            disruption[1] = min(disruption[1], time.monotonic())
 
     def signal(self, host, signal_number):
         """Send a signal to the process of a host."""
@@ -427,7 +522,7 @@
             serving = set()
             up_hosts = {h for h, u in self.upstream_by_host.items() if u.is_up}
             while serving != up_hosts:
-                client = self.fabric.make_client()
+                client = self.make_client()
                 await client.open(copies=(0.0,))
                 serving = {h for h in up_hosts if self.upstream_by_host[h].opens}
 
