A trial that was used is not left for the next lookup of the same packet

With one trial left, a home sent the packet to its own upstream and, once that returned it, to one more; and each repeated lookup began with the trials of the first (soak with planned restarts, seed 41001: three packets of a flow elsewhere in 2.3 s). The packet carries on what is left. A service that may try no upstream yet does not repeat its lookup: the balancer asks it again.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -73,7 +73,7 @@
             return self._deliver_tentatively(forwarded, packet, now)
         may_try = may_hold and agent.upstream.health.has_received_any
         if may_try and self._count_trials_left(forwarded, packet.flow, now):
-            self.memory.trials.record(packet.flow, 1, now)
+            forwarded = self._use_trials(forwarded, packet.flow, 1, now)
             return self._deliver_tentatively(forwarded, packet, now)
         if forwarded.is_lookup_done:
             return self._relay_to_next(forwarded, packet, now)
@@ -91,6 +91,14 @@
             return 0
         return min(forwarded.max_trials, self.memory.trials.count_left(flow, now))
 
+    def _use_trials(
+        self, forwarded: ForwardedPacket, flow: bytes, count: int, now: Seconds
+    ) -> ForwardedPacket:
+        """Record trials of a flow, and return its packet with those that are left."""
+        self.memory.trials.record(flow, count, now)
+        left = max(0, forwarded.max_trials - count)
+        return msgspec.structs.replace(forwarded, max_trials=left)
+
     def handle_returned(
         self, packet: FlowPacket, held: HeldFlow | None, now: Seconds
     ) -> list[FlowEffect]:
@@ -344,8 +352,9 @@
             return self.lost_flows.handle_no_holder(
                 flow, lookup, NoHolder(is_certain=False), now
             )
-        self.memory.trials.record(flow, len(candidates), now)
+        forwarded = self._use_trials(forwarded, flow, len(candidates), now)
         if not has_queried_all:
+            lookup.queued_packets[-1] = (forwarded, packet)
             self.lost_flows.retry_later(lookup, now)
         relayed = msgspec.structs.replace(
             forwarded,
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -154,12 +154,19 @@
         return self.locator.query_agents(restarted, unproven.packet, now, may_hold)
 
     def retry_later(self, lookup: FlowLookup, now: Seconds) -> None:
-        """Have a lookup without a holder repeated among the agents that may have it."""
+        """Have a lookup without a holder repeated among the agents that may have it.
+
+        If this service may try no upstream yet, the balancer asks again itself.
+        """
         forwarded, packet = lookup.queued_packets[-1]
-        if packet.is_rst:
+        if packet.is_rst or not forwarded.may_try:
             return
         denied_by = {*lookup.tried_agents, *lookup.queried_ids} - lookup.pending_ids
         denied_by -= {*lookup.possible_holders, *lookup.silent_upstream_agents}
         retry_at = self._unproven_losses.record(forwarded, packet, denied_by, now)
-        if retry_at is not None:
-            self.agent.deadlines.set(("retry", packet.flow), retry_at)
+        if retry_at is None:
+            return
+        self.agent.deadlines.set(("retry", packet.flow), retry_at)
+        loss = self._unproven_losses.get(packet.flow)
+        if forwarded.max_trials < loss.forwarded.max_trials:
+            loss.forwarded = forwarded
--- a/bilberrypath/coordination/unproven_losses.py
+++ b/bilberrypath/coordination/unproven_losses.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 if TYPE_CHECKING:
     from bilberrypath.protocol.flow_messages import ForwardedPacket
@@ -22,12 +22,13 @@
 MAX_UNPROVEN_LOSSES = 4096  # flows
 
 
-@frozen
+@define
 class UnprovenLoss:
     """A flow without a known holder.
 
     ``packet`` is the one of its client that was looked up first, ``forwarded`` the
-    message that brought it, and ``since`` the time of that lookup. ``denied_by`` are
+    message that brought it with the trials that are left, and ``since`` the time of
+    that lookup. ``denied_by`` are
     the agents that were found not to have the flow; they are not asked again.
     """
 
