Packets of a tried flow wait for a time, not for ever; lookups and notices end

One packet in 1.1 s goes there now until the upstream has answered; so a client's burst is one packet elsewhere, not two; - each trial began the limit of a lookup anew, so that one packet caused queries for 22 s. Only a holder that was found ends what is known of a loss; - an end notice that was read after the end left the agent probing, and kept it from ending for 4.5 s. A limit of trials below zero counts as none, and replies that answer no lookup teach nothing.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -158,7 +158,7 @@
     ) -> list[FlowEffect]:
         """Deliver, queue or relay a packet, or place or look up its flow."""
         held = self.flows.get(packet.flow)
-        if held is not None and not held.may_take(packet):
+        if held is not None and not held.may_take(packet, now):
             return [fx.Count("packet_queued", "not_confirmed")]
         if held is not None:
             self.flows.record_client_packet(held, packet, now)
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -89,7 +89,8 @@
     ) -> int:
         if not forwarded.may_try:
             return 0
-        return min(forwarded.max_trials, self.memory.trials.count_left(flow, now))
+        left = self.memory.trials.count_left(flow, now)
+        return max(0, min(forwarded.max_trials, left))
 
     def _use_trials(
         self, forwarded: ForwardedPacket, flow: bytes, count: int, now: Seconds
@@ -141,7 +142,7 @@
         agent = self.agent
         held = agent.flows.add(packet, is_confirmed=False, now=now)
         agent.flows.record_client_packet(held, packet, now)
-        held.trial_count = 1
+        held.tried_at = now
         self.memory.record_tentative(packet.flow, forwarded)
         return [
             ffx.SendToUpstream(packet.datagram),
@@ -233,7 +234,9 @@
         A holder that counts as failed at this agent is ignored.
         """
         effects: list[FlowEffect] = []
-        self.agent.peers.learn_absent(reply.absent, now)
+        lookup = self.lookups.get(reply.flow)
+        if lookup is not None and sender in lookup.pending_ids:
+            self.agent.peers.learn_absent(reply.absent, now)
         for flow, holder in ((reply.flow, reply.holder), *reply.other_holders):
             if self.agent.unresponsive_peers.has_failed(holder, now):
                 holder = ""
@@ -316,9 +319,8 @@
     ) -> list[FlowEffect]:
         self.agent.deadlines.clear(("lookup", flow))
         lookup = self.lookups.pop(flow)
-        if not isinstance(result, NoHolder):
-            self.lost_flows.forget(flow)
         if isinstance(result, HolderFound):
+            self.lost_flows.forget(flow)
             self.agent.redirects.record(flow, result.holder, now)
             return self._relay_queued(lookup, result.holder, "found")
         if isinstance(result, TryCandidates):
--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -20,7 +20,7 @@
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.agent_ranking import AgentRanking
 from bilberrypath.coordination.deadlines import Deadlines
-from bilberrypath.coordination.trial_budget import MAX_TRIALS, TrialBudget
+from bilberrypath.coordination.trial_budget import TrialBudget
 from bilberrypath.coordination.unproven_losses import RETRY_LIMIT
 
 if TYPE_CHECKING:
@@ -305,9 +305,9 @@
         """Forward a packet to the agent that was tried last.
 
         The agent may reset the flow only if its denial would not be handled here, as
-        the lookup is none of the pending ones. The services that the route names, or
-        named recently, share the flow's trials. One that is only asked since its agents
-        know too little may try none before these are certain not to have the flow.
+        the lookup is none of the pending ones. A service that is only asked since its
+        agents know too little may try no upstream before those that the route names, or
+        named recently, are certain not to have the flow.
         """
         agent_id = lookup.tried_agents[-1]
         is_pending = self._lookup_by_flow.get(packet.flow) is lookup
@@ -315,7 +315,6 @@
         flow = packet.flow
         likely_services = self.balancer.routes.list_services(flow)
         is_likely = lookup.service in likely_services
-        trials_left = self.trials.count_left(flow, now)
         return self.balancer.forward(
             packet,
             lookup.service,
@@ -323,9 +322,7 @@
             wants_location=True,
             may_reset=may_reset,
             may_try=is_likely or lookup.denied_by.issuperset(likely_services),
-            max_trials=min(
-                trials_left, max(1, MAX_TRIALS // max(1, len(likely_services)))
-            ),
+            max_trials=self.trials.count_left(flow, now),
         )
 
     def _try_next_service(
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -14,7 +14,6 @@
 from attrs import Factory, define
 
 from bilberrypath.coordination.failure_rate import FailureRate
-from bilberrypath.coordination.trial_budget import MAX_TRIALS
 from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH
 
 if TYPE_CHECKING:
@@ -29,6 +28,7 @@
 )
 MAX_BUSY_TIME: Seconds = 10.0  # a request unanswered for longer counts as abandoned
 UNANSWERED_TIMEOUT: Seconds = 1.0  # a busy upstream answers within a third of this
+TRIAL_PACKET_GAP: Seconds = 1.1  # two packets within two seconds
 MAX_WAITING_PACKETS = 16  # per flow; a client has no more in flight
 SEQUENCE_MODULUS = 1 << 32  # sequence numbers have 32 bits
 MAX_ANSWER_BYTES = 1 << 20  # more than an upstream sends on a flow before it is chosen
@@ -50,9 +50,9 @@
     the upstream has sent more. ``upstream_acknowledged`` is the upstream's last
     acknowledgement, None before the first. ``acknowledged`` is the client's last, for
     use in a reset. ``is_live`` is true until the flow has ended. ``has_failed`` is true
-    once the running request has been counted as unanswered. ``trial_count`` counts the
-    packets that were delivered while nothing but a trial showed that it is here, and
-    ``waiting`` are those that came after them.
+    once the running request has been counted as unanswered. ``tried_at`` is the time
+    of the last packet that was delivered while nothing but a trial showed that the flow
+    is here, and ``waiting`` are those that came after it.
     """
 
     seen_at: Seconds
@@ -67,19 +67,19 @@
     upstream_closed: bool = False
     is_live: bool = True
     has_failed: bool = False
-    trial_count: int = 0
+    tried_at: Seconds = float("-inf")
     waiting: list[bytes] | None = None
 
-    def may_take(self, packet: FlowPacket) -> bool:
-        """Return whether the upstream may be sent a packet; else it waits here.
+    def may_take(self, packet: FlowPacket, now: Seconds) -> bool:
+        """Return whether the upstream may be sent a packet now; else it waits here.
 
-        A flow that is only tried there may be at another upstream, and gets
-        ``MAX_TRIALS`` packets; an upstream that has the flow answers the second.
+        A flow that is only tried there may be at another upstream, and gets one packet
+        in ``TRIAL_PACKET_GAP``.
         """
         if not self.is_open or self.is_confirmed:
             return True
-        self.trial_count += 1
-        if self.trial_count <= MAX_TRIALS:
+        if now - self.tried_at >= TRIAL_PACKET_GAP:
+            self.tried_at = now
             return True
         self.waiting = [*(self.waiting or ()), packet.datagram][-MAX_WAITING_PACKETS:]
         return False
--- a/bilberrypath/coordination/trial_budget.py
+++ b/bilberrypath/coordination/trial_budget.py
@@ -2,7 +2,7 @@
 
 An agent that started after its upstream learns by a packet whether the upstream has a
 flow. While the flow's own agent does not answer, such trials reach only upstreams that
-do not have it. The users allow two such packets within ``reorderMs``.
+do not have it. The third such packet within two seconds breaks the flow.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from bilberrypath.types import Seconds
 
-MAX_TRIALS = 2  # in any TRIAL_WINDOW; the third packet elsewhere breaks rule FLOW
-TRIAL_WINDOW: Seconds = 2.5  # reorderMs is 2 s; packets may be delayed on the way
+MAX_TRIALS = 2  # upstreams in any TRIAL_WINDOW; the third packet breaks the flow
+TRIAL_WINDOW: Seconds = 2.5  # the two seconds, and delays on the way
 MAX_FLOWS = 4096
 
 
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -190,7 +190,7 @@
             self.health.report = evolve(report, draining=True)
             count = fx.Count("report_dropped", "end_without_drain")
             return [count, *self.announce_status("end_without_drain", now)]
-        self.awaits_end = True
+        self.awaits_end = not self.is_gone
         return self.probe_until_end(now)
 
     def probe_until_end(self, now: Seconds) -> list[FlowEffect]:
