Balancers tell agents who was removed; failed machines that answer again count again

Agents that all restarted while one was away knew only the list, in which the balancers leave out whom they removed. Heartbeat answers that bring a list or changes name the removed agents that had not announced their end. Absent agents are probed from the start, not only once one of their flows is looked up, and one whose machine answers again has not failed any more. Of more absent agents than a message names, others are named each second. Ages that are odd or above the lifetime of a flow are ignored.

Found by a review.

--- a/bilberrypath/coordination/absent_agents.py
+++ b/bilberrypath/coordination/absent_agents.py
@@ -14,7 +14,7 @@
 from attrs import Factory, define
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
     from bilberrypath.protocol.flow_messages import AbsentAgent
@@ -50,6 +50,10 @@
         self._since_by_id.clear()
         self._failed_ids.clear()
 
+    def __iter__(self) -> Iterator[NodeId]:
+        """Iterate over all absent agents, those that have failed too."""
+        return iter(list(self._since_by_id))
+
     def list_ids(self) -> list[NodeId]:
         """Return the agents whose upstreams may have flows."""
         return [
@@ -59,20 +63,30 @@
     def make_report(self, now: Seconds) -> tuple[AbsentAgent, ...]:
         """Return what to tell another agent: who is absent, and for how long.
 
-        At most ``MAX_SENT_AGENTS`` are named, those that vanished last.
+        At most ``MAX_SENT_AGENTS`` are named, each second others.
         """
-        latest = self.list_ids()[-MAX_SENT_AGENTS:]
-        return tuple((node_id, now - self._since_by_id[node_id]) for node_id in latest)
+        node_ids = self.list_ids()
+        if len(node_ids) > MAX_SENT_AGENTS:
+            first = int(now) * MAX_SENT_AGENTS % len(node_ids)
+            node_ids = (node_ids[first:] + node_ids[:first])[:MAX_SENT_AGENTS]
+        return tuple(
+            (node_id, now - self._since_by_id[node_id]) for node_id in node_ids
+        )
 
     def sweep(
         self, flow_lifetime: Seconds, peers: UnresponsivePeers, now: Seconds
     ) -> None:
-        """Drop the agents whose flows are too old; mark those that have failed."""
+        """Drop the agents whose flows are too old; mark those that have failed.
+
+        One whose machine answers again has not failed any more.
+        """
         for node_id, since in list(self._since_by_id.items()):
             if now - since > flow_lifetime:
                 self.forget(node_id)
             elif peers.has_failed(node_id, now):
                 self._failed_ids.add(node_id)
+            elif peers.is_machine_alive(node_id, now):
+                self._failed_ids.discard(node_id)
 
     def merge(
         self,
@@ -82,5 +96,5 @@
     ) -> None:
         """Merge what another agent reported; ``known_ids`` are not absent here."""
         for node_id, absent_for in reported:
-            if node_id not in known_ids and absent_for >= 0:
+            if node_id not in known_ids:
                 self.record(node_id, now - absent_for)
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -367,6 +367,7 @@
             return []
         balancer = format_node_id(sender)
         effects = self.routes.observe_revision(balancer, message.revision, now)
+        self.peers.learn_absent(message.absent, now)
         if self.registration.adopt_agents(message, self.placement, now):
             self.agents_changed_at = now
             effects += self.open_handler.retry_queued(now)
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -16,6 +16,7 @@
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination import flow_events as fev
+from bilberrypath.coordination.absent_agents import MAX_SENT_AGENTS
 from bilberrypath.coordination.flow_location_cache import FlowLocationCache
 from bilberrypath.coordination.flow_resolver import FlowResolver
 from bilberrypath.coordination.freshness import Freshness
@@ -266,7 +267,10 @@
             )
         self.members.data_centre_liveness.record_received(member.data_centre, now)
         effects += self.routes.observe_revision(member.node_id, message.revision, now)
-        return [*effects, fx.SendControl(sender, self._make_heartbeat_ack(message))]
+        return [
+            *effects,
+            fx.SendControl(sender, self._make_heartbeat_ack(message, now)),
+        ]
 
     @_handle_message.register(msg.RoutesChanged)
     def _(
@@ -304,7 +308,9 @@
 
     # Shared
 
-    def _make_heartbeat_ack(self, message: msg.FlowHeartbeat) -> msg.FlowHeartbeatAck:
+    def _make_heartbeat_ack(
+        self, message: msg.FlowHeartbeat, now: Seconds
+    ) -> msg.FlowHeartbeatAck:
         member = message.member
         table = self.members.table
         ack = msg.FlowHeartbeatAck(
@@ -318,6 +324,8 @@
         )
         if ack.agents_digest == message.agents_digest or not self.gossiper.is_joined:
             return ack
+        removed = self.members.list_removed_agents(member.service, now)
+        ack = msgspec.structs.replace(ack, absent=tuple(removed[:MAX_SENT_AGENTS]))
         changed = table.list_changed_agents(member.service, message.agents_digest)
         if changed is not None and message.takes_changes:
             return msgspec.structs.replace(ack, changed_agents=tuple(changed))
--- a/bilberrypath/coordination/membership.py
+++ b/bilberrypath/coordination/membership.py
@@ -29,7 +29,7 @@
     from collections.abc import Iterable
 
     from bilberrypath.coordination.effects import Effect
-    from bilberrypath.types import DataCentreName, NodeId, Seconds
+    from bilberrypath.types import DataCentreName, NodeId, Seconds, ServiceName
 
 SUSPICION_TIMEOUT: Seconds = 3.0  # to refute a suspicion before the removal
 GONE_RETENTION: Seconds = 600.0  # for which records of gone members are kept
@@ -94,6 +94,21 @@
             self._heartbeat_targets_by_id[node_id] = targets
         return targets
 
+    def list_removed_agents(
+        self, service: ServiceName, now: Seconds
+    ) -> list[tuple[NodeId, Seconds]]:
+        """Return a service's agents that were removed, and how long ago.
+
+        Those that announced that they left are not among them.
+        """
+        removed = []
+        for node_id, gone_at in reversed(self._gone_at_by_id.items()):
+            member = self.table.get(node_id)
+            is_agent = member is not None and member.role is Role.AGENT
+            if is_agent and member.service == service and not member.has_left:
+                removed.append((node_id, now - gone_at))
+        return removed
+
     def merge_all(self, members: Iterable[Member], now: Seconds) -> list[Effect]:
         """Merge records that another process sent."""
         effects: list[Effect] = []
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -13,7 +13,6 @@
 from attrs import Factory, define, frozen
 
 from bilberrypath.coordination.absent_agents import MAX_SENT_AGENTS, AbsentAgents
-from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -151,22 +150,24 @@
                 self.absent.forget(member.node_id)
             elif not member.is_gone:
                 self._set_member(member)
-            elif member.status is Status.LEFT:
+            elif member.has_left:
                 self.absent.forget(member.node_id)
             if member.is_gone and member.node_id in self.peer_by_id:
                 self.peer_by_id[member.node_id].member = member
                 self._unlisted_ids.add(member.node_id)
+            elif member.is_gone and not member.has_left:
+                self.absent.record(member.node_id, now)
         self.drop_unlisted(now)
         return previous != set(self.peer_by_id)
 
     def drop_unlisted(self, now: Seconds) -> None:
         """Drop the unlisted peers whose last load report is old."""
-        for node_id in list(self._unlisted_ids):
+        for node_id in sorted(self._unlisted_ids):
             peer = self.peer_by_id.get(node_id)
             if peer is None or now - peer.reported_at > MAX_REPORT_AGE:
                 self.peer_by_id.pop(node_id, None)
                 self._unlisted_ids.discard(node_id)
-                if peer is not None and peer.member.status is not Status.LEFT:
+                if peer is not None and not peer.member.has_left:
                     self.absent.record(node_id, now)
 
     def report_absent(self, now: Seconds) -> tuple[AbsentAgent, ...]:
@@ -177,7 +178,7 @@
         unlisted = [
             (node_id, 0.0)
             for node_id in sorted(self._unlisted_ids & self.peer_by_id.keys())
-            if self.peer_by_id[node_id].member.status is not Status.LEFT
+            if not self.peer_by_id[node_id].member.has_left
         ]
         return (*self.absent.make_report(now), *unlisted[:MAX_SENT_AGENTS])
 
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -34,6 +34,8 @@
             agent.setup.flow_lifetime, agent.unresponsive_peers, now
         )
         effects = self._log_changes()
+        for node_id in agent.placement.absent:
+            effects += agent.unresponsive_peers.record_timeout(node_id, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
             effects += self.send_load_report(now)
         return effects
@@ -66,7 +68,12 @@
         if reported:
             placement = self.agent.placement
             known_ids = {self.agent.node_id, *placement.peer_by_id}
-            placement.absent.merge(reported, known_ids, now)
+            limit = self.agent.setup.flow_lifetime
+            placement.absent.merge(
+                [(node_id, age) for node_id, age in reported if 0 <= age <= limit],
+                known_ids,
+                now,
+            )
 
     def _log_changes(self) -> list[FlowEffect]:
         """Log which other agents of the service were added to the list or dropped."""
--- a/bilberrypath/coordination/unresponsive_peers.py
+++ b/bilberrypath/coordination/unresponsive_peers.py
@@ -58,21 +58,21 @@
         since = self.since_by_id.get(node_id)
         if since is None or now - since < FAILED_AFTER:
             return False
-        alive_at = self._machine_alive_at_by_id.get(node_id, float("-inf"))
-        return now - alive_at > MACHINE_ALIVE_FOR
+        return not self.is_machine_alive(node_id, now)
 
     def is_machine_silent(self, node_id: NodeId, now: Seconds) -> bool:
         """Return whether a peer's machine did not answer any probe in time.
 
         Unlike a process that was asked to end, it answers nothing at all.
         """
-        since = self.since_by_id.get(node_id)
+        since = self.since_by_id.get(node_id, now)
+        is_probed = now - since > PROBE_ANSWER_TIME
+        return is_probed and not self.is_machine_alive(node_id, now)
+
+    def is_machine_alive(self, node_id: NodeId, now: Seconds) -> bool:
+        """Return whether a peer's machine has answered a probe recently."""
         alive_at = self._machine_alive_at_by_id.get(node_id, float("-inf"))
-        return (
-            since is not None
-            and now - since > PROBE_ANSWER_TIME
-            and now - alive_at > MACHINE_ALIVE_FOR
-        )
+        return now - alive_at <= MACHINE_ALIVE_FOR
 
     def record_timeout(self, node_id: NodeId, now: Seconds) -> list[FlowEffect]:
         """Mark a peer as unresponsive, and send it a ping at once."""
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -153,6 +153,8 @@
     lists the live agents of the service, or is None if the agent already has this list
     or ``changed_agents`` brings it up to date: the records that differ from the list
     whose digest is ``base_digest``. ``agents_digest`` is that of the whole list.
+    ``absent`` goes with a list or changes to it: agents of the service that were
+    removed without having announced that they left.
     """
 
     sequence: int
@@ -163,6 +165,7 @@
     agents_digest: int = 0
     base_digest: int = 0
     changed_agents: tuple[Member, ...] = ()
+    absent: tuple[AbsentAgent, ...] = ()
 
 
 class RoutesChanged(ControlStruct, tag=27):
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -86,10 +86,15 @@
         """Whether new work may be sent to the process."""
         return self.status is Status.SERVING and self.suspicion < Suspicion.REMOVED
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the process announced its end."""
+        return self.status is Status.LEFT
+
     @property
     def is_gone(self) -> bool:
         """Whether the process announced its end or was removed as unresponsive."""
-        return self.status is Status.LEFT or self.suspicion is Suspicion.REMOVED
+        return self.has_left or self.suspicion is Suspicion.REMOVED
 
 
 def make_own_record(
