--- a/bilberrypath/coordination/absent_agents.py
+++ b/bilberrypath/coordination/absent_agents.py
@@ -1,10 +1,9 @@
 """Agents that are not listed any more, although their upstreams may be alive.
 
-The list of a service's agents tells which processes answer. An agent whose process is
-away leaves it: balancers remove it after a silence, and one that has just started never
-heard it. The agent's upstream goes on meanwhile, and keeps its flows. So an agent that
-vanished without a word about its upstream is still asked for flows, and counts as one
-that has not answered, until its machine has failed or all of its flows are too old.
+The list of a service's agents tells which processes answer. An agent that is removed
+from it without having announced its end may be back soon, and its upstream may have
+flows. It is asked for flows, and counts as one that has not answered, until its machine
+has failed or all of its flows are too old.
 """
 
 from __future__ import annotations
--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -300,7 +300,7 @@
         fields = {
             "status": status.name.lower(),
             "flows": len(self.flows),
-            **self.upstream.describe(now),
+            **self.upstream.health.describe(now),
         }
         return [
             fx.LogStateChange("leaving", fields),
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -124,7 +124,10 @@
         if holder is None or self._is_gone(holder):
             return self.resolver.resolve(packet, now)
         may_reset = self.resolver.may_reset(packet.flow)
-        return [self.forward(packet, "", holder, False, may_reset)]
+        forwarded = self.forward(
+            packet, "", holder, wants_location=False, may_reset=may_reset
+        )
+        return [forwarded]
 
     def _is_gone(self, holder: NodeId) -> bool:
         """Return whether the member table lists an agent as left or removed."""
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -368,9 +368,9 @@
         return self._relay_queued(reduced, candidates[0], "try_each")
 
     def _may_be_at_silent_agent(self, lookup: FlowLookup, now: Seconds) -> bool:
-        """Return whether an agent without a reply may be back soon.
+        """Return whether an agent without a reply may be back soon, and have the flow.
 
-        One whose machine is silent as well has not merely been asked to end.
+        One whose machine is silent as well is not waited for.
         """
         peers = self.agent.unresponsive_peers
         silent_ids = {*lookup.pending_ids, *self.lost_flows.list_unasked(lookup, now)}
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -102,9 +102,9 @@
         may_reset &= all(f.may_reset for f in queued)
         unasked = self.list_unasked(lookup, now)
         is_certain = result.is_certain and not unasked
-        is_certain &= not self.locator.may_hold(flow, now) or (
-            agent.node_id in lookup.tried_agents
-        )
+        is_untried_here = agent.node_id not in lookup.tried_agents
+        if is_untried_here and self.locator.may_hold(flow, now):
+            is_certain = False
         has_queried_all = all(f.has_queried_all for f in queued)
         is_proven = is_certain and is_settled and has_queried_all
         is_news = is_proven or self._unproven_losses.get(flow) is None
@@ -118,8 +118,8 @@
                 return [*notices, *reset]
         else:
             self.locator.memory.record_not_found(flow, now)
-            is_repeated_by_home = not has_queried_all and forwarded.is_lookup_done
-            if not is_repeated_by_home:
+            # The home agent of an incomplete lookup repeats it.
+            if has_queried_all or not forwarded.is_lookup_done:
                 self.retry_later(lookup, now)
         fields = {
             "certain": is_certain,
--- a/bilberrypath/coordination/upstream_health.py
+++ b/bilberrypath/coordination/upstream_health.py
@@ -159,6 +159,21 @@
         self._reported_at += pause
         self._received_at += pause
 
+    def find_problem(self, now: Seconds) -> RejectReason | None:
+        """Return why the upstream takes no opens, regardless of its limits, or None."""
+        return self.find_reject_reason(
+            cold_rate=0.0, flow_count=0, max_flows=1, now=now
+        )
+
+    def describe(self, now: Seconds) -> dict[str, str | float | None]:
+        """Return log fields: why it takes no opens, and how long it has been silent."""
+        problem = self.find_problem(now)
+        silent_for = self.compute_silence(now)
+        return {
+            "unable": "" if problem is None else problem.value,
+            "silent_for": None if silent_for is None else round(silent_for, 3),
+        }
+
     def find_reject_reason(
         self, cold_rate: float, flow_count: int, max_flows: int, now: Seconds
     ) -> RejectReason | None:
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -94,15 +94,6 @@
         report = self.health.report
         return 1 if report is None else report.slots
 
-    def describe(self, now: Seconds) -> dict[str, str | float | None]:
-        """Return log fields: why it takes no opens, and how long it has been silent."""
-        reason = self.health.find_reject_reason(0.0, 0, 1, now)
-        silent_for = self.health.compute_silence(now)
-        return {
-            "unable": "" if reason is None else reason.value,
-            "silent_for": None if silent_for is None else round(silent_for, 3),
-        }
-
     def tracks_all_flows(self, now: Seconds) -> bool:
         """Return whether the upstream has no flow that is unknown to this agent.
 
@@ -229,7 +220,7 @@
         self._next_probe_at = now + UPSTREAM_PROBE_PERIOD
         return [
             fx.LogStateChange(
-                "upstream_silent", {"reason": reason, **self.describe(now)}
+                "upstream_silent", {"reason": reason, **self.health.describe(now)}
             ),
             ProbeUpstream(),
             *self.announce_status(reason, now),
@@ -253,7 +244,9 @@
         """Log that the upstream is gone, reset its flows, and announce the status."""
         self.is_gone = True
         fields = {"reason": reason, "flows": len(self.agent.flows)}
-        effects = [fx.LogStateChange("upstream_lost", {**fields, **self.describe(now)})]
+        effects = [
+            fx.LogStateChange("upstream_lost", {**fields, **self.health.describe(now)})
+        ]
         effects += self._reset_flows("upstream_lost", now)
         return effects + self.announce_status(reason, now)
 
@@ -301,7 +294,7 @@
         effects = self._announce_former_flows(now)
         if self.agent.is_leaving:
             return effects
-        reject_reason = self.health.find_reject_reason(0.0, 0, 1, now)
+        reject_reason = self.health.find_problem(now)
         status = (
             Status.DRAINING if reject_reason in NOT_SERVING_REASONS else Status.SERVING
         )
--- a/tests/coordination/test_injected_faults.py
+++ b/tests/coordination/test_injected_faults.py
@@ -287,7 +287,7 @@
     "balancers never request flow locations": (
         FlowBalancer,
         "forward",
-        lambda balancer, packet, service, agent_id, *_, **__: (
+        lambda balancer, packet, service, agent_id, **others: (
             _forward_without_location_request(balancer, packet, service, agent_id)
         ),
         lambda: (
