--- a/tests/processes/test_flow_soak.py
+++ b/tests/processes/test_flow_soak.py
@@ -35,3 +35,11 @@
         assert soak.findings == []
         assert soak.served > 0
         assert soak.deployment.store.epoch > 1
+
+    async def test_planned_restarts_break_no_flow(self, tmp_path):
+        """Guard against resets and foreign packets of flows whose agent is away."""
+        soak = await run_seed(
+            41004, 20.0, tmp_path, 78, agents=6, services=2, only_rounds=True
+        )
+        assert soak.findings == []
+        assert soak.served > 0
