--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.state.route_delta import IndexedRouteTable, RouteDelta
+    from bilberrypath.state.route_terms import RouteTerms
     from bilberrypath.state.routes import FlowRoute, UpstreamLimits
     from bilberrypath.types import NodeId, Revision, Seconds, ServiceName
 
@@ -108,6 +109,11 @@
         """Return the route of a flow, or None if its address has no route."""
         return self.route_by_endpoint.get(flow[ENDPOINT_LENGTH:])
 
+    def find_terms(self, flow: bytes) -> RouteTerms | None:
+        """Return the terms of a flow's route, or None if there are none."""
+        route = self.route_by_endpoint.get(flow[ENDPOINT_LENGTH:])
+        return None if route is None else route.terms
+
     def list_services(self, flow: bytes) -> list[ServiceName]:
         """Return the services that the route of a flow names, or named recently."""
         endpoint = flow[ENDPOINT_LENGTH:]
--- a/bilberrypath/state/routes.py
+++ b/bilberrypath/state/routes.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from bilberrypath.state.route_terms import RouteTerms  # noqa: TC001
 from bilberrypath.types import (  # noqa: TC001
     Address,
     DataCentreName,
@@ -29,10 +30,14 @@
 
 
 class FlowRoute(msgspec.Struct, array_like=True, frozen=True):
-    """The services that receive the flows to one address of the platform."""
+    """The services that receive the flows to one address of the platform.
+
+    ``terms`` is None if the operator states none, or in a row of an older build.
+    """
 
     address: Address
     targets: tuple[Target, ...]
+    terms: RouteTerms | None = None
 
     def choose_service(self, flow: bytes) -> ServiceName | None:
         """Return the service of a flow; every process chooses the same one.
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load layer."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,11 +12,19 @@
 ALLOWED_IMPORTS = {
     "protocol": {"protocol", "state"},
     "state": {"state", "protocol"},
-    "coordination": {"coordination", "protocol", "state"},
-    "transport": {"transport", "coordination", "protocol", "state", "generated"},
+    "load": {"load", "protocol", "state"},
+    "coordination": {"coordination", "load", "protocol", "state"},
+    "transport": {
+        "transport",
+        "coordination",
+        "load",
+        "protocol",
+        "state",
+        "generated",
+    },
 }
 IO_MODULES = {"asyncio", "socket", "time", "grpc", "aioquic", "aetcd", "structlog"}
-PURE_LAYERS = ("coordination", "state", "protocol")
+PURE_LAYERS = ("coordination", "load", "state", "protocol")
 SHARED_MODULES = {"dispatch", "types", "settings", "settings_reader", "flow_settings"}
 WIRE_NAMES = (
     "heartbeatAddr",
