An agent without flows does not delay the reset of lost flows

Cause: after a loss of power, machines whose servers had left before came up again, their agents joined, and the machines were gone a moment later. Lookups of lost flows waited for these agents until they counted as failed (3.5 s), though nothing had ever listened at their upstreams' addresses.

Ruled out: the partition of a data centre at that time (no agent behind it is waited for), and the time in which the list of agents settles (0.4 to 0.6 s).

Change: an agent that takes no opens and whose upstream certainly has no flow (nothing listens at its address, or the agent has seen it start) states so in its member record, and takes it back in the record that announces that it takes opens. A lookup does not wait for such an agent if it does not answer and its machine has not answered a probe either. If the machine answers, the process may be back, and is waited for as before.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -253,13 +253,22 @@
         return self._send_queries(flows, now) if flows else []
 
     def handle_timeout(self, flow: bytes, now: Seconds) -> list[FlowEffect]:
-        """Finish a lookup with the replies so far; mark the others unresponsive."""
+        """Finish a lookup with the replies so far; mark the others unresponsive.
+
+        One whose machine does not answer either, and that announced that it has no
+        flows, counts as one that replied so.
+        """
         lookup = self.lookups.get(flow)
         if lookup is None:
             return []
+        peers = self.agent.unresponsive_peers
+        placement = self.agent.placement
         effects: list[FlowEffect] = []
         for node_id in sorted(lookup.pending_ids):
-            effects += self.agent.unresponsive_peers.record_timeout(node_id, now)
+            effects += peers.record_timeout(node_id, now)
+            is_silent = peers.is_probe_unanswered(node_id, now)
+            if is_silent and placement.has_announced_no_flows(node_id):
+                lookup.pending_ids.discard(node_id)
         return effects + self._finish_lookup(
             flow, self.lookups.compute_result(flow), now
         )
--- a/bilberrypath/coordination/membership.py
+++ b/bilberrypath/coordination/membership.py
@@ -99,13 +99,13 @@
     ) -> list[tuple[NodeId, Seconds]]:
         """Return a service's agents that were removed, and how long ago.
 
-        Those that announced that they left are not among them.
+        Those that announced that they left, or have no flows, are not among them.
         """
         removed = []
         for node_id, gone_at in reversed(self._gone_at_by_id.items()):
             member = self.table.get(node_id)
             is_agent = member is not None and member.role is Role.AGENT
-            if is_agent and member.service == service and not member.has_left:
+            if is_agent and member.service == service and member.may_have_flows:
                 removed.append((node_id, now - gone_at))
         return removed
 
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -150,12 +150,12 @@
                 self.absent.forget(member.node_id)
             elif not member.is_gone:
                 self._set_member(member)
-            elif member.has_left:
+            elif not member.may_have_flows:
                 self.absent.forget(member.node_id)
             if member.is_gone and member.node_id in self.peer_by_id:
                 self.peer_by_id[member.node_id].member = member
                 self._unlisted_ids.add(member.node_id)
-            elif member.is_gone and not member.has_left:
+            elif member.is_gone and member.may_have_flows:
                 self.absent.record(member.node_id, now)
         self.drop_unlisted(now)
         return previous != set(self.peer_by_id)
@@ -167,7 +167,7 @@
             if peer is None or now - peer.reported_at > MAX_REPORT_AGE:
                 self.peer_by_id.pop(node_id, None)
                 self._unlisted_ids.discard(node_id)
-                if peer is not None and not peer.member.has_left:
+                if peer is not None and peer.member.may_have_flows:
                     self.absent.record(node_id, now)
 
     def report_absent(self, now: Seconds) -> tuple[AbsentAgent, ...]:
@@ -178,10 +178,15 @@
         unlisted = [
             (node_id, 0.0)
             for node_id in sorted(self._unlisted_ids & self.peer_by_id.keys())
-            if not self.peer_by_id[node_id].member.has_left
+            if self.peer_by_id[node_id].member.may_have_flows
         ]
         return (*self.absent.make_report(now), *unlisted[:MAX_SENT_AGENTS])
 
+    def has_announced_no_flows(self, node_id: NodeId) -> bool:
+        """Return whether a listed agent announced that its upstream has no flows."""
+        peer = self.peer_by_id.get(node_id)
+        return peer is not None and peer.member.has_no_flows
+
     def may_have_flows(self, node_id: NodeId) -> bool:
         """Return whether an agent is a known one of the service, listed or absent."""
         return node_id in self.peer_by_id or node_id in self.absent.list_ids()
--- a/bilberrypath/coordination/registration.py
+++ b/bilberrypath/coordination/registration.py
@@ -138,6 +138,17 @@
         )
         return True
 
+    def announce_no_flows(self, has_no_flows: bool) -> bool:
+        """Change ``has_no_flows`` in the own member; return if it changed."""
+        if self.own_member.has_no_flows == has_no_flows:
+            return False
+        self.own_member = msgspec.structs.replace(
+            self.own_member,
+            version=self.own_member.version + 1,
+            has_no_flows=has_no_flows,
+        )
+        return True
+
     def handle_ack(
         self, ack: HeartbeatAck, balancer: Address, now: Seconds
     ) -> list[Effect]:
--- a/bilberrypath/coordination/unresponsive_peers.py
+++ b/bilberrypath/coordination/unresponsive_peers.py
@@ -23,6 +23,7 @@
 FAILED_AFTER: Seconds = 3.5  # outlasts a suspension of the process for 3 s
 FORGET_AFTER: Seconds = 30.0  # far longer than the removal of a member takes
 PROBE_PERIOD: Seconds = 1.0  # a machine can answer three times within FAILED_AFTER
+PROBE_REPLY_TIME: Seconds = 0.15  # a hundred round trips; the kernel answers a probe
 PROBE_ANSWER_TIME: Seconds = 1.0  # of the first probe, sent within a tick
 MACHINE_ALIVE_FOR: Seconds = 2.5  # a machine has not failed after two lost probes
 MAX_PROBES = 8  # connection attempts per tick
@@ -74,6 +75,16 @@
         alive_at = self._machine_alive_at_by_id.get(node_id, float("-inf"))
         return now - alive_at <= MACHINE_ALIVE_FOR
 
+    def is_probe_unanswered(self, node_id: NodeId, now: Seconds) -> bool:
+        """Return whether a peer's machine was probed and has not answered yet.
+
+        A process that ended on a machine that runs on is told apart by this sooner
+        than by :meth:`is_machine_silent`, but a lost packet looks like a failure.
+        """
+        probed_at = self._probed_at_by_id.get(node_id, now)
+        is_overdue = now - probed_at >= PROBE_REPLY_TIME
+        return is_overdue and not self.is_machine_alive(node_id, now)
+
     def record_timeout(self, node_id: NodeId, now: Seconds) -> list[FlowEffect]:
         """Mark a peer as unresponsive, and send it a ping at once."""
         if node_id in self.since_by_id:
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -200,6 +200,9 @@
         effects = self.agent.locator.abandon_tentative_deliveries(now)
         was_gone, self.is_gone = self.is_gone, True
         if self.health.report is None or was_gone:
+            registration = self.agent.registration
+            if self._announce_no_flows(registration.own_member.status, now):
+                effects += registration.send_heartbeats(0, 0, now)
             return effects
         self.health.mark_lost()
         if not self.awaits_end:
@@ -298,6 +301,7 @@
         status = (
             Status.DRAINING if reject_reason in NOT_SERVING_REASONS else Status.SERVING
         )
+        self._announce_no_flows(status, now)
         if self.agent.registration.own_member.status in (status, Status.LEFT):
             return effects
         self.agent.registration.announce(status)
@@ -308,6 +312,18 @@
             *self.agent.peers.send_load_report(now),
         ]
 
+    def _announce_no_flows(self, status: Status, now: Seconds) -> bool:
+        """State in the member record whether the upstream certainly has no flows.
+
+        The record that announces that the upstream takes opens takes it back. Return
+        whether the record changed.
+        """
+        return self.agent.registration.announce_no_flows(
+            status is Status.DRAINING
+            and not self.agent.flows
+            and self.tracks_all_flows(now)
+        )
+
     def _announce_former_flows(self, now: Seconds) -> list[FlowEffect]:
         """Tell balancers at once that the upstream may have flows of former routes.
 
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -62,7 +62,9 @@
     time of the process in milliseconds. ``version`` counts the changes that the
     process announced in this incarnation. Observers may only raise ``suspicion``.
     An agent with ``may_have_former_flows`` cannot rule out that its upstream has flows
-    of routes that do not name its service any more.
+    of routes that do not name its service any more. One with ``has_no_flows`` takes no
+    opens, and its upstream certainly has no flow: nothing listens at its address, or
+    the agent has seen it start.
     """
 
     node_id: CheckedNodeId
@@ -74,6 +76,7 @@
     status: Status
     suspicion: Suspicion = Suspicion.NONE
     may_have_former_flows: bool = False
+    has_no_flows: bool = False
 
     @property
     def address(self) -> Address:
@@ -91,6 +94,11 @@
         """Whether the process announced its end."""
         return self.status is Status.LEFT
 
+    @property
+    def may_have_flows(self) -> bool:
+        """Whether the upstream of an agent may have flows, by what it announced."""
+        return not (self.has_left or self.has_no_flows)
+
     @property
     def is_gone(self) -> bool:
         """Whether the process announced its end or was removed as unresponsive."""
