An open that was read late is refused by its balancer, if by anyone

Cause: an agent that stalls for 60 ms or more is passed over, and another agent takes the open. The stalled agent then reads its copy and, if it knows nobody that can take it, resets a flow that is open by now. The client's acknowledgement, which another balancer had sent to it, was reset too ("nobody_has_it"): the agent did not know the one that had just joined and taken the open.

Change: an agent that had no event for 20 ms, or reads a packet within 50 ms after that, can't tell an idle time from a stall. It then leaves the refusal to the balancer (FlowLocation.refuses_open), which knows whether it has asked another agent, and resets the open only if it has not. For 2 s, two heartbeats, such an agent is not certain that nobody has the flow. On a busy agent refusals are sent as before, as are those of opens that waited at the agent and of which a balancer was told.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -163,8 +163,9 @@
         if held is not None:
             self.flows.record_client_packet(held, packet, now)
             tried = forwarded.tried_agents if packet.is_syn else ()
+            own = self.node_id
             notices = self.send_location(
-                forwarded, packet.flow, self.node_id, sender, tried, held.is_confirmed
+                forwarded, packet.flow, own, sender, tried, is_certain=held.is_confirmed
             )
             return [ffx.SendToUpstream(packet.datagram), *notices]
         if self.locator.try_queue(forwarded, packet):
@@ -218,19 +219,19 @@
         holder: NodeId,
         sender: NodeId = "",
         tried_agents: tuple[NodeId, ...] = (),
-        is_certain: bool = False,
-        may_be_at_unknown_agent: bool = False,
+        **qualifiers: bool,
     ) -> list[FlowEffect]:
         """Send a flow's location to the processes that handled its packet.
 
         ``tried_agents`` are told too; see :func:`list_notified`. Nothing is sent unless
-        the location is wanted. An empty ``holder`` means that no holder is known.
+        the location is wanted. An empty ``holder`` means that no holder is known, and
+        ``qualifiers`` are further fields of the message.
         """
         if not forwarded.wants_location:
             return []
         services = () if holder else tuple(self.routes.list_services(flow))
         message = msg.FlowLocation(
-            flow, holder, self.service, is_certain, services, may_be_at_unknown_agent
+            flow, holder, self.service, services=services, **qualifiers
         )
         return [
             fx.SendControl(parse_address(node_id), message)
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -264,7 +264,7 @@
     ) -> list[FlowEffect]:
         if message.holder:
             self.location_cache.record(message.flow, message.holder, now)
-        else:
+        elif not message.refuses_open:  # another agent may have taken that one
             self.location_cache.forget(message.flow)
         return self.resolver.handle_location(message, now)
 
--- a/bilberrypath/coordination/flow_resolver.py
+++ b/bilberrypath/coordination/flow_resolver.py
@@ -168,7 +168,8 @@
             return []
         if lookup.packet.is_syn or (location.holder and location.is_certain):
             self._end_lookup(location.flow)
-            return []
+            is_refused = location.refuses_open and len(lookup.tried_agents) == 1
+            return self._refuse_open(lookup.packet) if is_refused else []
         lookup.add_services(location.services)
         if location.holder:
             self.trials.record(location.flow, 1, now)
@@ -218,6 +219,15 @@
             ),
         ]
 
+    def _refuse_open(self, packet: FlowPacket) -> list[FlowEffect]:
+        """Reset an open that no agent can take, and that one agent alone was given."""
+        reset = self.balancer.codec.make_reset(packet.flow, packet.acknowledged)
+        return [
+            fx.Count("open_refused", "nobody_able"),
+            ffx.SendToClient(packet.flow, reset),
+            ffx.LogDecision("open_refused", packet.flow, {"reason": "nobody_able"}),
+        ]
+
     def _reset_lost(self, lookup: PendingLookup) -> list[FlowEffect]:
         """Reset a flow that certainly no service has."""
         packet = lookup.packet
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -55,8 +55,11 @@
         when the upstream started together with this process, so did the others: only a
         flow that was opened since can be at an agent that is not listed yet. Such an
         agent has joined once no other did for ``JOINT_START_SETTLE_TIME``, or
-        ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow.
+        ``NEW_FLOW_JOIN_TIME`` after the first lookup of the flow. An open that this
+        agent read late may have been taken by one that has just joined.
         """
+        if self.agent.open_handler.late_opens.may_be_taken(flow, now):
+            return False
         quiet_for = now - self.agent.agents_changed_at
         upstream = self.agent.upstream
         if not upstream.started_together(now):
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -14,6 +14,7 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination.late_opens import LateOpens
 from bilberrypath.coordination.open_placement import MAX_HOPS
 from bilberrypath.coordination.open_target import OpenTarget
 from bilberrypath.coordination.pending_opens import PendingOpen, RelayedOpen
@@ -47,12 +48,14 @@
     """
 
     agent: FlowAgent = field(repr=False)
+    late_opens: LateOpens = field(init=False)
     _target: OpenTarget = field(init=False)
     _pending_open_by_flow: dict[bytes, PendingOpen] = Factory(dict)
     _relayed_open_by_flow: dict[bytes, RelayedOpen] = Factory(dict)
     _queued_open_by_flow: dict[bytes, PendingOpen] = Factory(dict)
 
     def __attrs_post_init__(self) -> None:
+        self.late_opens = LateOpens(self.agent)
         self._target = OpenTarget(self.agent)
 
     def place(
@@ -61,6 +64,7 @@
         packet: FlowPacket,
         sender: NodeId,
         now: Seconds,
+        was_queued: bool = False,
     ) -> list[FlowEffect]:
         """Place an open; queue it first if its sender has a newer route table.
 
@@ -70,7 +74,7 @@
             pending = PendingOpen(forwarded, packet, sender, now)
             if self._try_queue(pending, now + ROUTES_TIMEOUT):
                 return self._notify_queued(pending, "routes_behind")
-        return self._decide(forwarded, packet, sender, now)
+        return self._decide(forwarded, packet, sender, now, was_queued)
 
     def retry_queued(self, now: Seconds) -> list[FlowEffect]:
         """Place the opens that are queued for routes, a report or the other agents."""
@@ -79,7 +83,7 @@
         for flow, pending in queued.items():
             self.agent.deadlines.clear(("wait", flow))
             effects += self.place(
-                pending.forwarded, pending.packet, pending.sender, now
+                pending.forwarded, pending.packet, pending.sender, now, was_queued=True
             )
         return effects
 
@@ -112,7 +116,9 @@
         """
         if kind == "wait":
             queued = self._queued_open_by_flow.pop(flow)
-            return self._decide(queued.forwarded, queued.packet, queued.sender, now)
+            return self._decide(
+                queued.forwarded, queued.packet, queued.sender, now, was_queued=True
+            )
         if kind == "relay":
             return self._retry_unanswered(self._relayed_open_by_flow.pop(flow), now)
         return self._handle_unaccepted(self._pending_open_by_flow.pop(flow), now)
@@ -152,14 +158,19 @@
         packet: FlowPacket,
         sender: NodeId,
         now: Seconds,
+        was_queued: bool = False,
     ) -> list[FlowEffect]:
-        """Accept, relay or refuse an open by the routes in force and the loads."""
+        """Accept, relay or refuse an open by the routes in force and the loads.
+
+        The balancer of an open that was queued here knows that, and asks nobody else.
+        """
         rejection = self._check_routes(forwarded, packet)
         if rejection is not None:
             return rejection
         reject_reason = self._find_reject_reason(now, packet.retransmit_count)
         if reject_reason is not None:
-            return self._relay_or_refuse(forwarded, packet, reject_reason, now)
+            is_late = not was_queued and self.late_opens.may_be_late(forwarded, now)
+            return self._relay_or_refuse(forwarded, packet, reject_reason, now, is_late)
         target = self._target.choose_better(forwarded, sender, now)
         if target is not None:
             relay_path = (*forwarded.relayed_by, self.agent.node_id)
@@ -235,11 +246,17 @@
         ]
 
     def _relay_or_refuse(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str, now: Seconds
+        self,
+        forwarded: ForwardedPacket,
+        packet: FlowPacket,
+        reason: str,
+        now: Seconds,
+        is_late: bool = False,
     ) -> list[FlowEffect]:
         """Relay an open that this agent cannot accept, or else defer or refuse it.
 
-        ``reason`` is why it cannot. If no responsive agent can take the open, an
+        ``reason`` is why it cannot, and ``is_late`` whether others may have been asked
+        before this agent read the open. If no responsive agent can take the open, an
         unresponsive one is tried. While the upstream's first report or the other agents
         are awaited, the open is queued rather than refused or relayed to a crowded
         upstream.
@@ -257,7 +274,12 @@
             return self._queue_briefly(forwarded, packet, "no_agents", now)
         is_crowded = reason == RejectReason.CROWDED.value
         if is_crowded and (target is None or forwarded.hops >= MAX_HOPS):
-            return self._defer(forwarded, packet, reason)
+            if packet.retransmit_count < MAX_OPEN_COPIES:
+                return self._defer(forwarded, packet)
+            target = None
+        if target is None and is_late and not forwarded.unanswered_count:
+            flow = packet.flow
+            return self.late_opens.leave_refusal(forwarded, flow, reason, now)
         if target is None:
             return self._refuse(forwarded, packet, reason)
         if (
@@ -291,17 +313,15 @@
         return [fx.Count("open_dropped", reason), *notices]
 
     def _defer(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str
+        self, forwarded: ForwardedPacket, packet: FlowPacket
     ) -> list[FlowEffect]:
-        """Drop an open until its client retransmits it, or refuse the last copy.
+        """Drop an open until its client retransmits it.
 
         If all candidate upstreams are in cold start with requests queued, one more
         open would only lengthen every wait. The client retransmits within a fraction
         of a second, by when there is room. Its last copy is refused at once, so that
         the client can start over.
         """
-        if packet.retransmit_count >= MAX_OPEN_COPIES:
-            return self._refuse(forwarded, packet, reason)
         fields = {
             "copies": packet.retransmit_count,
             "tried": list(forwarded.tried_agents),
--- a/bilberrypath/coordination/pause_detector.py
+++ b/bilberrypath/coordination/pause_detector.py
@@ -16,6 +16,9 @@
 
 MIN_PAUSE: Seconds = 0.6  # three tick periods
 BACKLOG_TIME: Seconds = 0.05  # time to read a full socket buffer after a pause
+# A packet that waited longer may be elsewhere by now: agents pass an open to another
+# one after 25 ms without an answer, balancers after 60 ms.
+MAX_SURE_WAIT: Seconds = 0.02
 
 
 @define
@@ -24,10 +27,13 @@
 
     _last_event_at: Seconds
     _backlog_until: Seconds = float("-inf")
+    _unsure_until: Seconds = float("-inf")
 
     def record(self, now: Seconds) -> Seconds:
         """Return how long the process was paused before this event, 0 if it was not."""
         pause, self._last_event_at = now - self._last_event_at, now
+        if pause > MAX_SURE_WAIT:
+            self._unsure_until = now + BACKLOG_TIME
         if pause <= MIN_PAUSE:
             return 0.0
         self._backlog_until = now + BACKLOG_TIME
@@ -36,3 +42,11 @@
     def is_reading_backlog(self, now: Seconds) -> bool:
         """Return whether a packet that is read now may have waited through a pause."""
         return now < self._backlog_until
+
+    def may_have_waited(self, now: Seconds) -> bool:
+        """Return whether a packet that is read now may have waited ``MAX_SURE_WAIT``.
+
+        That cannot be ruled out after any time without events, as a short stall of the
+        process looks like one in which nothing arrived.
+        """
+        return now < self._unsure_until
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -78,6 +78,8 @@
     those that the flow's route names or named recently; empty with a holder.
     ``may_be_at_unknown_agent`` qualifies a certain report without a holder: all agents
     that know their service have just started, and one that is away may have the flow.
+    ``refuses_open`` has the balancer refuse an open that nobody can take, unless it has
+    asked another agent meanwhile: the sender may have read the open late.
     """
 
     flow: bytes
@@ -86,6 +88,7 @@
     is_certain: bool = False
     services: tuple[str, ...] = ()
     may_be_at_unknown_agent: bool = False
+    refuses_open: bool = False
 
 
 class FlowQuery(ControlStruct, tag=22):
