Flows of a moved route survive a restart of their agent after all others

Cause: that an upstream has flows of a former service is stated by its agent, once it has heard its upstream. Between its restart and that report no process named the former service, if balancers and the agents of the new service had restarted before; the new service denied the flows, and they were reset.

Change: the member table keeps a restarted agent's service among those that may have former flows until the agent serves, ends, or states it itself.

Weighed: the agent states it from its start (after a loss of power all services would be searched for each flow, and a test asks for the present behaviour); a longer wait of the new service's agents (they had started 4 s before).

--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -163,6 +163,9 @@
         if known is not None and not is_newer(member, known):
             return None
         bucket = compute_table_bucket_index(member.node_id)
+        is_former_holder = known is not None and self._stays_former_holder(
+            known, member
+        )
         if known is not None:
             self._toggle_digest(bucket, known)
             self._unindex_unless_replaced(known, member)
@@ -170,6 +173,8 @@
         self._node_ids_by_bucket[bucket].add(member.node_id)
         self._member_by_id[member.node_id] = member
         self._index(member)
+        if is_former_holder:
+            self._service_by_former_holder[member.node_id] = member.service
         return known or member
 
     def drop(self, node_id: NodeId) -> None:
@@ -198,7 +203,8 @@
     def list_services_with_former_flows(self) -> list[ServiceName]:
         """Return the services whose agents may have flows of routes of other services.
 
-        These are the services of agents with ``may_have_former_flows``.
+        These are the services of agents with ``may_have_former_flows``, and of those
+        that restarted since they stated it and have not heard their upstream yet.
         """
         return [*dict.fromkeys(self._service_by_former_holder.values())]
 
@@ -264,6 +270,22 @@
         if not member.is_gone:
             self._digest_by_bucket[bucket] ^= digest_member(member)
 
+    def _stays_former_holder(self, known: Member, member: Member) -> bool:
+        """Return whether an agent without ``may_have_former_flows`` may have them.
+
+        An agent states that only once it has heard its upstream. Until it serves, a
+        restarted one counts as it did before its restart.
+        """
+        is_restarted = member.incarnation > known.incarnation
+        is_unheard = is_restarted or not known.may_have_former_flows
+        return (
+            known.node_id in self._service_by_former_holder
+            and is_unheard
+            and member.status is Status.DRAINING
+            and not member.is_gone
+            and member.service == known.service
+        )
+
     def _index(self, member: Member) -> None:
         if member.is_gone:
             return
--- a/tests/state/test_members.py
+++ b/tests/state/test_members.py
@@ -112,6 +112,55 @@
         table.merge(msgspec.structs.replace(agent, version=2, **change))
         assert table.list_services_with_former_flows() == []
 
+    @pytest.mark.parametrize("restarts", [1, 2])
+    def test_service_stays_listed_until_its_restarted_agent_serves(
+        self, agent, restarts
+    ):
+        """Guard against forgetting former flows before their upstream is heard."""
+        table = MemberTable()
+        table.merge(agent)
+        for number in range(restarts):
+            restarted = msgspec.structs.replace(
+                agent,
+                incarnation=agent.incarnation + 1 + number,
+                status=Status.DRAINING,
+                may_have_former_flows=False,
+            )
+            table.merge(restarted)
+            suspected = msgspec.structs.replace(
+                restarted, suspicion=Suspicion.SUSPECTED
+            )
+            table.merge(suspected)
+        assert table.list_services_with_former_flows() == ["board"]
+        table.merge(
+            msgspec.structs.replace(restarted, version=2, status=Status.SERVING)
+        )
+        assert table.list_services_with_former_flows() == []
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"service": "canary"},
+            {"status": Status.LEFT},
+            {"suspicion": Suspicion.REMOVED},
+        ],
+    )
+    def test_service_is_not_listed_after_its_restarted_agent_is_gone(
+        self, agent, change
+    ):
+        table = MemberTable()
+        table.merge(agent)
+        fields = {"status": Status.DRAINING, "may_have_former_flows": False, **change}
+        table.merge(msgspec.structs.replace(agent, incarnation=2, **fields))
+        assert table.list_services_with_former_flows() == []
+
+    def test_draining_agent_whose_former_flows_have_ended_is_not_listed(self, agent):
+        table = MemberTable()
+        table.merge(agent)
+        fields = {"status": Status.DRAINING, "may_have_former_flows": False}
+        table.merge(msgspec.structs.replace(agent, version=2, **fields))
+        assert table.list_services_with_former_flows() == []
+
     def test_record_of_an_older_build_has_no_former_flows(self, agent):
         fields = msgspec.to_builtins(agent)[:-1]
         assert not msgspec.convert(fields, Member).may_have_former_flows
