An agent whose clock was set back keeps the flows of its upstream

Cause: a restarted agent judged by start times whether its upstream is older. After the clock was set back, an upstream with up to ten reports seemed to have started after the agent, without any flows, and its flows were reset.

Change: an upstream that seems to have started more than 0.15 s after the agent's sockets were read, and whose first report there is not its first one, is older than it states: its first report would have reached this process.

Weighed: start times in the future alone (an upstream that is a few seconds old is not noticed if it reports soon after the agent's start).

What remains are start times that seem to be within 0.15 s of the agent's, as after a loss of power.

--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -372,12 +372,16 @@
         """Return whether an upstream started well before this process.
 
         Its start time is unreliable if the clock was set back since. A sequence number
-        above ``MAX_EARLY_REPORTS`` shows an earlier start regardless of the clock.
+        above ``MAX_EARLY_REPORTS`` shows an earlier start regardless of the clock. So
+        does one above 1 if the start time is later than that of this process, which
+        would have received the first report.
         """
-        earliest = self.agent.setup.process_started_at - START_GAP_MS
+        setup = self.agent.setup
+        earliest = setup.process_started_at - START_GAP_MS
+        latest = setup.own_member.incarnation + START_GAP_MS
         if report.sequence > MAX_EARLY_REPORTS:
             return True
-        return report.sequence > 1 and report.started_at < earliest
+        return report.sequence > 1 and not earliest <= report.started_at <= latest
 
     def _change_service(self, service: str) -> list[FlowEffect]:
         """Change the service in the member record, and forget the old one's agents."""
