An agent that has left tells the other agents itself

Cause: that an agent has left was known to balancers only until their next answers to heartbeats. If all balancers ended at that moment, the agent counted as absent for a minute, and lost flows of its service were not reset meanwhile.

Change: it sends its last record to the other agents of its service too, in a FlowHeartbeat. They believe it from its own address, and if it is newer than theirs. Agents of older builds drop and count it (control_dropped, unexpected). Its end moved from FlowAgent to ServicePeers.

Weighed: a mark in the load report (it goes to a sample of the agents).

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -32,7 +32,6 @@
 from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
-from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
     from random import Random
@@ -299,18 +298,7 @@
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
         self.is_leaving = True
-        status = Status.LEFT if self.upstream.is_gone else Status.DRAINING
-        self.registration.announce(status)
-        fields = {
-            "status": status.name.lower(),
-            "flows": len(self.flows),
-            **self.upstream.health.describe(now),
-        }
-        return [
-            fx.LogStateChange("leaving", fields),
-            *self.registration.send_heartbeats(0, 0, now),
-            *self.peers.send_load_report(now),
-        ]
+        return self.peers.announce_end(now)
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
@@ -363,6 +351,13 @@
         self.peers.handle_load_report(message, format_node_id(sender), now)
         return []
 
+    @_handle_message.register(msg.FlowHeartbeat)
+    def _(
+        self, message: msg.FlowHeartbeat, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        self.peers.handle_end(message.member, format_node_id(sender), now)
+        return []
+
     @_handle_message.register(msg.FlowHeartbeatAck)
     def _(
         self, message: msg.FlowHeartbeatAck, sender: Address, now: Seconds
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -8,11 +8,14 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.protocol import flow_messages as msg
+from bilberrypath.protocol.flow_messages import parse_address
+from bilberrypath.state.members import Status, is_newer
 
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.coordination.load_reporter import LoadReporter
+    from bilberrypath.state.members import Member
     from bilberrypath.types import NodeId, Seconds
 
 MAX_LOGGED_PEERS = 8  # of those added or dropped, in one line
@@ -54,6 +57,38 @@
         )
         return self._load_reporter.send(report, list(agent.placement.peer_by_id), now)
 
+    def announce_end(self, now: Seconds) -> list[FlowEffect]:
+        """Announce to balancers and other agents that this process ends.
+
+        An agent whose upstream is gone has left, and nobody has to wait for it. The
+        other agents are told that too, since all balancers may end at the same time.
+        """
+        agent = self.agent
+        registration = agent.registration
+        has_left = agent.upstream.is_gone
+        registration.announce(Status.LEFT if has_left else Status.DRAINING)
+        fields = {
+            "status": registration.own_member.status.name.lower(),
+            "flows": len(agent.flows),
+            **agent.upstream.health.describe(now),
+        }
+        heartbeat = msg.FlowHeartbeat(registration.own_member, 0, 0, 0)
+        told_ids = agent.placement.peer_by_id if has_left else ()
+        return [
+            fx.LogStateChange("leaving", fields),
+            *registration.send_heartbeats(0, 0, now),
+            *self.send_load_report(now),
+            *(fx.SendControl(parse_address(id_), heartbeat) for id_ in told_ids),
+        ]
+
+    def handle_end(self, member: Member, sender: NodeId, now: Seconds) -> None:
+        """Record that another agent of the service has left, by its own record."""
+        agent = self.agent
+        peer = agent.placement.peer_by_id.get(sender)
+        is_own_record = peer is not None and member.node_id == sender
+        if is_own_record and member.has_left and is_newer(member, peer.member):
+            agent.placement.apply_changes((member,), agent.service, agent.node_id, now)
+
     def handle_load_report(
         self, report: msg.LoadReport, sender: NodeId, now: Seconds
     ) -> None:
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -139,6 +139,7 @@
 class FlowHeartbeat(ControlStruct, tag=25):
     """An agent's liveness message to its heartbeat targets.
 
+    An agent that has left sends one to the other agents of its service too.
     ``agents_digest`` is the digest of the sender's list of its service's agents.
     ``takes_changes`` states that the sender applies changes to that list; an agent of
     an older build needs the whole list.
--- a/tests/coordination/test_absent_agents.py
+++ b/tests/coordination/test_absent_agents.py
@@ -1,10 +1,12 @@
 """Tests of flows whose agent's process is away while their upstream lives."""
 
+import msgspec
 import pytest
 
-from bilberrypath.coordination.events import Leave
+from bilberrypath.coordination.events import ControlReceived, Leave
 from bilberrypath.coordination.flow_events import UpstreamLeft
 from bilberrypath.coordination.unproven_losses import LATE_AGENT_TIME
+from bilberrypath.protocol.flow_messages import FlowHeartbeat
 from bilberrypath.state.members import Status
 from tests.coordination.test_flow_services import (
     BOARD_HOSTS,
@@ -224,6 +226,28 @@
         assert balancer.remembers_agents(world.now)
 
 
+class TestEndOfAnotherAgent:
+    @pytest.mark.parametrize(
+        ("sender", "changes", "has_left"),
+        [
+            (AWAY, {"status": Status.LEFT}, True),
+            ("10.2.0.2", {"status": Status.LEFT}, False),
+            (AWAY, {"status": Status.DRAINING}, False),
+            (AWAY, {"status": Status.LEFT, "incarnation": 1}, False),
+        ],
+    )
+    def test_is_learned_from_its_own_newest_record(self, sender, changes, has_left):
+        """Guard against taking a living agent for one that has left."""
+        world = make_world()
+        agent = world.node_by_host["10.2.0.3"]
+        peer = agent.placement.peer_by_id[f"{AWAY}:7600"]
+        version = peer.member.version + 1
+        member = msgspec.structs.replace(peer.member, version=version, **changes)
+        heartbeat = FlowHeartbeat(member, 0, 0, 0)
+        agent.handle(ControlReceived((sender, 7600), heartbeat), world.now)
+        assert peer.member.has_left == has_left
+
+
 class TestForeignUpstreams:
     def test_get_two_packets_of_a_flow_at_most_while_its_agent_is_away(self):
         """Guard against a flow's packets going to other upstreams only."""
