--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -32,7 +32,6 @@
 from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
-from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
     from random import Random
@@ -163,8 +162,9 @@
         if held is not None:
             self.flows.record_client_packet(held, packet, now)
             tried = forwarded.tried_agents if packet.is_syn else ()
+            own = self.node_id
             notices = self.send_location(
-                forwarded, packet.flow, self.node_id, sender, tried, held.is_confirmed
+                forwarded, packet.flow, own, sender, tried, is_certain=held.is_confirmed
             )
             return [ffx.SendToUpstream(packet.datagram), *notices]
         if self.locator.try_queue(forwarded, packet):
@@ -218,19 +218,19 @@
         holder: NodeId,
         sender: NodeId = "",
         tried_agents: tuple[NodeId, ...] = (),
-        is_certain: bool = False,
-        may_be_at_unknown_agent: bool = False,
+        **qualifiers: bool,
     ) -> list[FlowEffect]:
         """Send a flow's location to the processes that handled its packet.
 
         ``tried_agents`` are told too; see :func:`list_notified`. Nothing is sent unless
-        the location is wanted. An empty ``holder`` means that no holder is known.
+        the location is wanted. An empty ``holder`` means that no holder is known, and
+        ``qualifiers`` are further fields of the message.
         """
         if not forwarded.wants_location:
             return []
         services = () if holder else tuple(self.routes.list_services(flow))
         message = msg.FlowLocation(
-            flow, holder, self.service, is_certain, services, may_be_at_unknown_agent
+            flow, holder, self.service, services=services, **qualifiers
         )
         return [
             fx.SendControl(parse_address(node_id), message)
@@ -298,18 +298,7 @@
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
         self.is_leaving = True
-        status = Status.LEFT if self.upstream.is_gone else Status.DRAINING
-        self.registration.announce(status)
-        fields = {
-            "status": status.name.lower(),
-            "flows": len(self.flows),
-            **self.upstream.health.describe(now),
-        }
-        return [
-            fx.LogStateChange("leaving", fields),
-            *self.registration.send_heartbeats(0, 0, now),
-            *self.peers.send_load_report(now),
-        ]
+        return self.peers.announce_end(now)
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
@@ -362,6 +351,13 @@
         self.peers.handle_load_report(message, format_node_id(sender), now)
         return []
 
+    @_handle_message.register(msg.FlowHeartbeat)
+    def _(
+        self, message: msg.FlowHeartbeat, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        self.peers.handle_end(message.member, format_node_id(sender), now)
+        return []
+
     @_handle_message.register(msg.FlowHeartbeatAck)
     def _(
         self, message: msg.FlowHeartbeatAck, sender: Address, now: Seconds
