Read route terms from the operator's document and from release notes

Cause: RouteTerms existed as a field of a route, but nothing filled it. Its third element also changed the digest of every row, also without terms, so that deltas between processes of two builds did not apply and whole tables were sent instead.

Change: the adapter reads priority, targetLatencyMs, timeoutMs and type of each route. A missing or invalid value has its default and the route is served; the balancer that read the configuration logs route_terms_invalid once. flow status of balancers and agents lists the terms by address. Services of release notes take the same terms; errors name the value, the range and the remedy. Routes and services without terms are digested, and services stored, as in builds without terms.

--- a/bilberrypath/cli_report.py
+++ b/bilberrypath/cli_report.py
@@ -5,12 +5,15 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from attrs import evolve
 from rich.console import Console
 from rich.table import Table
 
+from bilberrypath.state.route_terms import describe_terms
+
 if TYPE_CHECKING:
     from bilberrypath.operator_client import ProcessStatus
-    from bilberrypath.state.release import Release
+    from bilberrypath.state.release import Release, Service
 
 console = Console(soft_wrap=True, highlight=False)
 
@@ -24,22 +27,32 @@
             msgspec.to_builtins(centre)
             for _, centre in sorted(release.data_centre_by_name.items())
         ],
-        "services": [
-            msgspec.to_builtins(service) for service in release.list_services()
-        ],
+        "services": [_service_to_dict(service) for service in release.list_services()],
     }
 
 
+def _service_to_dict(service: Service) -> dict:
+    """Return a service with its terms by name, which are left out if there are none."""
+    values = msgspec.to_builtins(evolve(service, terms=None))
+    del values["terms"]
+    if service.terms is not None:
+        values["terms"] = msgspec.structs.asdict(service.terms)
+    return values
+
+
 def print_release(release: Release) -> None:
     """Print a release as tables."""
     console.print(f"revision {release.revision}")
     centres = Table("data centre", "state")
     for name, centre in sorted(release.data_centre_by_name.items()):
         centres.add_row(name, "out" if centre.out else "in")
-    services = Table("service", "port", "data centres")
+    services = Table("service", "port", "data centres", "terms")
     for service in release.list_services():
         services.add_row(
-            service.name, str(service.port), " ".join(service.data_centres)
+            service.name,
+            str(service.port),
+            " ".join(service.data_centres),
+            "" if service.terms is None else describe_terms(service.terms),
         )
     console.print(centres, services)
 
--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -20,6 +20,7 @@
 
 from bilberrypath.coordination.effects import Count, LogStateChange
 from bilberrypath.coordination.flow_effects import PullRoutes, RoutesAdopted
+from bilberrypath.protocol.flow_messages import format_node_id
 from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH, pack_endpoint
 from bilberrypath.state.former_services import FormerServices
 from bilberrypath.state.route_delta import (
@@ -30,6 +31,7 @@
     compute_route_delta,
     index_route_table,
 )
+from bilberrypath.state.route_terms import describe_terms
 from bilberrypath.state.routes import RouteTable
 from bilberrypath.state.store_position import format_revision, get_epoch
 
@@ -114,6 +116,14 @@
         route = self.route_by_endpoint.get(flow[ENDPOINT_LENGTH:])
         return None if route is None else route.terms
 
+    def describe_terms(self) -> list[str]:
+        """Return the terms in force by the address that clients send to, for status."""
+        return [
+            f"{format_node_id(route.address)}: {describe_terms(route.terms)}"
+            for route in sorted(self.table.routes, key=lambda route: route.address)
+            if route.terms is not None
+        ]
+
     def list_services(self, flow: bytes) -> list[ServiceName]:
         """Return the services that the route of a flow names, or named recently."""
         endpoint = flow[ENDPOINT_LENGTH:]
--- a/bilberrypath/platform/store.py
+++ b/bilberrypath/platform/store.py
@@ -33,6 +33,7 @@
     from collections.abc import Callable
     from typing import NoReturn, TypeVar
 
+    from bilberrypath.state.route_terms import InvalidTerms
     from bilberrypath.types import Address, Revision, Seconds
 
     T = TypeVar("T")
@@ -99,7 +100,8 @@
 
     An entry that cannot be applied changes nothing, and its error is raised once the
     other entries were applied; the next call returns these. ``_entry_errors`` has the
-    errors of the current call.
+    errors of the current call. ``_invalid_terms`` is what was last found wrong with the
+    terms of a configuration, and ``_are_terms_reported`` whether it was taken.
 
     ``epoch`` is the highest in the store's answers, and ``history_gaps`` counts the
     watches that started at a revision which the store does not have.
@@ -111,6 +113,8 @@
         self._position: Revision = 0
         self._has_failed = False
         self._entry_errors: list[str] = []
+        self._invalid_terms: InvalidTerms | None = None
+        self._are_terms_reported = True
         self.epoch = 0
         self.history_gaps = 0
 
@@ -135,6 +139,19 @@
             raise EntriesRejected("; ".join(self._entry_errors))
         return self._table if self._is_newer_than(current_table) else None
 
+    def take_invalid_terms(self) -> InvalidTerms | None:
+        """Return the invalid terms of a configuration once, else None."""
+        if self._are_terms_reported:
+            return None
+        self._are_terms_reported = True
+        return self._invalid_terms
+
+    def _report_invalid_terms(self, invalid: InvalidTerms) -> None:
+        """Record invalid terms, unless the same configuration was only read again."""
+        if invalid != self._invalid_terms:
+            self._invalid_terms = invalid
+            self._are_terms_reported = False
+
     def close(self) -> None:
         """Close the connection to the store."""
         self._client.close()
@@ -238,7 +255,9 @@
         revision = _join_revision(epoch, item.revision)
         try:
             value = None if item.deleted else base64.b64decode(item.value)
-            return apply_store_change(table, revision, item.key, value)
+            return apply_store_change(
+                table, revision, item.key, value, self._report_invalid_terms
+            )
         except ValueError as error:
             self._entry_errors.append(f"{item.key}: {error}")
             return msgspec.structs.replace(table, revision=revision)
--- a/bilberrypath/state/release.py
+++ b/bilberrypath/state/release.py
@@ -14,6 +14,7 @@
 import xxhash
 from attrs import Factory, evolve, field, frozen
 
+from bilberrypath.state.route_terms import RouteTerms  # noqa: TC001
 from bilberrypath.types import DataCentreName, Revision, ServiceName  # noqa: TC001
 
 if TYPE_CHECKING:
@@ -30,13 +31,15 @@
     """A service that callers reach at one port of the balancers.
 
     ``number`` identifies the service in routing tokens and is never reused.
-    ``data_centres`` names the data centres whose upstreams may serve it.
+    ``data_centres`` names the data centres whose upstreams may serve it. ``terms`` is
+    None if the operator states none, or in a release of an older build.
     """
 
     name: ServiceName
     port: int
     data_centres: tuple[DataCentreName, ...]
     number: int = 0
+    terms: RouteTerms | None = None
 
 
 @frozen
@@ -142,10 +145,26 @@
 
 def encode_bucket(service_by_name: dict[ServiceName, Service]) -> bytes:
     """Return the encoded bucket; equal content gives equal bytes."""
-    ordered = [service for _, service in sorted(service_by_name.items())]
+    ordered = [_make_row(service) for _, service in sorted(service_by_name.items())]
     return msgspec.msgpack.encode(ordered)
 
 
+def _make_row(service: Service) -> Service | dict:
+    """Return what is encoded of a service.
+
+    Without terms it is what older builds encode, so that the digests of stored buckets,
+    and those that processes of both builds compute, stay the same.
+    """
+    if service.terms is not None:
+        return service
+    return {
+        "data_centres": service.data_centres,
+        "name": service.name,
+        "number": service.number,
+        "port": service.port,
+    }
+
+
 def decode_bucket(data: bytes) -> Bucket:
     """Return the bucket in ``data``; raises msgspec.DecodeError if it is damaged."""
     services = msgspec.msgpack.decode(data, type=list[Service])
--- a/bilberrypath/state/release_notes.py
+++ b/bilberrypath/state/release_notes.py
@@ -4,10 +4,23 @@
 
 import configparser
 import uuid
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from bilberrypath.state.release import DataCentre, ReleaseNote, Service
+from bilberrypath.state.route_terms import (
+    EXPECTED_DURATION,
+    EXPECTED_PRIORITY,
+    RequestKind,
+    RouteTerms,
+    check_duration,
+    check_priority,
+    describe_terms,
+)
+
+if TYPE_CHECKING:
+    from bilberrypath.types import Seconds
 
 NOTE_SECTIONS = ("added", "changed", "withdrawn")
 NOTE_TEMPLATE = """\
@@ -15,6 +28,8 @@
 [added]
 # data centre citybowl = in
 # service dispatch = port 9443, data centres citybowl atlantic
+# Terms may follow, separated by commas; times are in seconds:
+#     , priority 2, latency_objective 0.3, timeout 1.3, kind idempotent
 
 [changed]
 # data centre citybowl = out
@@ -25,6 +40,7 @@
 _SERVICE_PREFIX = "service "
 _DATA_CENTRE_PREFIX = "data centre "
 _SERVICE_FORMAT = "expected 'port NUMBER, data centres NAME NAME ...'"
+_KINDS = tuple(kind.value for kind in RequestKind)
 
 
 @frozen
@@ -96,18 +112,24 @@
         if section == "withdrawn":
             services.append(Service(name, 0, ()))
             continue
-        service = _read_service(name, value or "")
+        where = f"[{section}] service {name!r}"
+        service = _read_service(name, value or "", where, errors)
         if service is None:
-            errors.append(
-                f"[{section}] service {name!r} = {value!r}: {_SERVICE_FORMAT}"
-            )
+            errors.append(f"{where} = {value!r}: {_SERVICE_FORMAT}")
         else:
             services.append(service)
     return tuple(services)
 
 
-def _read_service(name: str, value: str) -> Service | None:
-    port_part, _, centres_part = value.partition(",")
+def _read_service(
+    name: str, value: str, where: str, errors: list[str]
+) -> Service | None:
+    """Return a service, or None if its port or data centres cannot be read.
+
+    Errors in its terms are appended to ``errors``, each preceded by ``where``.
+    """
+    port_part, _, rest = value.partition(",")
+    centres_part, _, terms_part = rest.partition(",")
     port_words = port_part.split()
     centre_words = centres_part.split()
     if len(port_words) != 2 or port_words[0] != "port":
@@ -116,7 +138,56 @@
         return None
     if centre_words[:2] != ["data", "centres"] or len(centre_words) < 3:
         return None
-    return Service(name, int(port_words[1]), tuple(sorted(set(centre_words[2:]))))
+    terms = _read_terms(terms_part, where, errors)
+    centres = tuple(sorted(set(centre_words[2:])))
+    return Service(name, int(port_words[1]), centres, terms=terms)
+
+
+def _read_terms(text: str, where: str, errors: list[str]) -> RouteTerms | None:
+    """Return the terms in a list of names and values, or None if there are none."""
+    if not text.strip():
+        return None
+    values = {}
+    for part in text.split(","):
+        name, _, value = part.strip().partition(" ")
+        if name not in _READ_TERM_BY_NAME:
+            names = ", ".join(_READ_TERM_BY_NAME)
+            errors.append(
+                f"{where}: {part.strip()!r} is no term; expected one of {names}, with "
+                "its value; data centres are separated by spaces"
+            )
+            continue
+        if name in values:
+            errors.append(f"{where}: {name} is stated twice; state it once")
+        read, expected = _READ_TERM_BY_NAME[name]
+        try:
+            values[name] = read(value.strip())
+        except ValueError:
+            errors.append(
+                f"{where}: {name} is {value.strip()!r}, expected {expected}; correct "
+                "it, or leave it out for the default"
+            )
+    return RouteTerms(**values)
+
+
+def _read_priority(text: str) -> int:
+    return check_priority(int(text))
+
+
+def _read_duration(text: str) -> Seconds:
+    return check_duration(float(text))
+
+
+def _read_kind(text: str) -> str:
+    return RequestKind(text).value
+
+
+_READ_TERM_BY_NAME = {
+    "priority": (_read_priority, EXPECTED_PRIORITY),
+    "latency_objective": (_read_duration, EXPECTED_DURATION),
+    "timeout": (_read_duration, EXPECTED_DURATION),
+    "kind": (_read_kind, f"one of {', '.join(_KINDS)}"),
+}
 
 
 def _read_data_centres(
@@ -150,6 +221,7 @@
         ]
         lines += [
             f"{title}: service {s.name} port {s.port} in {' '.join(s.data_centres)}"
+            + ("" if s.terms is None else f", {describe_terms(s.terms)}")
             for s in services
         ]
     lines += [f"withdrawn: service {name}" for name in note.withdrawn_services]
--- a/bilberrypath/state/route_delta.py
+++ b/bilberrypath/state/route_delta.py
@@ -162,6 +162,13 @@
 
 
 def _digest_row(row: FlowRoute | UpstreamLimits) -> int:
+    """Return the hash of a row.
+
+    A route without terms is hashed as in older builds, whose rows have no third
+    element. Deltas of a table without terms thus apply at processes of both builds.
+    """
+    if isinstance(row, FlowRoute) and row.terms is None:
+        return xxhash.xxh64_intdigest(_encode((row.address, row.targets)))
     return xxhash.xxh64_intdigest(_encode(row))
 
 
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -187,6 +187,7 @@
         lists = {
             "agents": sorted(core.placement.peer_by_id),
             "silent": sorted(core.unresponsive_peers.since_by_id),
+            "terms": core.routes.describe_terms(),
         }
         return FlowStatusReply(values, lists)
 
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -9,6 +9,7 @@
 from bilberrypath.coordination import flow_events as fev
 from bilberrypath.coordination.flow_balancer import FlowBalancer
 from bilberrypath.protocol.bulk import MemberTableReply
+from bilberrypath.protocol.flow_messages import format_node_id
 from bilberrypath.state.members import Member, Role, Status, make_own_record
 from bilberrypath.transport.bulk_calls import FlowStatusReply
 from bilberrypath.transport.clock import make_incarnation, read_clock
@@ -20,6 +21,7 @@
 
     from bilberrypath.flow_settings import FlowBalancerSettings
     from bilberrypath.protocol.flow_packet import PacketCodec
+    from bilberrypath.state.route_terms import InvalidTerms
     from bilberrypath.state.routes import RouteTable
     from bilberrypath.transport.bound_sockets import BoundSockets
     from bilberrypath.transport.bulk_calls import MembersRequest
@@ -62,6 +64,12 @@
         Raises :class:`RoutesUnavailable` when the source cannot be read.
         """
 
+    def take_invalid_terms(self) -> InvalidTerms | None:
+        """Return the invalid terms of a configuration that was read, once, else None.
+
+        Their defaults are in the table that was returned.
+        """
+
     def close(self) -> None:
         """Close the connection to the store."""
 
@@ -174,10 +182,27 @@
 
     async def _read_routes(self) -> None:
         """Read the next table, or wait until a watch ends, and handle it."""
-        table = await self._source.read_next_table(self.core.routes.table)
+        try:
+            table = await self._source.read_next_table(self.core.routes.table)
+        finally:
+            self._log_invalid_terms()
         self._record_store_call("")
         self.handle_event(fev.RoutesRead(table))
 
+    def _log_invalid_terms(self) -> None:
+        invalid = self._source.take_invalid_terms()
+        if invalid is None:
+            return
+        self.write_log(
+            "route_terms_invalid",
+            version=invalid.version,
+            route=format_node_id(invalid.address),
+            field=invalid.field,
+            value=invalid.value,
+            expected=invalid.expected,
+            routes=invalid.route_count,
+        )
+
     def _record_store_call(self, error: str) -> None:
         """Count a read of the store, and log when the store's availability changes.
 
@@ -220,6 +245,7 @@
             "out": sorted(table.data_centres_out),
             "silent": sorted(core.unresponsive_peers.since_by_id),
             "members": sorted(_format_member(m) for m in core.members.table),
+            "terms": core.routes.describe_terms(),
         }
         return FlowStatusReply(values, lists)
 
--- a/tests/coordination/test_route_tracker.py
+++ b/tests/coordination/test_route_tracker.py
@@ -15,6 +15,7 @@
     RouteTableReply,
     index_route_table,
 )
+from bilberrypath.state.route_terms import RouteTerms
 from bilberrypath.state.store_position import make_revision
 from tests.support.flow_world import ADDRESS, make_table
 
@@ -44,6 +45,49 @@
         assert tracker.revision == 6
 
 
+class TestTerms:
+    FLOW = pack_flow_key(("100.64.0.1", 5), ADDRESS)
+
+    def make_tables(self):
+        """Return a table without terms, and one that differs in its terms alone."""
+        before = make_table(5)
+        route = msgspec.structs.replace(before.routes[0], terms=RouteTerms(2, 0.309))
+        return before, make_table(6, routes=(route,))
+
+    def test_are_found_for_a_flow_of_the_route(self):
+        tracker = RouteTracker()
+        assert tracker.find_terms(self.FLOW) is None
+        tracker.adopt_if_newer(self.make_tables()[1])
+        assert tracker.find_terms(self.FLOW) == RouteTerms(2, 0.309)
+        assert tracker.find_terms(self.FLOW[:-1] + b"\0") is None
+
+    @pytest.mark.parametrize("has_table", [True, False])
+    def test_arrive_by_delta_and_by_snapshot(self, has_table):
+        before, after = self.make_tables()
+        source, requester = RouteTracker(), RouteTracker()
+        source.adopt_if_newer(before)
+        source.adopt_if_newer(after)
+        if has_table:
+            requester.adopt_if_newer(before)
+        reply = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(source.make_reply(requester.base_digest)),
+            type=RouteTableReply,
+        )
+        assert (reply.snapshot is None) == has_table
+        requester.handle_reply(reply)
+        assert requester.find_terms(self.FLOW) == RouteTerms(2, 0.309)
+        assert requester.former_services.list(self.FLOW[6:]) == ()
+
+    def test_are_described_by_address(self):
+        tracker = RouteTracker()
+        tracker.adopt_if_newer(self.make_tables()[0])
+        assert tracker.describe_terms() == []
+        tracker.adopt_if_newer(self.make_tables()[1])
+        assert tracker.describe_terms() == [
+            "198.18.0.1:443: priority 2, latency_objective 0.309, timeout 10"
+        ]
+
+
 class TestDeltas:
     def adopt_all(self, *tables):
         tracker = RouteTracker()
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -160,3 +160,37 @@
         )
         assert daemon.core.routes.table.version == 7
         assert count_internal_errors(daemon) == 0
+
+
+class TestOddTerms:
+    async def test_routes_are_served_and_one_line_is_logged(
+        self, store, daemon, monkeypatch
+    ):
+        """Guard against a configuration that is not served because of its terms."""
+        lines = []
+        monkeypatch.setattr(
+            daemon, "write_log", lambda event, **fields: lines.append((event, fields))
+        )
+        odd = {"priority": -1, "targetLatencyMs": "309", "timeoutMs": 0, "type": []}
+        store.put("op/config", make_routes(**odd))
+        await wait_for_table(daemon, lambda table: table.version == 8)
+        store.put("op/evacuate/wc-a", {})
+        await wait_for_table(daemon, lambda table: table.data_centres_out == ("wc-a",))
+        assert len(daemon.core.routes.route_by_endpoint) == 2
+        fields = {
+            "version": 8,
+            "route": "198.18.0.9:443",
+            "field": "priority",
+            "value": "-1",
+            "expected": "a whole number from 0, the most urgent, to 100",
+            "routes": 1,
+        }
+        assert lines == [("route_terms_invalid", fields)]
+        assert count_internal_errors(daemon) == 0
+
+    async def test_terms_are_shown_in_the_status(self, store, daemon):
+        store.put("op/config", make_routes(priority=2, timeoutMs=1314, type="soap"))
+        await wait_for_table(daemon, lambda table: table.version == 8)
+        assert daemon.make_status(b"", 0.0).lists["terms"] == [
+            "198.18.0.9:443: priority 2, latency_objective 1, timeout 1.314, kind soap"
+        ]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -188,3 +188,26 @@
         store.put("op/config", b"nonsense")
         with pytest.raises(RoutesUnavailable, match="not a configuration"):
             await source.read_next_table(table)
+
+
+class TestInvalidTerms:
+    async def test_are_returned_once_for_each_configuration(self, store, source):
+        """Guard against a log line for each read of the same configuration."""
+        route = CONFIG["routes"][1] | {"priority": -1}
+        store.put("op/config", CONFIG | {"routes": [route]})
+        table = await source.read_next_table(RouteTable())
+        assert source.take_invalid_terms().field == "priority"
+        assert source.take_invalid_terms() is None
+        store.put("op/evacuate/wc-a", {})
+        store.compact()
+        table = await source.read_next_table(table)
+        assert table.data_centres_out == ("wc-a",)
+        assert source.take_invalid_terms() is None
+        store.put("op/config", CONFIG | {"version": 8, "routes": [route]})
+        await source.read_next_table(table)
+        assert source.take_invalid_terms().version == 8
+
+    async def test_are_none_for_a_valid_configuration(self, store, source):
+        store.put("op/config", CONFIG)
+        await source.read_next_table(RouteTable())
+        assert source.take_invalid_terms() is None
--- a/tests/state/test_release.py
+++ b/tests/state/test_release.py
@@ -1,7 +1,8 @@
 """Tests of releases and of the release notes that change them."""
 
+import msgspec
 import pytest
-from attrs import evolve
+from attrs import evolve, frozen
 
 from bilberrypath.state.release import (
     DataCentre,
@@ -12,6 +13,9 @@
     apply_note,
     apply_release_delta,
     check_note,
+    decode_bucket,
+    digest_bucket,
+    encode_bucket,
 )
 from bilberrypath.state.release_notes import (
     NOTE_TEMPLATE,
@@ -19,6 +23,7 @@
     format_note,
     parse_note,
 )
+from bilberrypath.state.route_terms import RouteTerms
 from tests.support.notes import CENTRES, first_note, out_note
 
 
@@ -108,6 +113,124 @@
         assert check_note(release, ReleaseNote("n2", changed_services=swapped)) == []
 
 
+class TestStoredReleases:
+    SERVICE = Service("dispatch", 9443, CENTRES, 3)
+    # Of a service without terms, as commit f146380 encodes it.
+    OLD_BUCKET = (
+        b"\x91\x84\xacdata_centres\x93\xa8atlantic\xa8citybowl\xa9winelands"
+        b"\xa4name\xa8dispatch\xa6number\x03\xa4port\xcd$\xe3"
+    )
+
+    def test_bucket_of_an_older_build_keeps_its_bytes_and_its_digest(self):
+        """Guard against stored buckets that no process finds by their digest."""
+        bucket = decode_bucket(self.OLD_BUCKET)
+        assert bucket.service_by_name == {"dispatch": self.SERVICE}
+        assert encode_bucket(bucket.service_by_name) == self.OLD_BUCKET
+        assert bucket.digest == digest_bucket(self.OLD_BUCKET)
+
+    def test_bucket_with_terms_is_read_as_it_was_written(self):
+        service = evolve(self.SERVICE, terms=RouteTerms(2, 0.309, 1.314, "upload"))
+        data = encode_bucket({"dispatch": service})
+        bucket = decode_bucket(data)
+        assert bucket.service_by_name == {"dispatch": service}
+        assert bucket.digest == digest_bucket(data) != digest_bucket(self.OLD_BUCKET)
+
+    def test_older_build_ignores_terms(self):
+        @frozen
+        class OldService:
+            name: str
+            port: int
+            data_centres: tuple[str, ...]
+            number: int = 0
+
+        service = evolve(self.SERVICE, terms=RouteTerms(2))
+        data = encode_bucket({"dispatch": service})
+        (old,) = msgspec.msgpack.decode(data, type=list[OldService])
+        assert old == OldService("dispatch", 9443, CENTRES, 3)
+
+
+SERVICE_LINE = "[added]\nservice s = port 80, data centres a b"
+
+
+class TestTermsOfAService:
+    def test_are_read_and_formatted(self):
+        note = parse_note(
+            f"{SERVICE_LINE}, priority 2, latency_objective 0.309, timeout 1.314, "
+            "kind idempotent\n"
+        )
+        (service,) = note.added_services
+        assert service.data_centres == ("a", "b")
+        assert service.terms == RouteTerms(2, 0.309, 1.314, "idempotent")
+        assert format_note(note) == [
+            "added: service s port 80 in a b, priority 2, latency_objective 0.309, "
+            "timeout 1.314, kind idempotent"
+        ]
+
+    def test_missing_one_has_its_default(self):
+        (service,) = parse_note(f"{SERVICE_LINE}, priority 2\n").added_services
+        assert service.terms == RouteTerms(priority=2)
+
+    def test_service_without_terms_is_read_as_before(self):
+        (service,) = parse_note(f"{SERVICE_LINE}\n").added_services
+        assert service == Service("s", 80, ("a", "b"))
+
+    @pytest.mark.parametrize(
+        ("text", "parts"),
+        [
+            ("priority 101", ["'101'", "0, the most urgent, to 100"]),
+            ("priority -1", ["'-1'", "0, the most urgent, to 100"]),
+            ("priority 1.5", ["'1.5'", "whole number"]),
+            ("priority", ["''", "whole number"]),
+            ("priority " + "9" * 5000, ["999'", "whole number"]),
+            ("latency_objective 0", ["'0'", "above 0, up to 3600"]),
+            ("latency_objective nan", ["'nan'", "above 0, up to 3600"]),
+            ("timeout 3601", ["'3601'", "above 0, up to 3600"]),
+            ("timeout 1 s", ["'1 s'", "above 0, up to 3600"]),
+            ("kind soap", ["'soap'", "idempotent, non_idempotent, upload, download"]),
+            ("urgency 2", ["'urgency 2'", "priority, latency_objective, timeout"]),
+            ("", []),
+        ],
+    )
+    def test_error_names_the_value_the_range_and_the_remedy(self, text, parts):
+        parsed = parse_note(f"{SERVICE_LINE}, {text}\n")
+        if not parts:
+            assert parsed.added_services[0].terms is None
+            return
+        (error,) = parsed.errors
+        assert error.startswith("[added] service 's': ")
+        assert all(part in error for part in parts)
+        assert "correct it, or leave it out" in error or "expected one of" in error
+
+    def test_all_errors_are_returned_at_once(self):
+        parsed = parse_note(f"{SERVICE_LINE}, priority x, timeout 0, timeout 2\n")
+        assert len(parsed.errors) == 2
+        parsed = parse_note(f"{SERVICE_LINE}, priority 1, priority 2\n")
+        assert parsed.errors == (
+            "[added] service 's': priority is stated twice; state it once",
+        )
+
+    def test_reach_another_process_by_a_delta(self, release):
+        service = Service("board", 9445, CENTRES, terms=RouteTerms(2, 0.309))
+        note = ReleaseNote("n2", added_services=(service,))
+        after = apply_note(release, note)
+        delta = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(ReleaseDelta(2, after.digest(), note)),
+            type=ReleaseDelta,
+        )
+        assert apply_release_delta(release, delta) == after
+        assert after.get_service("board").terms == RouteTerms(2, 0.309)
+
+    def test_note_of_an_older_build_is_applied(self, release):
+        """Guard against a digest that differs because of the new field."""
+        note = ReleaseNote("n2", added_services=(Service("board", 9445, CENTRES),))
+        after = apply_note(release, note)
+        delta = ReleaseDelta(2, after.digest(), note)
+        row = msgspec.to_builtins(delta, builtin_types=(bytes,))
+        del row["note"]["added_services"][0]["terms"]
+        delta = msgspec.msgpack.decode(msgspec.msgpack.encode(row), type=ReleaseDelta)
+        assert apply_release_delta(release, delta) == after
+
+
 class TestParseNote:
     def test_all_errors_are_returned_at_once(self):
         parsed = parse_note(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -57,6 +57,22 @@
         assert code == cli.EXIT_INVALID_INPUT
         assert "expected 'port NUMBER" in output
 
+    def test_term_out_of_range_is_printed_with_the_remedy(
+        self, capsys, tmp_path, operator
+    ):
+        note = tmp_path / "note.ini"
+        note.write_text(
+            "[added]\nservice x = port 80, data centres a, priority 2, timeout 9000\n"
+        )
+        code, output = run(
+            capsys, "release", "check", str(note), "--settings", operator
+        )
+        assert code == cli.EXIT_INVALID_INPUT
+        assert output == (
+            "[added] service 'x': timeout is '9000', expected a number of seconds "
+            "above 0, up to 3600; correct it, or leave it out for the default\n"
+        )
+
     def test_invalid_address_is_a_usage_error(self, capsys):
         code, output = run(capsys, "call", "nowhere", "/")
         assert code == cli.EXIT_USAGE
@@ -82,6 +98,13 @@
             assert '"revision":1' in output
             code, output = await deployment.operate("history")
             assert "added: service s port 9443 in a" in output
+            code, _ = await deployment.accept(
+                "[changed]\nservice s = port 9443, data centres a, priority 2\n"
+            )
+            code, output = await deployment.operate("show")
+            assert "priority 2, latency_objective 1, timeout 10" in output
+            code, output = await deployment.operate("show", "--json")
+            assert '"terms":{"priority":2,"latency_objective":1.0' in output
             code, output = await deployment.operate("status")
             assert code == cli.EXIT_UNREACHABLE
         finally:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -37,6 +37,8 @@
     "datagramAddr",
     "idleTimeoutMs",
     "idle_timeout_ms",
+    "targetLatencyMs",
+    "timeoutMs",
     "bounced",
     "kv-watch",
     "kv-range",
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -10,12 +10,14 @@
 from bilberrypath.platform.packet_codec import ACK, PlatformPacketCodec
 from bilberrypath.protocol.flow_messages import ForwardedPacket, encode_flow_message
 from bilberrypath.protocol.flow_packet import pack_flow_key
+from bilberrypath.state.route_terms import RouteTerms
+from bilberrypath.state.routes import FlowRoute, Target
 from bilberrypath.transport import flow_agent_daemon
 from bilberrypath.transport.bound_sockets import BoundSockets
 from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
 from bilberrypath.transport.machine_probe import ProbeResult
 from tests.support.flow_model import write_packet
-from tests.support.flow_world import ADDRESS
+from tests.support.flow_world import ADDRESS, make_table
 
 AGENT = "127.84.0.1"
 PEER = (AGENT, 7720)
@@ -77,3 +79,14 @@
             is_gone.append(daemon.core.upstream.is_gone)
         daemon.sockets.close()
         assert is_gone == [False, False, True]
+
+
+class TestStatus:
+    def test_shows_the_terms_in_force_by_address(self, daemon):
+        route = FlowRoute(ADDRESS, (Target("board", 1),), RouteTerms(2, 0.309, 1.314))
+        daemon.core.routes.adopt_if_newer(make_table(routes=(route,)))
+        terms = daemon.make_status(b"", 0.0).lists["terms"]
+        daemon.sockets.close()
+        assert terms == [
+            "198.18.0.1:443: priority 2, latency_objective 0.309, timeout 1.314"
+        ]
--- a/tests/transport/test_flow_balancer_daemon.py
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -45,6 +45,9 @@
     def close(self):
         self.is_closed = True
 
+    def take_invalid_terms(self):
+        return None
+
     async def read_next_table(self, current_table):
         await self.are_available.wait()
         return (
--- a/tests/transport/test_odd_messages.py
+++ b/tests/transport/test_odd_messages.py
@@ -36,6 +36,9 @@
     def close(self):
         pass
 
+    def take_invalid_terms(self):
+        return None
+
     async def read_next_table(self, current_table):
         await asyncio.sleep(3600)
 
