Explain where a flow's next packet, or a new open, would go

Cause: what a process would do with a flow could be learned only by sending a packet and reading the log lines of the processes on its way.

Change: bilberrypath flow explain asks a balancer or an agent by a bulk call and prints named values: route and terms, home agent, location, load, the decision with its reason, and each candidate agent with what excludes it. A balancer names the agent that is asked next.

--- a/bilberrypath/cli.py
+++ b/bilberrypath/cli.py
@@ -32,7 +32,7 @@
     StoreUnavailable,
     UnknownYet,
 )
-from bilberrypath.flow_cli import follow_flow, show_process
+from bilberrypath.flow_cli import FLOW_COMMANDS
 from bilberrypath.operator_client import NoteRejected, OperatorClient, with_note_id
 from bilberrypath.protocol.outcome import Answered, Outcome, RefusedNotRun
 from bilberrypath.settings import (
@@ -386,7 +386,7 @@
             "status": status,
         },
         "call": call,
-        "flow": {"status": show_process, "find": follow_flow},
+        "flow": FLOW_COMMANDS,
     }
     try:
         code = defopt.run(
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -120,6 +120,10 @@
         # since retransmitted it elsewhere or abandoned it.
         if packet.is_syn and self.pause_detector.is_reading_backlog(now):
             return [fx.Count("open_dropped", "waited_through_pause")]
+        return self.route_packet(packet, now)
+
+    def route_packet(self, packet: FlowPacket, now: Seconds) -> list[FlowEffect]:
+        """Forward a packet to the holder of its flow, or look the flow up."""
         holder = self.location_cache.find(packet.flow, now)
         if holder is None or self._is_gone(holder):
             return self.resolver.resolve(packet, now)
--- a/bilberrypath/coordination/open_target.py
+++ b/bilberrypath/coordination/open_target.py
@@ -34,7 +34,7 @@
         One that does not respond is tried only if no other can take the open.
         """
         placement = self.agent.placement
-        target = placement.choose_any(self._make_constraints(forwarded), now)
+        target = placement.choose_any(self.make_constraints(forwarded), now)
         if target is None:
             fallback = self._make_fallback_constraints(forwarded)
             target = placement.choose_any(fallback, now)
@@ -49,7 +49,7 @@
         """
         agent = self.agent
         if agent.is_leaving:
-            constraints = self._make_constraints(
+            constraints = self.make_constraints(
                 forwarded, sender, agent.node_id, *forwarded.relayed_by
             )
             return agent.placement.choose_any(constraints, now)
@@ -70,10 +70,10 @@
         busy = agent.flows.busy_count
         utilization = agent.flows.compute_utilization(slots, now)
         own = OwnLoad(busy, slots, utilization, agent.setup.own_member.data_centre)
-        constraints = self._make_constraints(forwarded, sender, *forwarded.relayed_by)
+        constraints = self.make_constraints(forwarded, sender, *forwarded.relayed_by)
         return agent.placement.choose_less_busy(own, constraints, now)
 
-    def _make_constraints(
+    def make_constraints(
         self, forwarded: ForwardedPacket, *excluded: NodeId
     ) -> PlacementConstraints:
         """Return constraints that exclude tried, unresponsive and given agents."""
--- a/bilberrypath/flow_cli.py
+++ b/bilberrypath/flow_cli.py
@@ -1,4 +1,4 @@
-"""Commands for datagram flows: show a process, or find the holder of a flow."""
+"""Commands for datagram flows: show a process, find a flow's holder, explain a flow."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 from bilberrypath.settings_reader import parse_address as parse_ip_address
 from bilberrypath.transport.bulk_calls import (
     CallFailed,
+    FlowExplainReply,
+    FlowExplainRequest,
     FlowStatusReply,
     FlowStatusRequest,
     call_bulk,
@@ -76,6 +78,63 @@
     return EXIT_DONE
 
 
+def explain_flow(client: str, address: str, *, peer: str, json: bool = False) -> int:
+    """Explain where a flow's next packet, or a new open, would go now, and why.
+
+    Nothing is sent to clients or upstreams. A balancer hands the packet to an agent,
+    which is asked next.
+
+    :param client: IP:PORT of the client
+    :param address: IP:PORT to which the client sends
+    :param peer: IP:PORT of the peer socket of a balancer or an agent
+    :param json: print JSON
+    """
+    addresses = [_read_address(text) for text in (client, address, peer)]
+    if None in addresses:
+        return EXIT_USAGE
+    request = FlowExplainRequest(pack_flow_key(addresses[0], addresses[1]))
+    reply = _explain_at(addresses[2], request, json)
+    if (
+        reply is not None
+        and reply.values["role"] == "balancer"
+        and "to" in reply.values
+    ):
+        is_open = reply.values["packet"] == "open"
+        data_centre = str(reply.values["client_data_centre"])
+        request = FlowExplainRequest(request.flow, is_open, data_centre)
+        reply = _explain_at(parse_address(str(reply.values["to"])), request, json)
+    return EXIT_USAGE if reply is None else EXIT_DONE
+
+
+def _explain_at(
+    peer: Address, request: FlowExplainRequest, as_json: bool
+) -> FlowExplainReply | None:
+    """Print and return a process's explanation; print an error if there is none."""
+    try:
+        reply = asyncio.run(call_bulk(peer, request, FlowExplainReply))
+    except CallFailed as error:
+        _stderr.print(
+            f"no answer: {error}; check that it is the peer socket of a process of "
+            "this build",
+            markup=False,
+        )
+        return None
+    if reply.error:
+        _stderr.print(reply.error, markup=False)
+        return None
+    if as_json:
+        fields = {**reply.values, "candidates": reply.candidates}
+        print(msgspec.json.encode(fields).decode())
+        return reply
+    for name, value in reply.values.items():
+        _stdout.print(f"{name}: {value}", markup=False)
+    _stdout.print(f"candidates: {len(reply.candidates)}", markup=False)
+    for candidate in reply.candidates:
+        row = ", ".join(f"{name} {value}" for name, value in candidate.items())
+        _stdout.print(f"  {row}", markup=False)
+    return reply
+
+
 def _read_address(text: str) -> Address | None:
     try:
         return parse_ip_address(text)
@@ -109,3 +168,10 @@
         _stdout.print(f"{name}: {len(rows)}", markup=False)
         for row in rows:
             _stdout.print(f"  {row}", markup=False)
+
+
+FLOW_COMMANDS = {
+    "status": show_process,
+    "find": follow_flow,
+    "explain": explain_flow,
+}
--- a/bilberrypath/transport/bulk_calls.py
+++ b/bilberrypath/transport/bulk_calls.py
@@ -57,7 +57,37 @@
     lists: dict[str, list[str]]
 
 
-BulkRequest = Union[RoutesRequest, MembersRequest, FlowStatusRequest]  # noqa: UP007
+class FlowExplainRequest(CallStruct, tag=4):
+    """Request what a process would do with a new open, or a flow's next packet.
+
+    ``is_open`` is None if the process is to choose: a new open if it does not know the
+    flow. ``client_data_centre`` is that of the balancer that the client's packet
+    reaches, empty if it is not known.
+    """
+
+    flow: bytes
+    is_open: bool | None = None
+    client_data_centre: str = ""
+
+
+class FlowExplainReply(CallStruct):
+    """What a process would do, and why, as named values for people and programs.
+
+    ``candidates`` has the values of each agent that may take the flow. ``error`` is not
+    empty if the flow cannot be explained; it states the problem and the remedy.
+    """
+
+    values: dict[str, str | int | float | bool]
+    candidates: list[dict[str, str | int | float | bool]]
+    error: str = ""
+
+
+BulkRequest = Union[  # noqa: UP007
+    RoutesRequest, MembersRequest, FlowStatusRequest, FlowExplainRequest
+]
+BulkReply = Union[
+    "RouteTableReply", MemberTableReply, FlowStatusReply, FlowExplainReply
+]
 _decode_request = msgspec.msgpack.Decoder(BulkRequest).decode
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -74,9 +104,7 @@
 
     def __init__(
         self,
-        handle_request: Callable[
-            [BulkRequest], RouteTableReply | MemberTableReply | FlowStatusReply
-        ],
+        handle_request: Callable[[BulkRequest], BulkReply],
     ) -> None:
         super().__init__()
         self._handle_request = handle_request
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -29,6 +29,7 @@
     from bilberrypath.protocol.flow_messages import ForwardedPacket
     from bilberrypath.protocol.flow_packet import PacketCodec
     from bilberrypath.transport.bound_sockets import BoundSockets
+    from bilberrypath.transport.bulk_calls import FlowExplainReply, FlowExplainRequest
     from bilberrypath.types import Address, NodeId, Seconds
 
 FINAL_HEARTBEAT_DELAY: Seconds = 0.05  # lets the last heartbeats be sent
@@ -163,6 +164,12 @@
         if await is_machine_reachable(parse_address(node_id)):
             self.handle_event(fev.MachineAnswered(node_id))
 
+    def explain(self, request: FlowExplainRequest, now: Seconds) -> FlowExplainReply:
+        """Return what the agent would do with a flow's open or next packet."""
+        from bilberrypath.transport.explain_calls import answer_at_agent
+
+        return answer_at_agent(self.core, request, now)
+
     def make_status(self, flow: bytes, now: Seconds) -> FlowStatusReply:
         """Return the status of the agent, or of ``flow`` if that is not empty."""
         core = self.core
--- a/bilberrypath/transport/flow_balancer_daemon.py
+++ b/bilberrypath/transport/flow_balancer_daemon.py
@@ -24,7 +24,11 @@
     from bilberrypath.state.route_terms import InvalidTerms
     from bilberrypath.state.routes import RouteTable
     from bilberrypath.transport.bound_sockets import BoundSockets
-    from bilberrypath.transport.bulk_calls import MembersRequest
+    from bilberrypath.transport.bulk_calls import (
+        FlowExplainReply,
+        FlowExplainRequest,
+        MembersRequest,
+    )
     from bilberrypath.types import Address, Seconds
 
 STORE_READER_POLL_PERIOD: Seconds = 0.3  # between checks whether to read the store
@@ -222,6 +226,12 @@
         members = self.core.members.table.list_differing_members(request.digests)
         return MemberTableReply(tuple(members))
 
+    def explain(self, request: FlowExplainRequest, now: Seconds) -> FlowExplainReply:
+        """Return what the balancer would do with a flow's open or next packet."""
+        from bilberrypath.transport.explain_calls import answer_at_balancer
+
+        return answer_at_balancer(self.core, request, now)
+
     def make_status(self, flow: bytes, now: Seconds) -> FlowStatusReply:
         """Return the status of the balancer, or the cached holder of a given flow."""
         core = self.core
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -29,6 +29,8 @@
 from bilberrypath.transport.bulk_calls import (
     BulkServer,
     CallFailed,
+    FlowExplainReply,
+    FlowExplainRequest,
     FlowStatusReply,
     FlowStatusRequest,
     MembersRequest,
@@ -49,7 +51,7 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.flow_settings import FlowNodeSettings
     from bilberrypath.transport.bound_sockets import BoundSockets
-    from bilberrypath.transport.bulk_calls import BulkRequest
+    from bilberrypath.transport.bulk_calls import BulkReply, BulkRequest
     from bilberrypath.transport.stream_server import StreamServer
     from bilberrypath.types import Address, NodeId, Seconds
 
@@ -384,9 +386,7 @@
     # Bulk calls
 
     @dispatchmethod
-    def handle_request(
-        self, request: BulkRequest
-    ) -> RouteTableReply | MemberTableReply | FlowStatusReply:
+    def handle_request(self, request: BulkRequest) -> BulkReply:
         """Return the reply to a bulk call; raises :class:`CallFailed` if not served."""
         raise CallFailed(f"a {self.role} does not serve {type(request).__name__}")
 
@@ -402,6 +402,14 @@
     def _(self, request: FlowStatusRequest) -> FlowStatusReply:
         return self.make_status(request.flow, read_clock())
 
+    @handle_request.register(FlowExplainRequest)
+    def _(self, request: FlowExplainRequest) -> FlowExplainReply:
+        return self.explain(request, read_clock())
+
+    @abstractmethod
+    def explain(self, request: FlowExplainRequest, now: Seconds) -> FlowExplainReply:
+        """Return what the process would do with a flow's open or next packet."""
+
     def list_members(self, request: MembersRequest) -> MemberTableReply:
         """Return the member records in the buckets whose digests differ."""
         raise CallFailed(f"a {self.role} has no member table; call a balancer")
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -14,6 +14,7 @@
 from bilberrypath.state.routes import FlowRoute, Target
 from bilberrypath.transport import flow_agent_daemon
 from bilberrypath.transport.bound_sockets import BoundSockets
+from bilberrypath.transport.bulk_calls import FlowExplainRequest
 from bilberrypath.transport.flow_agent_daemon import FlowAgentDaemon
 from bilberrypath.transport.machine_probe import ProbeResult
 from tests.support.flow_model import write_packet
@@ -90,3 +91,13 @@
         assert terms == [
             "198.18.0.1:443: priority 2, latency_objective 0.309, timeout 1.314"
         ]
+
+    def test_explains_a_flow_on_request(self, daemon):
+        flow = pack_flow_key(("100.64.0.1", 40001), ADDRESS)
+        assert "no route" in daemon.handle_request(FlowExplainRequest(flow)).error
+        daemon.core.routes.adopt_if_newer(make_table())
+        reply = daemon.handle_request(FlowExplainRequest(flow))
+        daemon.sockets.close()
+        assert reply.values["role"] == "agent"
+        assert reply.values["unable"] == "absent"
+        assert reply.candidates == []
--- a/tests/transport/test_flow_balancer_daemon.py
+++ b/tests/transport/test_flow_balancer_daemon.py
@@ -22,6 +22,7 @@
 from bilberrypath.state.members import Member, Role, Status
 from bilberrypath.transport import clock
 from bilberrypath.transport.bound_sockets import BoundSockets
+from bilberrypath.transport.bulk_calls import FlowExplainRequest
 from bilberrypath.transport.datagrams import DatagramSocket
 from bilberrypath.transport.flow_balancer_daemon import FlowBalancerDaemon
 from tests.support.flow_model import write_packet
@@ -152,3 +153,17 @@
             task.cancel()
         await asyncio.sleep(0.05)
         assert routes.is_closed
+
+
+class TestExplain:
+    async def test_flow_goes_to_its_home_agent(self, routes, forwarded_packets, daemon):
+        routes.are_available.set()
+        await _send_open(4003)
+        await asyncio.wait_for(forwarded_packets.get(), 5.0)
+        flow = pack_flow_key(("100.64.0.1", 4004), ADDRESS)
+        reply = daemon.handle_request(FlowExplainRequest(flow))
+        assert reply.values["role"] == "balancer"
+        assert reply.values["to"] == f"{AGENT}:{PEER_PORT}"
+        assert [row["node"] for row in reply.candidates] == [f"{AGENT}:{PEER_PORT}"]
+        await asyncio.sleep(0.02)
+        assert forwarded_packets.empty()
