--- a/bilberrypath/coordination/flow_explanation.py
+++ b/bilberrypath/coordination/flow_explanation.py
@@ -101,7 +101,7 @@
     forwarded = msg.ForwardedPacket(
         agent.routes.revision,
         str(values["service"]) if is_open else agent.service,
-        origin_balancer="",
+        origin_balancer=agent.node_id,  # of the notices of an open that is dropped
         wants_location=False,
         home_agent="",
         tried_agents=(),
@@ -116,6 +116,7 @@
     values |= _describe_own_load(scratch, now)
     effects = scratch.route(forwarded, make_packet(flow, is_open), "", now)
     values |= describe_decision(effects)
+    values.pop("balancer", None)  # the agent stands for it here
     if values["decision"] in AGENT_REASONS:
         values.setdefault("reason", AGENT_REASONS[values["decision"]])
     return FlowExplanation(values, candidates)
--- a/bilberrypath/state/release_notes.py
+++ b/bilberrypath/state/release_notes.py
@@ -149,7 +149,7 @@
         return None
     values = {}
     for part in text.split(","):
-        name, _, value = part.strip().partition(" ")
+        name, value = (*part.split(maxsplit=1), "", "")[:2]
         if name not in _READ_TERM_BY_NAME:
             names = ", ".join(_READ_TERM_BY_NAME)
             errors.append(
--- a/tests/coordination/test_flow_explanation.py
+++ b/tests/coordination/test_flow_explanation.py
@@ -217,6 +217,24 @@
                             chosen.add(effect.fields["to"])
                 assert chosen <= eligible
 
+    @pytest.mark.parametrize(
+        ("targets", "reason"),
+        [
+            ((Target("photo", 1),), "other_service"),
+            ((Target("board", 0), Target("photo", 0)), "routed_by_older_table"),
+        ],
+    )
+    def test_open_of_another_service_is_dropped(self, targets, reason):
+        world = make_world()
+        world.set_routes(make_table(2, routes=(FlowRoute(ADDRESS, targets),)))
+        world.run(1.0)
+        agent = world.node_by_host["10.2.0.1"]
+        values = explain(agent, make_flow(1), world.now).values
+        assert (values["decision"], values["reason"]) == ("open_dropped", reason)
+        balancer = world.node_by_host["10.1.0.1"]
+        values = explain(balancer, make_flow(1), world.now).values
+        assert values["decision"] == "packet_dropped"
+
     def test_names_route_terms_and_reason_of_a_full_data_centre(self):
         world = make_world()
         route = FlowRoute(ADDRESS, (Target("board", 1),), RouteTerms(2, 0.309, 1.314))
--- a/tests/state/test_release.py
+++ b/tests/state/test_release.py
@@ -166,6 +166,10 @@
             "timeout 1.314, kind idempotent"
         ]
 
+    def test_may_be_stated_on_further_lines(self):
+        note = parse_note(f"{SERVICE_LINE},\n  priority 2,\n  timeout\t3\n")
+        assert note.added_services[0].terms == RouteTerms(2, timeout=3.0)
+
     def test_missing_one_has_its_default(self):
         (service,) = parse_note(f"{SERVICE_LINE}, priority 2\n").added_services
         assert service.terms == RouteTerms(priority=2)
@@ -187,6 +191,7 @@
             ("timeout 3601", ["'3601'", "above 0, up to 3600"]),
             ("timeout 1 s", ["'1 s'", "above 0, up to 3600"]),
             ("kind soap", ["'soap'", "idempotent, non_idempotent, upload, download"]),
+            ("priority 2,", ["'' is no term", "expected one of priority"]),
             ("urgency 2", ["'urgency 2'", "priority, latency_objective, timeout"]),
             ("", []),
         ],
