A flow tried at a silent upstream is looked up again once an agent comes

Cause: packets of a flow that was tried at an upstream which then fell silent stayed there, one in 1.1 s, although the flow's own agent was back. Other agents named that agent as the holder.

Change: if an upstream was not heard for 1.1 s since the last trial packet, and the list of agents changed meanwhile, the agent ends the trial and looks the flow up, with itself as the last candidate. An agent whose upstream was not heard for two report periods is tried after the others; before, only one that had heard nothing since its start.

Not covered: an agent that is back before it was removed from the list, so that the list does not change.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -26,6 +26,7 @@
 from bilberrypath.coordination.pause_detector import PauseDetector
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.service_peers import ServicePeers
+from bilberrypath.coordination.trials import has_unanswered_trial
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
 from bilberrypath.coordination.upstream_packets import UpstreamPackets
@@ -157,6 +158,8 @@
     ) -> list[FlowEffect]:
         """Deliver, queue or relay a packet, or place or look up its flow."""
         held = self.flows.get(packet.flow)
+        if held is not None and has_unanswered_trial(self, held, now):
+            return self.locator.end_trial(forwarded, packet, now)
         if held is not None and not held.may_take(packet, now):
             return [fx.Count("packet_queued", "not_confirmed")]
         if held is not None:
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -20,6 +20,7 @@
 from bilberrypath.coordination.lookup_memory import LookupMemory
 from bilberrypath.coordination.lost_flows import LostFlows
 from bilberrypath.coordination.query_rounds import QueryRounds
+from bilberrypath.coordination.trials import has_unanswered_trial
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import ForwardedPacket, parse_address
 
@@ -79,6 +80,14 @@
             return self._relay_to_next(forwarded, packet, now)
         return self.query_agents(forwarded, packet, now, may_hold)
 
+    def end_trial(
+        self, forwarded: ForwardedPacket, packet: FlowPacket, now: Seconds
+    ) -> list[FlowEffect]:
+        """Look up a flow whose trial here was not answered; try it here last."""
+        self.agent.flows.remove(packet.flow, now)
+        self.memory.tentative_by_flow.pop(packet.flow, None)
+        return self.query_agents(forwarded, packet, now, may_hold=True)
+
     def may_hold(self, flow: bytes, now: Seconds) -> bool:
         """Return whether the upstream may have a flow that is unknown to this agent."""
         is_known_to_lack_it = self.memory.was_returned(flow)
@@ -202,14 +211,13 @@
         """Return the reply to a query for one or more flows."""
         upstream = self.agent.upstream
         others = [(flow, self._find_holder(flow, now)) for flow in query.other_flows]
-        holder = self._find_holder(query.flow, now)
         flows = (query.flow, *query.other_flows)
         returned = tuple(flow for flow in flows if self.memory.was_returned(flow))
         return msg.FlowQueryReply(
             query.flow,
-            holder,
+            self._find_holder(query.flow, now),
             not upstream.tracks_all_flows(now),
-            upstream.health.has_received_any,
+            upstream.health.is_heard(now),
             tuple(others),
             returned,
             self.agent.placement.report_absent(now),
@@ -218,7 +226,8 @@
     def _find_holder(self, flow: bytes, now: Seconds) -> NodeId:
         """Return this agent if it has a flow, else the holder of its redirect or ""."""
         agent = self.agent
-        if agent.flows.get(flow) is not None:
+        held = agent.flows.get(flow)
+        if held is not None and not has_unanswered_trial(agent, held, now):
             return agent.node_id
         holder = agent.redirects.find(flow, now)
         is_known_peer = holder is not None and agent.placement.may_have_flows(holder)
@@ -260,9 +269,8 @@
         effects: list[FlowEffect] = []
         for node_id in sorted(lookup.pending_ids):
             effects += self.agent.unresponsive_peers.record_timeout(node_id, now)
-        return effects + self._finish_lookup(
-            flow, self.lookups.compute_result(flow), now
-        )
+        result = self.lookups.compute_result(flow)
+        return effects + self._finish_lookup(flow, result, now)
 
     def query_agents(
         self,
--- a/bilberrypath/coordination/upstream_health.py
+++ b/bilberrypath/coordination/upstream_health.py
@@ -118,6 +118,15 @@
         """Whether a report or packet has arrived since this process started."""
         return max(self._reported_at, self._received_at) > float("-inf")
 
+    def is_heard(self, now: Seconds) -> bool:
+        """Return whether the upstream was heard within ``SILENT_AFTER_PERIODS``.
+
+        One that was returns the packets of flows that it does not have.
+        """
+        silence = self.compute_silence(now)
+        limit = SILENT_AFTER_PERIODS * self.report_period
+        return silence is not None and silence <= limit
+
     def compute_silence(self, now: Seconds) -> Seconds | None:
         """Return the time since the last report or packet, None before the first."""
         if not self.has_received_any:
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -103,7 +103,7 @@
 
     ``may_hold`` means that the agent started after its upstream, so that the upstream
     may have the flow without a record at the agent. ``has_upstream_reported`` means
-    that a report or packet has arrived from the upstream since, and the upstream will
+    that a report or packet has arrived from the upstream lately, and the upstream will
     therefore return packets of flows that it does not hold. Both apply to all flows of
     the query; ``other_holders`` has the holder of each of its other flows. The upstream
     returned packets of ``returned_flows``, and does not have them. ``absent``
