Keep less urgent requests at an agent while its upstream is full

Cause: an upstream serves requests in order of arrival, so that an urgent one waits behind less urgent ones, or is shed although those were accepted.

Change: RequestGate decides which requests are kept, until when, and which one goes next. RequestScheduler wires it into the agent. HeldFlow states when its request was sent to the upstream. The gate is inactive unless the routes of the agent's service state two priorities.

Measured: tests of held flows, layers, sessions, opens, recovery, flow properties and the agent's daemon pass (151).

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -22,8 +22,13 @@
 from bilberrypath.coordination.load_reporter import LoadReporter
 from bilberrypath.coordination.open_handler import OpenHandler
 from bilberrypath.coordination.open_placement import OpenPlacement
-from bilberrypath.coordination.packet_relay import list_notified, make_relayed
+from bilberrypath.coordination.packet_relay import (
+    list_notified,
+    make_relayed,
+    may_follow_redirect,
+)
 from bilberrypath.coordination.pause_detector import PauseDetector
+from bilberrypath.coordination.request_scheduler import RequestScheduler
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.service_peers import ServicePeers
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
@@ -63,6 +68,7 @@
         self.unresponsive_peers = UnresponsivePeers()
         self.placement = OpenPlacement(rng)
         self.deadlines: Deadlines[tuple[str, bytes]] = Deadlines()
+        self.request_scheduler = RequestScheduler(self)
         self.upstream = UpstreamMonitor(self, now)
         self.open_handler = OpenHandler(self)
         self.locator = FlowLocator(self)
@@ -122,6 +128,8 @@
                 effects += self.locator.lost_flows.retry(flow, now)
             elif kind == "end":
                 effects += self.upstream.probe_until_end(now)
+            elif kind == "gate":
+                effects += self.request_scheduler.release_due(now)
             else:
                 effects += self.open_handler.handle_deadline(kind, flow, now)
         return effects
@@ -161,17 +169,21 @@
         if held is not None and not held.may_take(packet, now):
             return [fx.Count("packet_queued", "not_confirmed")]
         if held is not None:
-            self.flows.record_client_packet(held, packet, now)
+            if self.request_scheduler.is_active:
+                sent = self.request_scheduler.deliver(held, packet, now)
+            else:
+                self.flows.record_client_packet(held, packet, now)
+                sent = [ffx.SendToUpstream(packet.datagram)]
             tried = forwarded.tried_agents if packet.is_syn else ()
             notices = self.send_location(
                 forwarded, packet.flow, self.node_id, sender, tried, held.is_confirmed
             )
-            return [ffx.SendToUpstream(packet.datagram), *notices]
+            return [*sent, *notices]
         if self.locator.try_queue(forwarded, packet):
             return []
         holder = self.redirects.find(packet.flow, now)
-        if holder is not None and self._may_follow_redirect(
-            holder, sender, forwarded, now
+        if holder is not None and may_follow_redirect(
+            self, holder, sender, forwarded, now
         ):
             self.unresponsive_peers.expect_answer(holder, now)
             return self.relay_to(holder, forwarded, packet)
@@ -180,29 +192,6 @@
             return self.open_handler.place(forwarded, packet, sender, now)
         return self.locator.locate(forwarded, packet, now)
 
-    def _may_follow_redirect(
-        self,
-        holder: NodeId,
-        sender: NodeId,
-        forwarded: msg.ForwardedPacket,
-        now: Seconds,
-    ) -> bool:
-        """Return whether a packet may be relayed to the holder of its redirect.
-
-        It may not if the holder has failed or is no known peer, if it has already tried
-        the packet or sent it here, or if this agent has relayed the packet before.
-        """
-        is_known_peer = self.placement.may_have_flows(holder)
-        if self.node_id in forwarded.relayed_by or self.unresponsive_peers.has_failed(
-            holder, now
-        ):
-            return False
-        return (
-            is_known_peer
-            and holder not in (sender, self.node_id)
-            and holder not in forwarded.tried_agents
-        )
-
     def relay_to(
         self, agent: NodeId, forwarded: msg.ForwardedPacket, packet: FlowPacket
     ) -> list[FlowEffect]:
@@ -284,6 +273,7 @@
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
         effects = self.routes.handle_reply(event.reply)
         self.registration.routes_revision = self.routes.revision
+        effects += self.request_scheduler.update(now)
         effects += self.upstream.announce_status("routes", now)
         return effects + self.open_handler.retry_queued(now)
 
@@ -303,6 +293,7 @@
             **self.upstream.health.describe(now),
         }
         return [
+            *self.request_scheduler.update(now),
             fx.LogStateChange("leaving", fields),
             *self.registration.send_heartbeats(0, 0, now),
             *self.peers.send_load_report(now),
@@ -319,6 +310,7 @@
         idle_limit = self.routes.table.idle_timeout + IDLE_MARGIN
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
+        effects += self.request_scheduler.handle_removed(now)
         return effects + self.peers.tick(now)
 
     # Messages
@@ -394,3 +386,4 @@
             self.upstream.health.shift_for_pause(pause)
             self.unresponsive_peers.shift_for_pause(pause)
             self.deadlines.shift_for_pause(pause)
+            self.request_scheduler.shift_for_pause()
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -50,9 +50,11 @@
     the upstream has sent more. ``upstream_acknowledged`` is the upstream's last
     acknowledgement, None before the first. ``acknowledged`` is the client's last, for
     use in a reset. ``is_live`` is true until the flow has ended. ``has_failed`` is true
-    once the running request has been counted as unanswered. ``tried_at`` is the time
-    of the last packet that was delivered while nothing but a trial showed that the flow
-    is here, and ``waiting`` are those that came after it.
+    once the running request has been counted as unanswered. ``sent_at`` is the time at
+    which the running request was sent to the upstream. It is None if none is running
+    there: while the request is kept (``is_kept``), and after a reset by the client.
+    ``tried_at`` is the time of the last packet that was delivered while nothing but a
+    trial showed that the flow is here, and ``waiting`` are those that came after it.
     """
 
     seen_at: Seconds
@@ -63,6 +65,8 @@
     accepted_sequence: int | None = None
     upstream_acknowledged: int | None = None
     busy_since: Seconds | None = None
+    sent_at: Seconds | None = None
+    is_kept: bool = False
     client_closed: bool = False
     upstream_closed: bool = False
     is_live: bool = True
@@ -129,16 +133,17 @@
 class HeldFlows:
     """All flows of the upstream, with their load.
 
-    ``busy_count`` counts the flows with a running request, and ``live_count`` those
-    that have not ended. ``_opened_at_by_key`` holds the flows that were just opened
-    and have sent no data yet. ``failure_rate`` covers the requests of all flows.
-    ``count_by_endpoint`` counts the flows by the packed address that their clients send
-    to.
+    ``busy_count`` counts the flows with a running request, ``sent_count`` those whose
+    request was sent to the upstream, and ``live_count`` those that have not ended.
+    ``_opened_at_by_key`` holds the flows that were just opened and have sent no data
+    yet. ``failure_rate`` covers the requests of all flows. ``count_by_endpoint`` counts
+    the flows by the packed address that their clients send to.
     """
 
     flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
     failure_rate: FailureRate = Factory(FailureRate)
     busy_count: int = 0
+    sent_count: int = 0
     live_count: int = 0
     count_by_endpoint: Counter[bytes] = Factory(Counter)
     _mean_busy: float = 0.0
@@ -195,6 +200,26 @@
             self._update_mean(now)
             held.busy_since = now
             self.busy_count += 1
+            held.sent_at = now
+            self.sent_count += 1
+        if packet.is_rst:
+            self._mark_not_sent(held)
+
+    def mark_kept(self, held: HeldFlow) -> None:
+        """Record that the request that just began is kept, and not sent yet."""
+        held.is_kept = True
+        self._mark_not_sent(held)
+
+    def mark_sent(self, held: HeldFlow, now: Seconds) -> None:
+        """Record that the kept request of a flow is sent to the upstream now."""
+        held.is_kept = False
+        held.sent_at = now
+        self.sent_count += 1
+
+    def mark_discarded(self, held: HeldFlow, now: Seconds) -> None:
+        """Record that the kept request of a flow is not sent to the upstream."""
+        held.is_kept = False
+        self._mark_idle(held, now)
 
     def record_upstream_packet(
         self, held: HeldFlow, packet: FlowPacket, now: Seconds
@@ -210,7 +235,8 @@
             held.is_chosen = True
         if packet.is_syn_ack or packet.data_length:
             held.is_open = True
-        if packet.data_length or packet.is_fin or packet.is_rst:
+        is_end = packet.is_fin or packet.is_rst
+        if is_end or (packet.data_length and not held.is_kept):
             self._record_outcome(held, packet, now)
             self._mark_idle(held, now)
         if packet.is_fin:
@@ -261,7 +287,7 @@
 
     def _record_outcome(self, held: HeldFlow, packet: FlowPacket, now: Seconds) -> None:
         """Count a running request as answered, or as failed if its flow was reset."""
-        if held.busy_since is None:
+        if held.busy_since is None or held.is_kept:
             return
         if not packet.is_rst:
             self.failure_rate.record_answered(now)
@@ -289,9 +315,16 @@
             held.is_live = False
             self.live_count -= 1
 
+    def _mark_not_sent(self, held: HeldFlow) -> None:
+        if held.sent_at is not None:
+            held.sent_at = None
+            self.sent_count -= 1
+
     def _mark_idle(self, held: HeldFlow, now: Seconds) -> None:
         if held.busy_since is None:
             return
+        self._mark_not_sent(held)
+        held.is_kept = False
         self._update_mean(now)
         held.busy_since = None
         held.has_failed = False
--- a/bilberrypath/coordination/packet_relay.py
+++ b/bilberrypath/coordination/packet_relay.py
@@ -7,8 +7,9 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.protocol.flow_messages import ForwardedPacket
-    from bilberrypath.types import NodeId, Revision, ServiceName
+    from bilberrypath.types import NodeId, Revision, Seconds, ServiceName
 
 
 def make_relayed(
@@ -51,3 +52,27 @@
         *tried_agents,
     }
     return sorted(notified - {"", own_id})
+
+
+def may_follow_redirect(
+    agent: FlowAgent,
+    holder: NodeId,
+    sender: NodeId,
+    forwarded: ForwardedPacket,
+    now: Seconds,
+) -> bool:
+    """Return whether an agent may relay a packet to the holder of its redirect.
+
+    It may not if the holder has failed or is no known peer, if it has already tried
+    the packet or sent it here, or if this agent has relayed the packet before.
+    """
+    is_known_peer = agent.placement.may_have_flows(holder)
+    if agent.node_id in forwarded.relayed_by or agent.unresponsive_peers.has_failed(
+        holder, now
+    ):
+        return False
+    return (
+        is_known_peer
+        and holder not in (sender, agent.node_id)
+        and holder not in forwarded.tried_agents
+    )
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -164,6 +164,7 @@
             effects += self._handle_new_start(event, is_first_report, now)
         if event.service != self.agent.service and kind is not ReportKind.OUTDATED:
             effects += self._change_service(event.service)
+            effects += self.agent.request_scheduler.change_service(now)
         effects.append(fx.Count("upstream_report", kind.value))
         effects += self.announce_status("report", now)
         return effects + self.agent.open_handler.retry_queued(now)
@@ -332,7 +333,7 @@
         another upstream, may be held elsewhere: they are removed without a reset, and
         their next packet is looked up.
         """
-        effects: list[FlowEffect] = []
+        effects = self.agent.request_scheduler.discard_all(reason, now)
         for flow, held in self.agent.flows:
             self.agent.flows.remove(flow, now)
             if held.is_chosen and not held.is_ended:
--- a/bilberrypath/coordination/upstream_packets.py
+++ b/bilberrypath/coordination/upstream_packets.py
@@ -44,7 +44,10 @@
         if packet.is_syn_ack:
             agent.locator.memory.forget_returned(packet.flow)
             effects += agent.open_handler.record_accepted(packet.flow, now)
-        agent.flows.record_upstream_packet(held, packet, now)
+        if agent.request_scheduler.is_active:
+            effects += agent.request_scheduler.record_upstream_packet(held, packet, now)
+        else:
+            agent.flows.record_upstream_packet(held, packet, now)
         effects += [ffx.SendToUpstream(datagram) for datagram in held.take_waiting()]
         return [*effects, ffx.SendToClient(packet.flow, packet.datagram)]
 
@@ -63,7 +66,13 @@
         )
         held = agent.flows.remove(packet.flow, now)
         count = fx.Count("upstream_refused", "open" if packet.is_syn else "packet")
+        released = agent.request_scheduler.handle_removed(now)
         if packet.is_syn:
-            return [count, *agent.open_handler.handle_returned(unmarked, now)]
+            return [
+                count,
+                *released,
+                *agent.open_handler.handle_returned(unmarked, now),
+            ]
         agent.locator.memory.record_returned(packet.flow)
-        return [count, *agent.locator.handle_returned(unmarked, held, now)]
+        lookup = agent.locator.handle_returned(unmarked, held, now)
+        return [count, *released, *lookup]
--- /dev/null
+++ b/bilberrypath/load/request_gate.py
@@ -0,0 +1,285 @@
+"""Which client requests are kept at an agent while its upstream is full, and how long.
+
+An upstream runs ``slots`` requests, queues a few more in order of arrival and sheds the
+rest. The gate keeps that queue short, so that an urgent request need not wait behind
+less urgent ones. It reads no clock: the agent passes in the time and the number of
+requests that were sent to the upstream and are unanswered.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, evolve, frozen
+
+if TYPE_CHECKING:
+    from bilberrypath.types import Seconds
+
+MAX_KEPT_TIME: Seconds = 0.15  # clients first retransmit data after 0.2 s
+OBJECTIVE_SHARE_KEPT = 0.25  # the rest of a latency objective is left to the upstream
+MAX_KEPT_REQUESTS = 512
+# Kept requests of a less urgent class per slot. More would wait for a turn until their
+# release time, and then be shed or late: with 8 per slot, 15% of the less urgent ones
+# are in time at twice the capacity, with 1 per slot 28%.
+LESS_URGENT_KEPT_PER_SLOT = 1
+MAX_LATER_DATAGRAMS = 16  # per request; a client has no more in flight
+TURN_WINDOW = 4  # each less urgent class gets at least one turn in as many
+# Requests queued per slot above which even the most urgent class is kept while it is
+# unknown when the upstream sheds.
+QUEUED_PER_SLOT = 2
+# An answer to a request that had to queue, and came sooner, says that it was shed. A
+# process on the same machine answers within 1 ms.
+SHED_ANSWER_TIME: Seconds = 0.002
+
+
+def compute_release_at(latency_objective: Seconds, kept_at: Seconds) -> Seconds:
+    """Return until when a request with a latency objective may be kept.
+
+    Examples
+    --------
+    >>> compute_release_at(0.4, 7.0)
+    7.1
+    >>> compute_release_at(2.0, 7.0)
+    7.15
+    """
+    return kept_at + min(latency_objective * OBJECTIVE_SHARE_KEPT, MAX_KEPT_TIME)
+
+
+@frozen
+class GatedRequest:
+    """A request of a flow, and the datagrams of the flow that arrived since.
+
+    ``datagrams`` are in order of arrival without copies, and ``sequences`` are their
+    sequence numbers. ``priority`` 0 is the most urgent.
+    """
+
+    flow: bytes
+    datagrams: tuple[bytes, ...]
+    priority: int
+    kept_at: Seconds
+    release_at: Seconds
+    sequences: tuple[int, ...] = ()
+
+
+@define
+class RequestGate:
+    """The kept requests of one upstream by flow, in order of their release.
+
+    ``running`` is always the number of requests that were sent to the upstream and are
+    unanswered. A request of the class ``most_urgent``, or of a more urgent one, is kept
+    only if the upstream would shed it; others once a request more than ``slots`` is
+    running, and at most one of a class for each slot.
+
+    Each release for which there is room is a turn, and so is each answer that finds
+    requests kept. ``_passes_by_priority`` counts the turns that a class with kept
+    requests did not get. The heaps hold (release time, arrival number, flow); entries
+    of requests that have left are skipped.
+    """
+
+    most_urgent: int = 0
+    _slots: int = 1
+    _shed_at: int | None = None
+    _kept_by_flow: dict[bytes, GatedRequest] = Factory(dict)
+    _number_by_flow: dict[bytes, int] = Factory(dict)
+    _heap_by_priority: dict[int, list[tuple[Seconds, int, bytes]]] = Factory(dict)
+    _count_by_priority: Counter[int] = Factory(Counter)
+    _passes_by_priority: dict[int, int] = Factory(dict)
+    _last_number: int = 0
+
+    def __len__(self) -> int:
+        return len(self._kept_by_flow)
+
+    def set_room(self, slots: int, shed_at: int | None) -> None:
+        """Set how many requests the upstream runs, and above how many it sheds.
+
+        ``shed_at`` counts running and queued requests, and is None while unknown.
+        """
+        self._slots = max(1, slots)
+        self._shed_at = shed_at
+
+    @property
+    def limit(self) -> int:
+        """The running requests from which on less urgent requests are kept."""
+        return self._slots + 1
+
+    @property
+    def urgent_limit(self) -> int:
+        """The running requests from which on every request is kept."""
+        shed_at = self._shed_at
+        if shed_at is None:
+            shed_at = self._slots * (1 + QUEUED_PER_SLOT)
+        return max(self.limit, shed_at)
+
+    def get(self, flow: bytes) -> GatedRequest | None:
+        """Return the kept request of a flow, or None."""
+        return self._kept_by_flow.get(flow)
+
+    def list_flows(self) -> list[bytes]:
+        """Return the flows with a kept request, in order of arrival."""
+        return list(self._kept_by_flow)
+
+    def offer(self, request: GatedRequest, running: int, now: Seconds) -> bool:
+        """Return whether to forward a request now; otherwise it is kept.
+
+        Call :meth:`release_free` before, so that a request that was kept earlier does
+        not lose its place.
+        """
+        if request.release_at <= now or not self._must_keep(request.priority, running):
+            return True
+        self._last_number += 1
+        self._kept_by_flow[request.flow] = request
+        self._number_by_flow[request.flow] = self._last_number
+        self._count_by_priority[request.priority] += 1
+        heap = self._heap_by_priority.setdefault(request.priority, [])
+        heapq.heappush(heap, (request.release_at, self._last_number, request.flow))
+        return False
+
+    def has_copy(self, flow: bytes, sequence: int) -> bool:
+        """Return whether a kept flow has a datagram with a sequence number."""
+        return sequence in self._kept_by_flow[flow].sequences
+
+    def append(self, flow: bytes, datagram: bytes, sequence: int) -> bool:
+        """Add a later datagram of a kept flow; return whether there was room.
+
+        A copy of a datagram that is kept must be left out; see :meth:`has_copy`.
+        """
+        request = self._kept_by_flow[flow]
+        if len(request.datagrams) > MAX_LATER_DATAGRAMS:
+            return False
+        self._kept_by_flow[flow] = evolve(
+            request,
+            datagrams=(*request.datagrams, datagram),
+            sequences=(*request.sequences, sequence),
+        )
+        return True
+
+    def record_answer(
+        self, sent_at: Seconds, running: int, now: Seconds
+    ) -> list[GatedRequest]:
+        """Return the requests to forward now that the upstream has answered one.
+
+        It was sent at ``sent_at``, and ``running`` no longer includes it. While it is
+        unknown when the upstream sheds, another request takes its place even above the
+        limits, since the upstream had room for it.
+        """
+        if not self._kept_by_flow:
+            return []
+        if now - sent_at < SHED_ANSWER_TIME and running >= self.limit:
+            return self.release_free(running)
+        first = self._take_turn(running, is_answer=True)
+        if first is None:
+            return []
+        return [first, *self.release_free(running + 1)]
+
+    def release_free(self, running: int) -> list[GatedRequest]:
+        """Return the requests to forward because fewer are running than the limits."""
+        released: list[GatedRequest] = []
+        while self._kept_by_flow:
+            request = self._take_turn(running + len(released), is_answer=False)
+            if request is None:
+                break
+            released.append(request)
+        return released
+
+    def release_due(self, now: Seconds) -> list[GatedRequest]:
+        """Return the requests whose release time has passed, in order of that time."""
+        released = []
+        while True:
+            heads = [heap[0] for heap in self._list_heaps()]
+            if not heads or min(heads)[0] > now:
+                return released
+            released.append(self._remove(min(heads)[2]))
+
+    def next_release_at(self) -> Seconds | None:
+        """Return the earliest release time of a kept request, or None."""
+        return min((heap[0][0] for heap in self._list_heaps()), default=None)
+
+    def discard(self, flow: bytes) -> GatedRequest | None:
+        """Remove the kept request of a flow; return it, or None if there was none."""
+        return self._remove(flow) if flow in self._kept_by_flow else None
+
+    def release_all(self) -> list[GatedRequest]:
+        """Remove and return all kept requests, in order of arrival."""
+        released = list(self._kept_by_flow.values())
+        self._kept_by_flow.clear()
+        self._number_by_flow.clear()
+        self._heap_by_priority.clear()
+        self._count_by_priority.clear()
+        self._passes_by_priority.clear()
+        return released
+
+    def _must_keep(self, priority: int, running: int) -> bool:
+        if len(self._kept_by_flow) >= MAX_KEPT_REQUESTS:
+            return False
+        if priority <= self.most_urgent:
+            return running >= self.urgent_limit
+        max_kept = LESS_URGENT_KEPT_PER_SLOT * self._slots
+        has_place = self._count_by_priority[priority] < max_kept
+        return running >= self.limit and has_place
+
+    def _take_turn(self, running: int, is_answer: bool) -> GatedRequest | None:
+        """Remove and return the request whose turn it is, or None if there is no room.
+
+        A turn that no request takes still counts for the classes that are waiting if
+        it is that of an answer.
+        """
+        self._list_heaps()
+        priority = self._choose_priority(running, is_answer)
+        if priority is not None or is_answer:
+            for other in self._heap_by_priority:
+                passes = self._passes_by_priority.get(other, 0)
+                self._passes_by_priority[other] = passes + 1
+        if priority is None:
+            return None
+        self._passes_by_priority[priority] = 0
+        return self._remove(self._heap_by_priority[priority][0][2])
+
+    def _choose_priority(self, running: int, is_answer: bool) -> int | None:
+        """Return the class whose turn it is, or None if it has no room.
+
+        A class whose turn is overdue has as much room as the most urgent one.
+        """
+        is_replaced = is_answer and self._shed_at is None
+        if running >= self.urgent_limit and not is_replaced:
+            return None
+        first = min(self._heap_by_priority)
+        overdue = self._find_overdue(first)
+        if overdue is not None:
+            return overdue
+        return first if first <= self.most_urgent or running < self.limit else None
+
+    def _find_overdue(self, first: int) -> int | None:
+        """Return the class that must have this turn for all to have theirs in time.
+
+        Each class but the most urgent one has to get one turn of ``TURN_WINDOW``. Those
+        that have waited longest come first, and as many turns are reserved as there are
+        classes whose last turn is near.
+        """
+        classes = [p for p in self._heap_by_priority if p > self.most_urgent]
+        classes = [p for p in classes if p != first or first > self.most_urgent]
+        window = max(TURN_WINDOW, len(classes) + 1)
+        passes = self._passes_by_priority
+        classes.sort(key=lambda p: (-passes.get(p, 0), p))
+        for position, priority in enumerate(classes, 1):
+            if window - passes.get(priority, 0) <= position:
+                return classes[0]
+        return None
+
+    def _list_heaps(self) -> list[list[tuple[Seconds, int, bytes]]]:
+        """Return the heaps with kept requests, each with a valid entry first."""
+        for priority in list(self._heap_by_priority):
+            heap = self._heap_by_priority[priority]
+            while heap and self._number_by_flow.get(heap[0][2]) != heap[0][1]:
+                heapq.heappop(heap)
+            if not heap:
+                del self._heap_by_priority[priority]
+                self._passes_by_priority.pop(priority, None)
+        return list(self._heap_by_priority.values())
+
+    def _remove(self, flow: bytes) -> GatedRequest:
+        del self._number_by_flow[flow]
+        request = self._kept_by_flow.pop(flow)
+        self._count_by_priority[request.priority] -= 1
+        return request
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -34,6 +34,8 @@
 FINAL_HEARTBEAT_DELAY: Seconds = 0.05  # lets the last heartbeats be sent
 DRAIN_POLL_PERIOD: Seconds = 0.005  # short compared with the run time of a request
 
+GATE_EVENTS = ("request_kept", "request_released", "request_discarded")
+
 
 class FlowAgentDaemon(FlowDaemon):
     """The daemon of the local upstream's agent; its core is a :class:`FlowAgent`.
@@ -92,6 +94,9 @@
         self.metrics.register_revision_gauges(lambda: core.routes.revision)
         self.metrics.register_gauge("flows", lambda: len(core.flows))
         self.metrics.register_gauge("busy", lambda: core.flows.busy_count)
+        self.metrics.register_gauge(
+            "kept_requests", lambda: len(core.request_scheduler.gate)
+        )
         self.metrics.register_gauge("redirects", lambda: len(core.redirects))
         self.metrics.register_gauge(
             "searches", lambda: len(core.locator.lookups.lookup_by_flow)
@@ -181,6 +186,8 @@
             "unable": "" if reject_reason is None else reject_reason.value,
             "flows": len(core.flows),
             "busy": core.flows.busy_count,
+            "kept_requests": len(core.request_scheduler.gate),
+            **self._list_gate_counts(),
             "redirects": len(core.redirects),
             "knows_all_flows": core.upstream.tracks_all_flows(now),
         }
@@ -190,6 +197,14 @@
         }
         return FlowStatusReply(values, lists)
 
+    def _list_gate_counts(self) -> dict[str, int]:
+        """Return how many requests were kept, released and discarded, by reason."""
+        return {
+            f"{event}{{{reason}}}": count
+            for (event, reason), count in sorted(self.metrics.count_by_event.items())
+            if event in GATE_EVENTS
+        }
+
 
 def _make_flow_status(core: FlowAgent, flow: bytes, now: Seconds) -> FlowStatusReply:
     """Return the status of a flow: in full if held here, else the holder if known."""
