--- a/bilberrypath/coordination/request_scheduler.py
+++ b/bilberrypath/coordination/request_scheduler.py
@@ -168,6 +168,8 @@
         if self.gate.offer(request, flows.sent_count, now):
             flows.mark_sent(held, now)
             return [*effects, send]
+        excess = self.gate.release_excess(terms.priority)
+        effects += self._forward(excess, "excess", now)
         self._set_timer()
         is_urgent = terms.priority <= self.gate.most_urgent
         reason = "most_urgent" if is_urgent else "less_urgent"
--- a/bilberrypath/load/request_gate.py
+++ b/bilberrypath/load/request_gate.py
@@ -21,8 +21,7 @@
 OBJECTIVE_SHARE_KEPT = 0.25  # the rest of a latency objective is left to the upstream
 MAX_KEPT_REQUESTS = 512
 # Kept requests of a less urgent class per slot. More would wait for a turn until their
-# release time, and then be shed or late: with 8 per slot, 15% of the less urgent ones
-# are in time at twice the capacity, with 1 per slot 28%.
+# release time, and then be shed or late; see docs/design/request-gate.md.
 LESS_URGENT_KEPT_PER_SLOT = 1
 MAX_LATER_DATAGRAMS = 16  # per request; a client has no more in flight
 TURN_WINDOW = 4  # each less urgent class gets at least one turn in as many
@@ -124,7 +123,7 @@
         """Return whether to forward a request now; otherwise it is kept.
 
         Call :meth:`release_free` before, so that a request that was kept earlier does
-        not lose its place.
+        not lose its place, and :meth:`release_excess` after one was kept.
         """
         if request.release_at <= now or not self._must_keep(request.priority, running):
             return True
@@ -140,6 +139,19 @@
         """Return whether a kept flow has a datagram with a sequence number."""
         return sequence in self._kept_by_flow[flow].sequences
 
+    def release_excess(self, priority: int) -> list[GatedRequest]:
+        """Return the request to forward because too many of its class are kept.
+
+        It is the one with the least time left. None is forwarded that would overtake a
+        more urgent request.
+        """
+        max_kept = LESS_URGENT_KEPT_PER_SLOT * self._slots
+        is_excess = self._count_by_priority[priority] > max_kept
+        if not is_excess or priority <= self.most_urgent or self._has_ahead(priority):
+            return []
+        self._list_heaps()
+        return [self._remove(self._heap_by_priority[priority][0][2])]
+
     def append(self, flow: bytes, datagram: bytes, sequence: int) -> bool:
         """Add a later datagram of a kept flow; return whether there was room.
 
@@ -184,13 +196,17 @@
         return released
 
     def release_due(self, now: Seconds) -> list[GatedRequest]:
-        """Return the requests whose release time has passed, in order of that time."""
+        """Return the requests whose release time has passed, in order of that time.
+
+        More urgent ones that they would overtake go before them.
+        """
         released = []
         while True:
             heads = [heap[0] for heap in self._list_heaps()]
             if not heads or min(heads)[0] > now:
                 return released
-            released.append(self._remove(min(heads)[2]))
+            request = self._remove(min(heads)[2])
+            released += [*self._take_ahead_of(request), request]
 
     def next_release_at(self) -> Seconds | None:
         """Return the earliest release time of a kept request, or None."""
@@ -215,9 +231,32 @@
             return False
         if priority <= self.most_urgent:
             return running >= self.urgent_limit
-        max_kept = LESS_URGENT_KEPT_PER_SLOT * self._slots
-        has_place = self._count_by_priority[priority] < max_kept
-        return running >= self.limit and has_place
+        return running >= self.limit
+
+    def _has_ahead(self, priority: int) -> bool:
+        """Return whether a request would overtake a more urgent one if forwarded.
+
+        It would not while it is known when the upstream sheds: if a more urgent one is
+        kept, the upstream would shed both.
+        """
+        if self._shed_at is not None:
+            return False
+        counts = self._count_by_priority.items()
+        return any(count and other < priority for other, count in counts)
+
+    def _take_ahead_of(self, request: GatedRequest) -> list[GatedRequest]:
+        """Remove and return those that would be overtaken by one that is due.
+
+        These are the more urgent ones that arrived no later.
+        """
+        if not self._has_ahead(request.priority):
+            return []
+        ahead = [
+            kept.flow
+            for kept in self._kept_by_flow.values()
+            if kept.priority < request.priority and kept.kept_at <= request.kept_at
+        ]
+        return [self._remove(flow) for flow in ahead]
 
     def _take_turn(self, running: int, is_answer: bool) -> GatedRequest | None:
         """Remove and return the request whose turn it is, or None if there is no room.
@@ -226,41 +265,41 @@
         it is that of an answer.
         """
         self._list_heaps()
-        priority = self._choose_priority(running, is_answer)
-        if priority is not None or is_answer:
-            for other in self._heap_by_priority:
-                passes = self._passes_by_priority.get(other, 0)
-                self._passes_by_priority[other] = passes + 1
+        is_replaced = is_answer and self._shed_at is None
+        if running >= self.urgent_limit and not is_replaced:
+            return None
+        priority = self._choose_priority(running)
+        if priority is None and not is_answer:
+            return None
+        for other in self._heap_by_priority:
+            passes = self._passes_by_priority.get(other, 0)
+            self._passes_by_priority[other] = passes + 1
         if priority is None:
             return None
         self._passes_by_priority[priority] = 0
         return self._remove(self._heap_by_priority[priority][0][2])
 
-    def _choose_priority(self, running: int, is_answer: bool) -> int | None:
+    def _choose_priority(self, running: int) -> int | None:
         """Return the class whose turn it is, or None if it has no room.
 
-        A class whose turn is overdue has as much room as the most urgent one.
+        A class that must have this turn has as much room as the most urgent one.
         """
-        is_replaced = is_answer and self._shed_at is None
-        if running >= self.urgent_limit and not is_replaced:
-            return None
-        first = min(self._heap_by_priority)
-        overdue = self._find_overdue(first)
+        overdue = self._find_overdue()
         if overdue is not None:
             return overdue
+        first = min(self._heap_by_priority)
         return first if first <= self.most_urgent or running < self.limit else None
 
-    def _find_overdue(self, first: int) -> int | None:
+    def _find_overdue(self) -> int | None:
         """Return the class that must have this turn for all to have theirs in time.
 
-        Each class but the most urgent one has to get one turn of ``TURN_WINDOW``. Those
-        that have waited longest come first, and as many turns are reserved as there are
-        classes whose last turn is near.
+        Each less urgent class has to get one turn of ``TURN_WINDOW``, or one more than
+        there are such classes. Those that have waited longest come first, and as many
+        turns are reserved as there are classes whose last turn is near.
         """
+        passes = self._passes_by_priority
         classes = [p for p in self._heap_by_priority if p > self.most_urgent]
-        classes = [p for p in classes if p != first or first > self.most_urgent]
         window = max(TURN_WINDOW, len(classes) + 1)
-        passes = self._passes_by_priority
         classes.sort(key=lambda p: (-passes.get(p, 0), p))
         for position, priority in enumerate(classes, 1):
             if window - passes.get(priority, 0) <= position:
--- a/tests/support/gated_upstream.py
+++ b/tests/support/gated_upstream.py
@@ -107,6 +107,7 @@
             self._forward(attempt)
             return
         self._kept_by_flow[flow] = attempt
+        self._forward_all(self.gate.release_excess(kind.priority))
         self._after(
             release_at - self.now,
             lambda: self._forward_all(self.gate.release_due(self.now)),
