--- a/bilberrypath/coordination/request_scheduler.py
+++ b/bilberrypath/coordination/request_scheduler.py
@@ -64,14 +64,16 @@
         """Record a client packet of a flow, and send it to the upstream or keep it."""
         was_busy = held.busy_since is not None
         self.agent.flows.record_client_packet(held, packet, now)
-        if held.is_kept:
-            return self._deliver_later(held, packet, now)
         send = ffx.SendToUpstream(packet.datagram)
-        if packet.is_rst:
-            return [send, *self._release_free(now)]
-        if was_busy or held.busy_since is None or not _may_keep(held, packet):
+        if held.busy_since is None:
             return [send]
-        return self._offer(held, packet, now)
+        if not was_busy:
+            return self._offer(held, packet, send, now)
+        if held.is_kept:
+            return self._deliver_later(held, packet, send, now)
+        if packet.is_rst and self.gate:
+            return [send, *self._release_free(now)]
+        return [send]
 
     def record_upstream_packet(
         self, held: HeldFlow, packet: FlowPacket, now: Seconds
@@ -147,16 +149,22 @@
         return priorities
 
     def _offer(
-        self, held: HeldFlow, packet: FlowPacket, now: Seconds
+        self,
+        held: HeldFlow,
+        packet: FlowPacket,
+        send: ffx.SendToUpstream,
+        now: Seconds,
     ) -> list[FlowEffect]:
         """Send the first packet of a request, or keep it."""
+        flows, gate = self.agent.flows, self.gate
+        self._update_room()
+        if not gate and flows.sent_count <= gate.limit:  # which count this request
+            return [send]
         terms = self.agent.routes.find_terms(packet.flow)
-        send = ffx.SendToUpstream(packet.datagram)
-        if terms is None or terms.kind == UPLOAD:
+        if terms is None or terms.kind == UPLOAD or not _may_keep(held, packet):
             return [send]
-        flows = self.agent.flows
         flows.mark_kept(held)
-        effects = self._release_free(now)
+        effects = self._release_free(now) if gate else []
         request = GatedRequest(
             packet.flow,
             (packet.datagram,),
@@ -176,14 +184,17 @@
         return [*effects, fx.Count("request_kept", reason)]
 
     def _deliver_later(
-        self, held: HeldFlow, packet: FlowPacket, now: Seconds
+        self,
+        held: HeldFlow,
+        packet: FlowPacket,
+        send: ffx.SendToUpstream,
+        now: Seconds,
     ) -> list[FlowEffect]:
         """Handle a packet of a flow whose request is kept; later data waits behind it.
 
         If too many packets wait, all are sent.
         """
         flow = packet.flow
-        send = ffx.SendToUpstream(packet.datagram)
         if packet.is_rst:
             self.gate.discard(flow)
             self.agent.flows.mark_discarded(held, now)
--- a/bilberrypath/load/request_gate.py
+++ b/bilberrypath/load/request_gate.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-import heapq
-from collections import Counter
+from bisect import bisect_left, insort
 from typing import TYPE_CHECKING
 
 from attrs import Factory, define, evolve, frozen
@@ -62,62 +61,55 @@
     sequences: tuple[int, ...] = ()
 
 
+# The release time of a request, its arrival number, and the request.
+KeptEntry = tuple["Seconds", int, GatedRequest]
+
+
 @define
 class RequestGate:
-    """The kept requests of one upstream by flow, in order of their release.
+    """The kept requests of one upstream, in order of their release.
 
     ``running`` is always the number of requests that were sent to the upstream and are
     unanswered. A request of the class ``most_urgent``, or of a more urgent one, is kept
-    only if the upstream would shed it; others once a request more than ``slots`` is
-    running, and at most one of a class for each slot.
+    only if the upstream would shed it, from ``urgent_limit`` running requests on.
+    Others are kept from ``limit`` on, once a request more than the slots is running,
+    and at most one of a class for each slot.
 
     Each release for which there is room is a turn, and so is each answer that finds
     requests kept. ``_passes_by_priority`` counts the turns that a class with kept
-    requests did not get. The heaps hold (release time, arrival number, flow); entries
-    of requests that have left are skipped.
+    requests did not get. ``_entries_by_priority`` has the sorted entries of each class
+    with kept requests.
     """
 
     most_urgent: int = 0
+    limit: int = 2
+    urgent_limit: int = 3
     _slots: int = 1
     _shed_at: int | None = None
-    _kept_by_flow: dict[bytes, GatedRequest] = Factory(dict)
-    _number_by_flow: dict[bytes, int] = Factory(dict)
-    _heap_by_priority: dict[int, list[tuple[Seconds, int, bytes]]] = Factory(dict)
-    _count_by_priority: Counter[int] = Factory(Counter)
+    _entry_by_flow: dict[bytes, KeptEntry] = Factory(dict)
+    _entries_by_priority: dict[int, list[KeptEntry]] = Factory(dict)
     _passes_by_priority: dict[int, int] = Factory(dict)
     _last_number: int = 0
 
     def __len__(self) -> int:
-        return len(self._kept_by_flow)
+        return len(self._entry_by_flow)
 
     def set_room(self, slots: int, shed_at: int | None) -> None:
         """Set how many requests the upstream runs, and above how many it sheds.
 
         ``shed_at`` counts running and queued requests, and is None while unknown.
         """
-        self._slots = max(1, slots)
-        self._shed_at = shed_at
-
-    @property
-    def limit(self) -> int:
-        """The running requests from which on less urgent requests are kept."""
-        return self._slots + 1
-
-    @property
-    def urgent_limit(self) -> int:
-        """The running requests from which on every request is kept."""
-        shed_at = self._shed_at
+        if slots == self._slots and shed_at == self._shed_at:
+            return
+        self._slots, self._shed_at = max(1, slots), shed_at
+        self.limit = self._slots + 1
         if shed_at is None:
             shed_at = self._slots * (1 + QUEUED_PER_SLOT)
-        return max(self.limit, shed_at)
-
-    def get(self, flow: bytes) -> GatedRequest | None:
-        """Return the kept request of a flow, or None."""
-        return self._kept_by_flow.get(flow)
+        self.urgent_limit = max(self.limit, shed_at)
 
     def list_flows(self) -> list[bytes]:
         """Return the flows with a kept request, in order of arrival."""
-        return list(self._kept_by_flow)
+        return list(self._entry_by_flow)
 
     def offer(self, request: GatedRequest, running: int, now: Seconds) -> bool:
         """Return whether to forward a request now; otherwise it is kept.
@@ -125,46 +117,50 @@
         Call :meth:`release_free` before, so that a request that was kept earlier does
         not lose its place, and :meth:`release_excess` after one was kept.
         """
-        if request.release_at <= now or not self._must_keep(request.priority, running):
+        is_urgent = request.priority <= self.most_urgent
+        has_room = running < (self.urgent_limit if is_urgent else self.limit)
+        is_full = len(self._entry_by_flow) >= MAX_KEPT_REQUESTS
+        if has_room or is_full or request.release_at <= now:
             return True
         self._last_number += 1
-        self._kept_by_flow[request.flow] = request
-        self._number_by_flow[request.flow] = self._last_number
-        self._count_by_priority[request.priority] += 1
-        heap = self._heap_by_priority.setdefault(request.priority, [])
-        heapq.heappush(heap, (request.release_at, self._last_number, request.flow))
+        entry = (request.release_at, self._last_number, request)
+        self._entry_by_flow[request.flow] = entry
+        insort(self._entries_by_priority.setdefault(request.priority, []), entry)
         return False
 
-    def has_copy(self, flow: bytes, sequence: int) -> bool:
-        """Return whether a kept flow has a datagram with a sequence number."""
-        return sequence in self._kept_by_flow[flow].sequences
-
     def release_excess(self, priority: int) -> list[GatedRequest]:
         """Return the request to forward because too many of its class are kept.
 
         It is the one with the least time left. None is forwarded that would overtake a
         more urgent request.
         """
-        max_kept = LESS_URGENT_KEPT_PER_SLOT * self._slots
-        is_excess = self._count_by_priority[priority] > max_kept
+        entries = self._entries_by_priority.get(priority, ())
+        is_excess = len(entries) > LESS_URGENT_KEPT_PER_SLOT * self._slots
         if not is_excess or priority <= self.most_urgent or self._has_ahead(priority):
             return []
-        self._list_heaps()
-        return [self._remove(self._heap_by_priority[priority][0][2])]
+        return [self._remove(entries[0])]
+
+    def has_copy(self, flow: bytes, sequence: int) -> bool:
+        """Return whether a kept flow has a datagram with a sequence number."""
+        return sequence in self._entry_by_flow[flow][2].sequences
 
     def append(self, flow: bytes, datagram: bytes, sequence: int) -> bool:
         """Add a later datagram of a kept flow; return whether there was room.
 
         A copy of a datagram that is kept must be left out; see :meth:`has_copy`.
         """
-        request = self._kept_by_flow[flow]
+        entry = self._entry_by_flow[flow]
+        request = entry[2]
         if len(request.datagrams) > MAX_LATER_DATAGRAMS:
             return False
-        self._kept_by_flow[flow] = evolve(
+        longer = evolve(
             request,
             datagrams=(*request.datagrams, datagram),
             sequences=(*request.sequences, sequence),
         )
+        entries = self._entries_by_priority[request.priority]
+        position = bisect_left(entries, entry)
+        entries[position] = self._entry_by_flow[flow] = (*entry[:2], longer)
         return True
 
     def record_answer(
@@ -176,7 +172,7 @@
         unknown when the upstream sheds, another request takes its place even above the
         limits, since the upstream had room for it.
         """
-        if not self._kept_by_flow:
+        if not self._entry_by_flow:
             return []
         if now - sent_at < SHED_ANSWER_TIME and running >= self.limit:
             return self.release_free(running)
@@ -188,11 +184,12 @@
     def release_free(self, running: int) -> list[GatedRequest]:
         """Return the requests to forward because fewer are running than the limits."""
         released: list[GatedRequest] = []
-        while self._kept_by_flow:
-            request = self._take_turn(running + len(released), is_answer=False)
+        while self._entry_by_flow and running < self.urgent_limit:
+            request = self._take_turn(running, is_answer=False)
             if request is None:
                 break
             released.append(request)
+            running += 1
         return released
 
     def release_due(self, now: Seconds) -> list[GatedRequest]:
@@ -200,63 +197,55 @@
 
         More urgent ones that they would overtake go before them.
         """
-        released = []
-        while True:
-            heads = [heap[0] for heap in self._list_heaps()]
-            if not heads or min(heads)[0] > now:
-                return released
-            request = self._remove(min(heads)[2])
+        released: list[GatedRequest] = []
+        while self._entry_by_flow:
+            entry = min(entries[0] for entries in self._entries_by_priority.values())
+            if entry[0] > now:
+                break
+            request = self._remove(entry)
             released += [*self._take_ahead_of(request), request]
+        return released
 
     def next_release_at(self) -> Seconds | None:
         """Return the earliest release time of a kept request, or None."""
-        return min((heap[0][0] for heap in self._list_heaps()), default=None)
+        lists = self._entries_by_priority.values()
+        return min((entries[0][0] for entries in lists), default=None)
 
     def discard(self, flow: bytes) -> GatedRequest | None:
         """Remove the kept request of a flow; return it, or None if there was none."""
-        return self._remove(flow) if flow in self._kept_by_flow else None
+        entry = self._entry_by_flow.get(flow)
+        return None if entry is None else self._remove(entry)
 
     def release_all(self) -> list[GatedRequest]:
         """Remove and return all kept requests, in order of arrival."""
-        released = list(self._kept_by_flow.values())
-        self._kept_by_flow.clear()
-        self._number_by_flow.clear()
-        self._heap_by_priority.clear()
-        self._count_by_priority.clear()
+        released = [entry[2] for entry in self._entry_by_flow.values()]
+        self._entry_by_flow.clear()
+        self._entries_by_priority.clear()
         self._passes_by_priority.clear()
         return released
 
-    def _must_keep(self, priority: int, running: int) -> bool:
-        if len(self._kept_by_flow) >= MAX_KEPT_REQUESTS:
-            return False
-        if priority <= self.most_urgent:
-            return running >= self.urgent_limit
-        return running >= self.limit
-
     def _has_ahead(self, priority: int) -> bool:
         """Return whether a request would overtake a more urgent one if forwarded.
 
         It would not while it is known when the upstream sheds: if a more urgent one is
         kept, the upstream would shed both.
         """
-        if self._shed_at is not None:
-            return False
-        counts = self._count_by_priority.items()
-        return any(count and other < priority for other, count in counts)
+        return self._shed_at is None and min(self._entries_by_priority) < priority
 
     def _take_ahead_of(self, request: GatedRequest) -> list[GatedRequest]:
         """Remove and return those that would be overtaken by one that is due.
 
         These are the more urgent ones that arrived no later.
         """
-        if not self._has_ahead(request.priority):
+        if not self._entry_by_flow or not self._has_ahead(request.priority):
             return []
         ahead = [
-            kept.flow
-            for kept in self._kept_by_flow.values()
-            if kept.priority < request.priority and kept.kept_at <= request.kept_at
+            entry
+            for entry in self._entry_by_flow.values()
+            if entry[2].priority < request.priority
+            and entry[2].kept_at <= request.kept_at
         ]
-        return [self._remove(flow) for flow in ahead]
+        return [self._remove(entry) for entry in ahead]
 
     def _take_turn(self, running: int, is_answer: bool) -> GatedRequest | None:
         """Remove and return the request whose turn it is, or None if there is no room.
@@ -264,30 +253,31 @@
         A turn that no request takes still counts for the classes that are waiting if
         it is that of an answer.
         """
-        self._list_heaps()
         is_replaced = is_answer and self._shed_at is None
         if running >= self.urgent_limit and not is_replaced:
             return None
         priority = self._choose_priority(running)
         if priority is None and not is_answer:
             return None
-        for other in self._heap_by_priority:
-            passes = self._passes_by_priority.get(other, 0)
-            self._passes_by_priority[other] = passes + 1
+        passes = self._passes_by_priority
+        for other in self._entries_by_priority:
+            passes[other] = passes.get(other, 0) + 1
         if priority is None:
             return None
-        self._passes_by_priority[priority] = 0
-        return self._remove(self._heap_by_priority[priority][0][2])
+        passes[priority] = 0
+        return self._remove(self._entries_by_priority[priority][0])
 
     def _choose_priority(self, running: int) -> int | None:
         """Return the class whose turn it is, or None if it has no room.
 
         A class that must have this turn has as much room as the most urgent one.
         """
+        first = min(self._entries_by_priority)
+        if running < self.limit and len(self._entries_by_priority) == 1:
+            return first
         overdue = self._find_overdue()
         if overdue is not None:
             return overdue
-        first = min(self._heap_by_priority)
         return first if first <= self.most_urgent or running < self.limit else None
 
     def _find_overdue(self) -> int | None:
@@ -298,7 +288,7 @@
         turns are reserved as there are classes whose last turn is near.
         """
         passes = self._passes_by_priority
-        classes = [p for p in self._heap_by_priority if p > self.most_urgent]
+        classes = [p for p in self._entries_by_priority if p > self.most_urgent]
         window = max(TURN_WINDOW, len(classes) + 1)
         classes.sort(key=lambda p: (-passes.get(p, 0), p))
         for position, priority in enumerate(classes, 1):
@@ -306,19 +296,12 @@
                 return classes[0]
         return None
 
-    def _list_heaps(self) -> list[list[tuple[Seconds, int, bytes]]]:
-        """Return the heaps with kept requests, each with a valid entry first."""
-        for priority in list(self._heap_by_priority):
-            heap = self._heap_by_priority[priority]
-            while heap and self._number_by_flow.get(heap[0][2]) != heap[0][1]:
-                heapq.heappop(heap)
-            if not heap:
-                del self._heap_by_priority[priority]
-                self._passes_by_priority.pop(priority, None)
-        return list(self._heap_by_priority.values())
-
-    def _remove(self, flow: bytes) -> GatedRequest:
-        del self._number_by_flow[flow]
-        request = self._kept_by_flow.pop(flow)
-        self._count_by_priority[request.priority] -= 1
+    def _remove(self, entry: KeptEntry) -> GatedRequest:
+        request = entry[2]
+        del self._entry_by_flow[request.flow]
+        entries = self._entries_by_priority[request.priority]
+        del entries[bisect_left(entries, entry)]
+        if not entries:
+            del self._entries_by_priority[request.priority]
+            self._passes_by_priority.pop(request.priority, None)
         return request
