--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -174,6 +174,8 @@
             else:
                 self.flows.record_client_packet(held, packet, now)
                 sent = [ffx.SendToUpstream(packet.datagram)]
+            if not forwarded.wants_location:
+                return sent
             tried = forwarded.tried_agents if packet.is_syn else ()
             notices = self.send_location(
                 forwarded, packet.flow, self.node_id, sender, tried, held.is_confirmed
--- a/bilberrypath/load/request_gate.py
+++ b/bilberrypath/load/request_gate.py
@@ -180,6 +180,8 @@
         first = self._take_turn(running, is_answer=True)
         if first is None:
             return []
+        if not self._entry_by_flow:
+            return [first]
         return [first, *self.release_free(running + 1)]
 
     def release_free(self, running: int) -> list[GatedRequest]:
@@ -257,7 +259,11 @@
         is_replaced = is_answer and self._shed_at is None
         if running >= self.urgent_limit and not is_replaced:
             return None
-        priority = self._choose_priority(running)
+        if running < self.limit and len(self._entries_by_priority) == 1:
+            (entries,) = self._entries_by_priority.values()
+            self._passes_by_priority.clear()
+            return self._remove(entries[0])
+        priority = self._choose_priority(running, is_answer)
         if priority is None and not is_answer:
             return None
         passes = self._passes_by_priority
@@ -268,18 +274,18 @@
         passes[priority] = 0
         return self._remove(self._entries_by_priority[priority][0])
 
-    def _choose_priority(self, running: int) -> int | None:
+    def _choose_priority(self, running: int, is_answer: bool) -> int | None:
         """Return the class whose turn it is, or None if it has no room.
 
-        A class that must have this turn has as much room as the most urgent one.
+        At an answer, a class that must have this turn has as much room as the most
+        urgent one.
         """
         first = min(self._entries_by_priority)
-        if running < self.limit and len(self._entries_by_priority) == 1:
-            return first
-        overdue = self._find_overdue()
+        is_below_limit = running < self.limit
+        overdue = self._find_overdue() if is_answer or is_below_limit else None
         if overdue is not None:
             return overdue
-        return first if first <= self.most_urgent or running < self.limit else None
+        return first if first <= self.most_urgent or is_below_limit else None
 
     def _find_overdue(self) -> int | None:
         """Return the class that must have this turn for all to have theirs in time.
--- a/tests/coordination/test_held_flows.py
+++ b/tests/coordination/test_held_flows.py
@@ -46,6 +46,19 @@
         flows.record_upstream_packet(held, make_upstream_packet(ACK, b"answer"), 1.3)
         assert flows.busy_count == 0
 
+    def test_request_counts_as_sent_until_it_is_answered(self, flows, held):
+        flows.record_client_packet(held, make_client_packet(ACK, b"request"), 1.0)
+        assert (held.sent_at, flows.sent_count) == (1.0, 1)
+        flows.record_upstream_packet(held, make_upstream_packet(ACK, b"answer"), 1.3)
+        assert (held.sent_at, flows.sent_count) == (None, 0)
+
+    def test_kept_request_is_busy_and_counts_as_sent_later(self, flows, held):
+        flows.record_client_packet(held, make_client_packet(ACK, b"request"), 1.0)
+        flows.mark_kept(held)
+        assert (flows.busy_count, flows.sent_count) == (1, 0)
+        flows.mark_sent(held, 1.1)
+        assert (held.busy_since, held.sent_at, flows.sent_count) == (1.0, 1.1, 1)
+
     @pytest.mark.parametrize("first_sequence", [1, 2**32 - 3])
     def test_retransmitted_request_does_not_make_the_flow_busy(
         self, flows, held, first_sequence
--- a/tests/load/test_request_gate.py
+++ b/tests/load/test_request_gate.py
@@ -213,7 +213,9 @@
         self.sent_priority = None
 
     def arrive(self, priority, objective):
-        self._forward(self.gate.release_free(len(self.sent)))
+        released = self.gate.release_free(len(self.sent))
+        self._check_turns(released)
+        self._forward(released)
         request = make_request(self.count, priority, self.now, objective)
         self.count += 1
         running = len(self.sent)
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -77,3 +77,16 @@
             is_gone.append(daemon.core.upstream.is_gone)
         daemon.sockets.close()
         assert is_gone == [False, False, True]
+
+
+class TestStatus:
+    async def test_shows_kept_requests_and_their_counts(self, daemon):
+        daemon.metrics.count("request_kept", "less_urgent")
+        daemon.metrics.count("request_released", "answer")
+        daemon.metrics.count("open", "accepted")
+        values = daemon.make_status(b"", 1.0).values
+        daemon.sockets.close()
+        assert values["kept_requests"] == 0
+        assert values["request_kept{less_urgent}"] == 1
+        assert values["request_released{answer}"] == 1
+        assert "open{accepted}" not in values
