Agents compare the expected wait; load reports state the service time

Cause: an open went to the upstream with the lowest utilization, also where it is much slower than another.

Change: HeldFlows feeds UpstreamSpeed with requests and answers by kind of route and notes when a request was sent; load reports carry service time and confidence; peers and the own upstream are compared by expected wait with the median of recent reports as the reference, which is computed once per tick. A new start, identifier or service of the upstream forgets; cold starts are not measured; pauses shift. Status, gauges and the line upstream_limit show what was learned.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -58,7 +58,7 @@
         self.rng = rng
         self.routes = RouteTracker()
         self.registration = FlowRegistration(setup.own_member, setup.seeds, rng)
-        self.flows = HeldFlows()
+        self.flows = HeldFlows(find_terms=self.routes.find_terms)
         self.redirects = FlowLocationCache()
         self.unresponsive_peers = UnresponsivePeers()
         self.placement = OpenPlacement(rng)
@@ -356,8 +356,7 @@
     def _(
         self, message: msg.LoadReport, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        self.peers.handle_load_report(message, format_node_id(sender), now)
-        return []
+        return self.peers.handle_load_report(message, format_node_id(sender), now)
 
     @_handle_message.register(msg.FlowHeartbeatAck)
     def _(
@@ -392,5 +391,6 @@
         pause = self.pause_detector.record(now)
         if pause:
             self.upstream.health.shift_for_pause(pause)
+            self.flows.shift_for_pause(pause)
             self.unresponsive_peers.shift_for_pause(pause)
             self.deadlines.shift_for_pause(pause)
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -14,12 +14,14 @@
 from attrs import Factory, define
 
 from bilberrypath.coordination.failure_rate import FailureRate
+from bilberrypath.load.upstream_speed import UpstreamSpeed
 from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from bilberrypath.protocol.flow_packet import FlowPacket
+    from bilberrypath.state.route_terms import RouteTerms
     from bilberrypath.types import Seconds
 
 UTILIZATION_TIME_CONSTANT: Seconds = 1.0  # of the moving average of busy flows
@@ -42,7 +44,9 @@
     """One flow of the upstream.
 
     ``seen_at`` is the time of its last packet, and ``busy_since`` that of the running
-    request's first data, or None. ``is_open`` is false until the upstream accepts the
+    request's first data, or None. ``sent_at`` is the time at which that request was
+    sent to the upstream, and ``kind`` the kind of request of its route. ``is_open`` is
+    false until the upstream accepts the
     open or sends data. ``is_confirmed`` is false while a tentative delivery is the
     only sign that the upstream has the flow. Two upstreams may accept one open, and
     the client then uses one of them: ``is_chosen`` is true once the client has
@@ -63,6 +67,8 @@
     accepted_sequence: int | None = None
     upstream_acknowledged: int | None = None
     busy_since: Seconds | None = None
+    sent_at: Seconds | None = None
+    kind: str = ""
     client_closed: bool = False
     upstream_closed: bool = False
     is_live: bool = True
@@ -133,11 +139,14 @@
     that have not ended. ``_opened_at_by_key`` holds the flows that were just opened
     and have sent no data yet. ``failure_rate`` covers the requests of all flows.
     ``count_by_endpoint`` counts the flows by the packed address that their clients send
-    to.
+    to. ``speed`` is measured from the requests of all flows. ``find_terms`` returns the
+    terms of a flow's route.
     """
 
     flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
     failure_rate: FailureRate = Factory(FailureRate)
+    speed: UpstreamSpeed = Factory(UpstreamSpeed)
+    find_terms: Callable[[bytes], RouteTerms | None] | None = None
     busy_count: int = 0
     live_count: int = 0
     count_by_endpoint: Counter[bytes] = Factory(Counter)
@@ -195,6 +204,34 @@
             self._update_mean(now)
             held.busy_since = now
             self.busy_count += 1
+            self.record_sent(held, packet.flow, now)
+
+    def record_sent(self, held: HeldFlow, flow: bytes, now: Seconds) -> None:
+        """Record that the running request of a flow was sent to the upstream."""
+        terms = None if self.find_terms is None else self.find_terms(flow)
+        held.kind = "" if terms is None else terms.kind
+        held.sent_at = now
+        self.speed.record_sent(held.kind, now)
+
+    def update_speed(
+        self, slots: int, cold_until: Seconds, is_other: bool, now: Seconds
+    ) -> None:
+        """Adapt the measured speed to a report of the upstream.
+
+        With ``is_other`` the upstream has restarted, or is not the one measured before.
+        Requests that are sent before ``cold_until`` are not measured.
+        """
+        if is_other:
+            self.speed.forget(now)
+        self.speed.set_slots(slots)
+        self.speed.learn_from(cold_until)
+
+    def shift_for_pause(self, pause: Seconds) -> None:
+        """Leave a pause of this process out of the times of running requests."""
+        self.speed.shift_for_pause(pause)
+        for held in self.flow_by_key.values():
+            if held.sent_at is not None:
+                held.sent_at += pause
 
     def record_upstream_packet(
         self, held: HeldFlow, packet: FlowPacket, now: Seconds
@@ -263,6 +300,9 @@
         """Count a running request as answered, or as failed if its flow was reset."""
         if held.busy_since is None:
             return
+        if packet.data_length and held.sent_at is not None:
+            self.speed.record_answered(held.kind, held.sent_at, now)
+            held.sent_at = None
         if not packet.is_rst:
             self.failure_rate.record_answered(now)
         elif not held.has_failed:
@@ -293,6 +333,9 @@
         if held.busy_since is None:
             return
         self._update_mean(now)
+        if held.sent_at is not None:
+            self.speed.record_failed(held.kind, held.sent_at, now)
+            held.sent_at = None
         held.busy_since = None
         held.has_failed = False
         self.busy_count -= 1
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -13,11 +13,19 @@
 from attrs import Factory, define, frozen
 
 from bilberrypath.coordination.absent_agents import MAX_SENT_AGENTS, AbsentAgents
+from bilberrypath.load.expected_wait import (
+    FULL_REPORTED_CONFIDENCE,
+    MIN_REFERENCE_CONFIDENCE,
+    compute_load,
+    compute_reference,
+    compute_relative_time,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Container
     from random import Random
 
+    from bilberrypath.load.upstream_speed import SpeedEstimate
     from bilberrypath.protocol.flow_messages import AbsentAgent, LoadReport
     from bilberrypath.state.members import Member
     from bilberrypath.types import DataCentreName, NodeId, Seconds, ServiceName
@@ -28,6 +36,7 @@
 CROWDED_UTILIZATION = 1.0  # running requests over slots; requests queue above it
 FRESH_REPORT_AGE: Seconds = 1.1  # two load report periods
 MAX_REPORT_AGE: Seconds = 2.0  # the load of older reports is ignored
+MAX_SPEED_AGE: Seconds = 5.0  # of a report; speeds change more slowly than loads
 MAX_HOPS = 3  # relays of an open after which load is ignored
 
 
@@ -65,6 +74,29 @@
             1, self.report.slots
         )
 
+    def estimate_load(self, reference: Seconds, now: Seconds) -> float:
+        """Return the load of one more open, or 1 without a recent report.
+
+        ``reference`` is the usual service time of the service, 0 if unknown.
+        """
+        report = self.report
+        utilization = self.estimate_utilization(now)
+        if report is None or now - self.reported_at > MAX_REPORT_AGE:
+            return utilization
+        confidence = report.confidence / FULL_REPORTED_CONFIDENCE
+        relative_time = compute_relative_time(
+            report.service_time, confidence, reference
+        )
+        return compute_load(utilization, report.slots, relative_time)
+
+    def get_reference_time(self, now: Seconds) -> Seconds:
+        """Return the service time if it is known well and recent, else 0."""
+        report = self.report
+        if report is None or now - self.reported_at > MAX_SPEED_AGE:
+            return 0.0
+        confidence = report.confidence / FULL_REPORTED_CONFIDENCE
+        return report.service_time if confidence >= MIN_REFERENCE_CONFIDENCE else 0.0
+
 
 @frozen
 class OwnLoad:
@@ -103,14 +135,28 @@
 
     ``_unlisted_ids`` are peers that are gone by the list of agents, and are kept until
     their last load report is old. ``absent`` are those dropped then, unless they had
-    announced that they left: they get no opens, but may have flows.
+    announced that they left: they get no opens, but may have flows. ``reference`` is
+    the median of the service times of the service's agents, 0 if unknown, and
+    ``own_relative_time`` this agent's service time relative to it.
     """
 
     rng: Random
     peer_by_id: dict[NodeId, PeerAgent] = Factory(dict)
     absent: AbsentAgents = Factory(AbsentAgents)
+    reference: Seconds = 0.0
+    own_relative_time: float = 1.0
     _unlisted_ids: set[NodeId] = Factory(set)
 
+    def update_reference(self, own: SpeedEstimate, now: Seconds) -> None:
+        """Compute the reference of service times from recent reports and this agent."""
+        times = [peer.get_reference_time(now) for peer in self.peer_by_id.values()]
+        if own.confidence >= MIN_REFERENCE_CONFIDENCE:
+            times.append(own.service_time)
+        self.reference = compute_reference(times)
+        self.own_relative_time = compute_relative_time(
+            own.service_time, own.confidence, self.reference
+        )
+
     def update_agents(
         self, agents: tuple[Member, ...], own_id: NodeId, now: Seconds
     ) -> bool:
@@ -190,6 +236,8 @@
         """Forget all peers, as this agent belongs to another service now."""
         self.peer_by_id.clear()
         self.absent.clear()
+        self.reference = 0.0
+        self.own_relative_time = 1.0
 
     def _set_member(self, member: Member) -> None:
         self._unlisted_ids.discard(member.node_id)
@@ -222,10 +270,11 @@
         best = self._sample_best(constraints, now)
         if best is None:
             return None
-        own_score = own.utilization + compute_distance_penalty(
+        own_load = compute_load(own.utilization, own.slots, self.own_relative_time)
+        own_score = own_load + compute_distance_penalty(
             own.data_centre, constraints.client_data_centre
         )
-        gain = own_score - _score(best, constraints, now)
+        gain = own_score - self._score(best, constraints, now)
         is_full = own.busy_count >= own.slots
         if gain > MIN_GAIN or (is_full and gain > 0):
             return self._record_choice(best)
@@ -248,10 +297,12 @@
         if peer.report is None:
             return {}
         age = round(now - peer.reported_at, 3)
-        return {
-            "pressure": round(peer.estimate_utilization(now), 2),
-            "pressure_age": age,
-        }
+        utilization = peer.estimate_utilization(now)
+        fields = {"pressure": round(utilization, 2), "pressure_age": age}
+        load = peer.estimate_load(self.reference, now)
+        if load != utilization:
+            fields["load"] = round(load, 2)
+        return fields
 
     def _record_choice(self, peer: PeerAgent) -> NodeId:
         peer.opens_since_report += 1
@@ -285,15 +336,16 @@
             near, SAMPLE_SIZE
         )
         return min(
-            sampled, key=lambda peer: _score(peer, constraints, now), default=None
+            sampled, key=lambda peer: self._score(peer, constraints, now), default=None
+        )
+
+    def _score(
+        self, peer: PeerAgent, constraints: PlacementConstraints, now: Seconds
+    ) -> float:
+        penalty = compute_distance_penalty(
+            peer.member.data_centre, constraints.client_data_centre
         )
+        return peer.estimate_load(self.reference, now) + penalty
 
     def _sample(self, peers: list[PeerAgent], count: int) -> list[PeerAgent]:
         return self.rng.sample(peers, min(count, len(peers)))
-
-
-def _score(peer: PeerAgent, constraints: PlacementConstraints, now: Seconds) -> float:
-    penalty = compute_distance_penalty(
-        peer.member.data_centre, constraints.client_data_centre
-    )
-    return peer.estimate_utilization(now) + penalty
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -4,17 +4,26 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
 from attrs import define, field
 
 from bilberrypath.coordination import effects as fx
+from bilberrypath.load.expected_wait import (
+    FULL_REPORTED_CONFIDENCE,
+    is_valid_confidence,
+    is_valid_service_time,
+)
 from bilberrypath.protocol import flow_messages as msg
 
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.coordination.load_reporter import LoadReporter
+    from bilberrypath.load.upstream_speed import SpeedEstimate
     from bilberrypath.types import NodeId, Seconds
 
+MIN_LIMIT_CHANGE = 1 / 3  # of a learned limit that is logged
+LIMIT_LOG_PERIOD: Seconds = 1.0  # minimum time between two such lines
 MAX_LOGGED_PEERS = 8  # of those added or dropped, in one line
 
 
@@ -25,6 +34,9 @@
     agent: FlowAgent = field(repr=False)
     _load_reporter: LoadReporter
     _logged_ids: frozenset[NodeId] = frozenset()
+    _logged_slots: int = 0
+    _logged_limit: float = 0.0
+    _next_limit_log_at: Seconds = float("-inf")
 
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Drop what is too old, log who came or went, and report the load if due."""
@@ -33,7 +45,9 @@
         agent.placement.absent.sweep(
             agent.setup.flow_lifetime, agent.unresponsive_peers, now
         )
-        effects = self._log_changes()
+        speed = agent.flows.speed.estimate(now)
+        agent.placement.update_reference(speed, now)
+        effects = self._log_changes() + self._log_limit(speed, now)
         for node_id in agent.placement.absent:
             effects += agent.unresponsive_peers.record_timeout(node_id, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
@@ -44,6 +58,7 @@
         """Send the upstream's load to some of the other agents."""
         agent = self.agent
         may_take_opens = agent.upstream.find_reject_reason(now) is None
+        speed = agent.flows.speed.estimate(now)
         report = msg.LoadReport(
             agent.routes.revision,
             agent.service,
@@ -51,17 +66,53 @@
             round(self._compute_utilization(now), 3),
             agent.upstream.slots,
             agent.placement.report_absent(now),
+            round(speed.service_time, 6),
+            round(speed.confidence * FULL_REPORTED_CONFIDENCE),
         )
         return self._load_reporter.send(report, list(agent.placement.peer_by_id), now)
 
+    def describe_speed(self, now: Seconds) -> dict[str, float | int]:
+        """Return what is known of the upstream's speed, for status and metrics.
+
+        ``relative_speed`` is 1 while unknown. ``speed_age`` is left out before the
+        first answer that counts, and ``shed_at`` until the upstream was seen to shed.
+        """
+        speed = self.agent.flows.speed.estimate(now)
+        reference = self.agent.placement.reference
+        is_known = speed.service_time > 0 and reference > 0
+        relative_speed = reference / speed.service_time if is_known else 1.0
+        fields = {
+            "service_time": round(speed.service_time, 5),
+            "relative_speed": round(relative_speed, 2),
+            "confidence": round(speed.confidence, 2),
+            "limit": speed.limit,
+        }
+        if speed.age < float("inf"):
+            fields["speed_age"] = round(speed.age, 3)
+        if speed.shed_at is not None:
+            fields["shed_at"] = speed.shed_at
+        return fields
+
     def handle_load_report(
         self, report: msg.LoadReport, sender: NodeId, now: Seconds
-    ) -> None:
-        """Store the load of another agent, and learn whom it knows to be absent."""
+    ) -> list[FlowEffect]:
+        """Store the load of another agent, and learn whom it knows to be absent.
+
+        An invalid service time is left out.
+        """
         peer = self.agent.placement.peer_by_id.get(sender)
-        if peer is not None and report.service == self.agent.service:
-            peer.handle_report(report, now)
-            self.learn_absent(report.absent, now)
+        if peer is None or report.service != self.agent.service:
+            return []
+        effects: list[FlowEffect] = []
+        if not (
+            is_valid_service_time(report.service_time)
+            and is_valid_confidence(report.confidence)
+        ):
+            report = msgspec.structs.replace(report, service_time=0.0, confidence=0)
+            effects.append(fx.Count("report_dropped", "bad_service_time"))
+        peer.handle_report(report, now)
+        self.learn_absent(report.absent, now)
+        return effects
 
     def learn_absent(self, reported: tuple[msg.AbsentAgent, ...], now: Seconds) -> None:
         """Record the absent agents of the service that another agent reported."""
@@ -89,6 +140,25 @@
         }
         return [fx.LogStateChange("agents", fields)]
 
+    def _log_limit(self, speed: SpeedEstimate, now: Seconds) -> list[FlowEffect]:
+        """Log the learned limit of the upstream when it has changed clearly."""
+        slots = self.agent.upstream.slots
+        if slots != self._logged_slots:
+            self._logged_slots, self._logged_limit = slots, float(slots)
+        previous = self._logged_limit
+        change = abs(speed.limit - previous)
+        if change < MIN_LIMIT_CHANGE * previous or now < self._next_limit_log_at:
+            return []
+        self._logged_limit = speed.limit
+        self._next_limit_log_at = now + LIMIT_LOG_PERIOD
+        fields = {
+            "limit": speed.limit,
+            "before": previous,
+            "slots": slots,
+            "service_time": round(speed.service_time, 4),
+        }
+        return [fx.LogStateChange("upstream_limit", fields)]
+
     def _compute_utilization(self, now: Seconds) -> float:
         agent = self.agent
         return agent.flows.compute_utilization(agent.upstream.slots, now)
--- a/bilberrypath/coordination/upstream_health.py
+++ b/bilberrypath/coordination/upstream_health.py
@@ -113,6 +113,11 @@
         self._backoff_until = float("-inf")
         self.is_lost = False
 
+    @property
+    def cold_until(self) -> Seconds:
+        """When the cold start ends or ended; minus infinity if there was none."""
+        return self._cold_until
+
     @property
     def has_received_any(self) -> bool:
         """Whether a report or packet has arrived since this process started."""
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -162,8 +162,13 @@
         effects: list[FlowEffect] = []
         if kind is ReportKind.NEW_START:
             effects += self._handle_new_start(event, is_first_report, now)
-        if event.service != self.agent.service and kind is not ReportKind.OUTDATED:
+        is_other_service = event.service != self.agent.service
+        if is_other_service and kind is not ReportKind.OUTDATED:
             effects += self._change_service(event.service)
+        if kind is not ReportKind.OUTDATED:
+            is_other = is_other_service or kind is ReportKind.NEW_START
+            cold_until = self.health.cold_until
+            self.agent.flows.update_speed(self.slots, cold_until, is_other, now)
         effects.append(fx.Count("upstream_report", kind.value))
         effects += self.announce_status("report", now)
         return effects + self.agent.open_handler.retry_queued(now)
--- a/bilberrypath/load/expected_wait.py
+++ b/bilberrypath/load/expected_wait.py
@@ -20,6 +20,7 @@
 FULL_BAND = 1.5  # ratio from which the learned speed takes effect in full
 MAX_RELATIVE_TIME = 4.0  # a slower upstream gets opens only as its confidence decays
 MIN_REFERENCE_CONFIDENCE = 0.5  # of an upstream whose service time is a reference
+FULL_REPORTED_CONFIDENCE = 100  # a whole number takes 1 byte in a report, not 9
 MAX_SERVICE_TIME: Seconds = 60.0  # a longer one in a report is an error
 
 
@@ -29,6 +30,11 @@
     return is_number and 0 <= value <= MAX_SERVICE_TIME
 
 
+def is_valid_confidence(value: object) -> bool:
+    """Return whether a reported value is a confidence in hundredths."""
+    return type(value) is int and 0 <= value <= FULL_REPORTED_CONFIDENCE
+
+
 def compute_reference(service_times: Iterable[Seconds]) -> Seconds:
     """Return the median of the known service times of a service, 0 if there is none.
 
@@ -67,11 +73,11 @@
     if service_time <= 0 or reference <= 0 or confidence <= 0:
         return 1.0
     ratio = service_time / reference
+    ratio = min(MAX_RELATIVE_TIME, max(1 / MAX_RELATIVE_TIME, ratio))
     distance = max(ratio, 1 / ratio)
     if distance <= DEAD_BAND:
         return 1.0
     effect = min(1.0, math.log(distance / DEAD_BAND) / math.log(FULL_BAND / DEAD_BAND))
-    ratio = min(MAX_RELATIVE_TIME, max(1 / MAX_RELATIVE_TIME, ratio))
     return 1.0 + (ratio - 1.0) * effect * min(1.0, confidence)
 
 
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import Union
+from typing import Any, Union
 
 import msgspec
 
@@ -119,7 +119,9 @@
     ``utilization`` is running requests over ``slots``: the mean of the current value
     and the recent average. ``may_take_opens`` is false while the agent would refuse an
     open. ``absent`` are agents that may have flows, although they are not listed any
-    more.
+    more. ``service_time`` is that of one request at the upstream in seconds, 0 if
+    unknown, and ``confidence`` says how well it is known, in hundredths. Values of any
+    type are decoded, as an invalid one does not make the rest of the report useless.
     """
 
     revision: int
@@ -128,6 +130,8 @@
     utilization: float
     slots: int
     absent: tuple[AbsentAgent, ...] = ()
+    service_time: Any = 0.0
+    confidence: Any = 0
 
 
 class FlowHeartbeat(ControlStruct, tag=25):
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -32,6 +32,7 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 FINAL_HEARTBEAT_DELAY: Seconds = 0.05  # lets the last heartbeats be sent
+SPEED_GAUGES = ("service_time", "relative_speed", "confidence", "limit")
 DRAIN_POLL_PERIOD: Seconds = 0.005  # short compared with the run time of a request
 
 
@@ -93,6 +94,10 @@
         self.metrics.register_gauge("flows", lambda: len(core.flows))
         self.metrics.register_gauge("busy", lambda: core.flows.busy_count)
         self.metrics.register_gauge("redirects", lambda: len(core.redirects))
+        for name in SPEED_GAUGES:
+            self.metrics.register_gauge(
+                name, lambda n=name: core.peers.describe_speed(read_clock())[n]
+            )
         self.metrics.register_gauge(
             "searches", lambda: len(core.locator.lookups.lookup_by_flow)
         )
@@ -183,6 +188,7 @@
             "busy": core.flows.busy_count,
             "redirects": len(core.redirects),
             "knows_all_flows": core.upstream.tracks_all_flows(now),
+            **core.peers.describe_speed(now),
         }
         lists = {
             "agents": sorted(core.placement.peer_by_id),
