--- a/tests/coordination/test_learned_speed.py
+++ b/tests/coordination/test_learned_speed.py
@@ -349,3 +349,33 @@
             now += 0.2
         assert [line.fields["limit"] for line in lines] == [1.0]
         assert len(node.peers._log_limit(SpeedEstimate(0, 0, 0, 3.0, None), 99.0)) == 1
+
+    # Guards against an upstream that was slow for a while and never gets opens again.
+    def test_slow_upstream_keeps_few_opens_and_regains_its_share(self):
+        world = make_world(agents=3)
+        for upstream in world.upstream_by_host.values():
+            upstream.queue_capacity = 6
+        slow = world.upstream_by_host["10.2.0.1"]
+        slow.service_time = 0.3
+        self.offer(world, 10.0)
+        before = len(slow.opens)
+        all_before = self.count_opens(world)
+        self.offer(world, 10.0)
+        slow_share = (len(slow.opens) - before) / (self.count_opens(world) - all_before)
+        assert 0.0 < slow_share < 0.15
+        slow.service_time = 0.03
+        self.offer(world, 30.0)
+        before, all_before = len(slow.opens), self.count_opens(world)
+        self.offer(world, 10.0)
+        share = (len(slow.opens) - before) / (self.count_opens(world) - all_before)
+        assert share > 0.25
+
+    def offer(self, world, seconds, rate=60):
+        for _ in range(round(seconds * rate)):
+            client = world.make_client()
+            client.request()
+            world.after(2.0, client.close)
+            world.run(1 / rate)
+
+    def count_opens(self, world):
+        return sum(len(upstream.opens) for upstream in world.upstream_by_host.values())
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from attrs import evolve
 
 from benchmarks.experiment import (
     ExperimentError,
@@ -64,3 +65,25 @@
             for name, value in constants.items():
                 with use_constant(name, value):
                     pass
+
+
+UNEVEN = Load(
+    4, 2, 0.045, 6, 0.0, 0, 0, 0.4, 1.7, 0.5, 0.0, seconds=5.0, offered=0.7,
+    flow_length=5.0, speeds=(0.3, 1.0, 1.0, 1.0),
+)  # fmt: skip
+
+
+class TestSteadyLoad:
+    # Guards against a placement that ignores learned speeds: without them, requests
+    # wait longer at the slow upstream. Deterministic by its seed.
+    def test_learned_speeds_shorten_the_waits_beside_a_slow_upstream(self):
+        band = "bilberrypath.load.expected_wait.DEAD_BAND"
+        (learned,) = run_policy({}, UNEVEN, [1])
+        (utilization,) = run_policy({band: 1e9}, UNEVEN, [1])
+        assert learned.answered >= utilization.answered
+        assert learned.p99 < 0.9 * utilization.p99
+
+    def test_equal_upstreams_are_served_exactly_as_without_learned_speeds(self):
+        load = evolve(UNEVEN, speeds=(1.0,), offered=0.8)
+        band = "bilberrypath.load.expected_wait.DEAD_BAND"
+        assert run_policy({}, load, [2]) == run_policy({band: 1e9}, load, [2])
