--- a/bilberrypath/coordination/request_scheduler.py
+++ b/bilberrypath/coordination/request_scheduler.py
@@ -73,8 +73,9 @@
         return self._forward(self.gate.release_all(), reason, now)
 
     def update_room(self) -> None:
-        """Tell the gate the upstream's slots; when it sheds is not known yet."""
-        self.gate.set_room(self.agent.upstream.slots, None)
+        """Tell the gate the upstream's slots, and when it sheds if that was seen."""
+        agent = self.agent
+        self.gate.set_room(agent.upstream.slots, agent.flows.speed.shed_at)
 
     def deliver(
         self, held: HeldFlow, packet: FlowPacket, now: Seconds
@@ -173,7 +174,7 @@
         terms = self.agent.routes.find_terms(packet.flow)
         if terms is None or terms.kind == UPLOAD or not _may_keep(held, packet):
             return [ffx.SendToUpstream(packet.datagram)]
-        flows.mark_kept(held)
+        flows.mark_kept(held, now)
         effects = [] if is_empty else self._release_free(now)
         request = GatedRequest(
             packet.flow,
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -33,6 +33,7 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 FINAL_HEARTBEAT_DELAY: Seconds = 0.05  # lets the last heartbeats be sent
+SPEED_GAUGES = ("service_time", "relative_speed", "confidence", "limit")
 DRAIN_POLL_PERIOD: Seconds = 0.005  # short compared with the run time of a request
 
 GATE_EVENTS = ("request_kept", "request_released", "request_discarded")
@@ -99,6 +100,10 @@
             "kept_requests", lambda: len(core.request_scheduler.gate)
         )
         self.metrics.register_gauge("redirects", lambda: len(core.redirects))
+        for name in SPEED_GAUGES:
+            self.metrics.register_gauge(
+                name, lambda n=name: core.peers.describe_speed(read_clock())[n]
+            )
         self.metrics.register_gauge(
             "searches", lambda: len(core.locator.lookups.lookup_by_flow)
         )
@@ -197,6 +202,7 @@
             **self._list_gate_counts(),
             "redirects": len(core.redirects),
             "knows_all_flows": core.upstream.tracks_all_flows(now),
+            **core.peers.describe_speed(now),
         }
         lists = {
             "agents": sorted(core.placement.peer_by_id),
--- a/tests/coordination/test_held_flows.py
+++ b/tests/coordination/test_held_flows.py
@@ -54,7 +54,7 @@
 
     def test_kept_request_is_busy_and_counts_as_sent_later(self, flows, held):
         flows.record_client_packet(held, make_client_packet(ACK, b"request"), 1.0)
-        flows.mark_kept(held)
+        flows.mark_kept(held, 1.0)
         assert (flows.busy_count, flows.sent_count) == (1, 0)
         flows.mark_sent(held, 1.1)
         assert (held.busy_since, held.sent_at, flows.sent_count) == (1.0, 1.1, 1)
