Cheaper measurement: kind of request per flow, throughput curve in steps

Change: the kind of a flow's requests is looked up with its first one, and the decay of the throughput curve is applied at most twice per second.

--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -45,8 +45,8 @@
 
     ``seen_at`` is the time of its last packet, and ``busy_since`` that of the running
     request's first data, or None. ``sent_at`` is the time at which that request was
-    sent to the upstream, and ``kind`` the kind of request of its route. ``is_open`` is
-    false until the upstream accepts the
+    sent to the upstream. ``kind`` is the kind of request that the route stated when the
+    flow sent its first one. ``is_open`` is false until the upstream accepts the
     open or sends data. ``is_confirmed`` is false while a tentative delivery is the
     only sign that the upstream has the flow. Two upstreams may accept one open, and
     the client then uses one of them: ``is_chosen`` is true once the client has
@@ -68,7 +68,7 @@
     upstream_acknowledged: int | None = None
     busy_since: Seconds | None = None
     sent_at: Seconds | None = None
-    kind: str = ""
+    kind: str | None = None
     client_closed: bool = False
     upstream_closed: bool = False
     is_live: bool = True
@@ -208,8 +208,9 @@
 
     def record_sent(self, held: HeldFlow, flow: bytes, now: Seconds) -> None:
         """Record that the running request of a flow was sent to the upstream."""
-        terms = None if self.find_terms is None else self.find_terms(flow)
-        held.kind = "" if terms is None else terms.kind
+        if held.kind is None:
+            terms = None if self.find_terms is None else self.find_terms(flow)
+            held.kind = "" if terms is None else terms.kind
         held.sent_at = now
         self.speed.record_sent(held.kind, now)
 
--- a/bilberrypath/load/throughput_curve.py
+++ b/bilberrypath/load/throughput_curve.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import Factory, define
 
-from bilberrypath.load.decaying_mean import DecayingMean
-
 if TYPE_CHECKING:
     from bilberrypath.types import Seconds
 
 CURVE_TIME: Seconds = 10.0  # time constant of the decay
+DECAY_INTERVAL: Seconds = 0.5  # a decay at each answer would cost more than it adds
 MAX_LEVEL_WEIGHT = 100.0  # answers; their mean varies by 3% with heavy tails
 MIN_LEVEL_WEIGHT = 15.0  # answers at a level that make it known
 KNEE_THROUGHPUT_SHARE = 0.92  # of the highest; the rest is noise, not a gain
@@ -32,32 +32,47 @@
     """
 
     _slots: int = 1
-    _time_by_level: dict[int, DecayingMean] = Factory(dict)
+    _count_by_level: dict[int, float] = Factory(dict)
+    _total_by_level: dict[int, float] = Factory(dict)
+    _decayed_at: Seconds = 0.0
 
     def reset(self, slots: int) -> None:
         """Forget everything, for an upstream with a number of slots."""
         self._slots = slots
-        self._time_by_level.clear()
+        self._count_by_level.clear()
+        self._total_by_level.clear()
 
-    def record_answer(self, level: int, time: float, now: Seconds) -> None:
+    def record_answer(self, level: int, time: float) -> None:
         """Record the time of a request that started as one of ``level`` running."""
-        if level > MAX_LEVELS:
+        counts = self._count_by_level
+        if level in counts:
+            counts[level] += 1.0
+            self._total_by_level[level] += time
+        elif level <= MAX_LEVELS:
+            counts[level] = 1.0
+            self._total_by_level[level] = time
+
+    def decay(self, now: Seconds) -> None:
+        """Let earlier answers weigh less; to be called a few times per second."""
+        if now - self._decayed_at < DECAY_INTERVAL:
             return
-        mean = self._time_by_level.get(level)
-        if mean is None:
-            mean = DecayingMean(CURVE_TIME, MAX_LEVEL_WEIGHT)
-            self._time_by_level[level] = mean
-        mean.add(1, time, time * time, now)
+        factor = math.exp((self._decayed_at - now) / CURVE_TIME)
+        self._decayed_at = now
+        for level, count in self._count_by_level.items():
+            factor_here = min(factor, MAX_LEVEL_WEIGHT / count) if count else factor
+            self._count_by_level[level] = count * factor_here
+            self._total_by_level[level] *= factor_here
 
     def find_knee(self, now: Seconds) -> float:
         """Return the number of running requests above which throughput hardly rises.
 
         It is the number of slots if that is not known of any lower number.
         """
+        self.decay(now)
         throughput_by_level = {
-            level: level / mean.mean
-            for level, mean in sorted(self._time_by_level.items())
-            if mean.compute_weight(now) >= MIN_LEVEL_WEIGHT
+            level: level * count / self._total_by_level[level]
+            for level, count in sorted(self._count_by_level.items())
+            if count >= MIN_LEVEL_WEIGHT
         }
         if len(throughput_by_level) < 2:
             return float(self._slots)
--- a/bilberrypath/load/upstream_speed.py
+++ b/bilberrypath/load/upstream_speed.py
@@ -305,7 +305,7 @@
         self._batch_total += value
         self._batch_squares += value * value
         if self._slots > 1:
-            self._curve.record_answer(level, value, now)
+            self._curve.record_answer(level, value)
         if self._batch_count >= BATCH_ANSWERS or now - self._answered_at > BATCH_TIME:
             self._add_batch(now)
         self._answered_at = now
@@ -318,6 +318,7 @@
         self._slow.add(count, total, self._batch_squares, now)
         self._fast.add(count, total, self._batch_squares, now)
         self._batch_count, self._batch_total, self._batch_squares = 0, 0.0, 0.0
+        self._curve.decay(now)
         self._answer_count += count
         if self._answer_count > MIX_ANSWERS:
             self._halve_shares()
