--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -45,8 +45,8 @@
 
     ``seen_at`` is the time of its last packet, and ``busy_since`` that of the running
     request's first data, or None. ``sent_at`` is the time at which that request was
-    sent to the upstream, and ``kind`` the kind of request of its route. ``is_open`` is
-    false until the upstream accepts the
+    sent to the upstream. ``kind`` is the kind of request that the route stated when the
+    flow sent its first one. ``is_open`` is false until the upstream accepts the
     open or sends data. ``is_confirmed`` is false while a tentative delivery is the
     only sign that the upstream has the flow. Two upstreams may accept one open, and
     the client then uses one of them: ``is_chosen`` is true once the client has
@@ -70,7 +70,7 @@
     upstream_acknowledged: int | None = None
     busy_since: Seconds | None = None
     sent_at: Seconds | None = None
-    kind: str = ""
+    kind: str | None = None
     is_kept: bool = False
     client_closed: bool = False
     upstream_closed: bool = False
@@ -214,8 +214,9 @@
 
     def _record_sent(self, held: HeldFlow, flow: bytes, now: Seconds) -> None:
         """Record that the request that just began is sent to the upstream."""
-        terms = None if self.find_terms is None else self.find_terms(flow)
-        held.kind = "" if terms is None else terms.kind
+        if held.kind is None:
+            terms = None if self.find_terms is None else self.find_terms(flow)
+            held.kind = "" if terms is None else terms.kind
         self.mark_sent(held, now)
 
     def mark_kept(self, held: HeldFlow, now: Seconds) -> None:
@@ -228,7 +229,7 @@
         held.is_kept = False
         held.sent_at = now
         self.sent_count += 1
-        self.speed.record_sent(held.kind, now)
+        self.speed.record_sent(held.kind or "", now)
 
     def mark_discarded(self, held: HeldFlow, now: Seconds) -> None:
         """Record that the kept request of a flow is not sent to the upstream."""
@@ -324,7 +325,7 @@
         if held.busy_since is None or held.is_kept:
             return
         if packet.data_length and held.sent_at is not None:
-            self.speed.record_answered(held.kind, held.sent_at, now)
+            self.speed.record_answered(held.kind or "", held.sent_at, now)
             held.sent_at = None
             self.sent_count -= 1
         if not packet.is_rst:
@@ -356,7 +357,7 @@
     def _mark_not_sent(self, held: HeldFlow, now: Seconds) -> None:
         """Record that no answer of the upstream is awaited; it is not measured."""
         if held.sent_at is not None:
-            self.speed.record_failed(held.kind, held.sent_at, now)
+            self.speed.record_failed(held.kind or "", held.sent_at, now)
             held.sent_at = None
             self.sent_count -= 1
 
