An agent that left is not taken for an absent one again

Two faults: agents that had dropped such an agent from their lists reported it as absent to those that knew that it had left, again and again; and an upstream that sent a packet once more after its end did not count as gone, so that its agent announced draining instead of left.

Ruled out: the qualified denials of late agents (the lines name silent agents), and machines that failed (theirs answer probes, as only the process has ended).

Change: agents remember for the lifetime of a flow who has left, until it is listed again. An agent whose upstream certainly has no flows announces that it has left.

Measured: tests of both faults, red without the change.

--- a/bilberrypath/coordination/absent_agents.py
+++ b/bilberrypath/coordination/absent_agents.py
@@ -28,11 +28,13 @@
 
     Agents tell each other, since one that has just started knows only the list.
     ``_failed_ids`` are those whose machines have failed; they are kept so that a report
-    of another agent does not make them count again.
+    of another agent does not make them count again. So are those in ``_left_at_by_id``,
+    which are known to have left: agents that have not heard of it still report them.
     """
 
     _since_by_id: dict[NodeId, Seconds] = Factory(dict)
     _failed_ids: set[NodeId] = Factory(set)
+    _left_at_by_id: dict[NodeId, Seconds] = Factory(dict)
 
     def record(self, node_id: NodeId, since: Seconds) -> None:
         """Record that an agent is absent; an earlier time is kept."""
@@ -40,14 +42,21 @@
         self._since_by_id[node_id] = min(known_since, since)
 
     def forget(self, node_id: NodeId) -> None:
-        """Forget an agent that is listed again, or whose upstream has no flows."""
+        """Forget an agent that is listed again."""
         self._since_by_id.pop(node_id, None)
         self._failed_ids.discard(node_id)
+        self._left_at_by_id.pop(node_id, None)
+
+    def record_left(self, node_id: NodeId, now: Seconds) -> None:
+        """Record that an agent has left, or that its upstream has no flows."""
+        self.forget(node_id)
+        self._left_at_by_id[node_id] = now
 
     def clear(self) -> None:
         """Forget all agents."""
         self._since_by_id.clear()
         self._failed_ids.clear()
+        self._left_at_by_id.clear()
 
     def __iter__(self) -> Iterator[NodeId]:
         """Iterate over all absent agents, those that have failed too."""
@@ -86,6 +95,9 @@
                 self._failed_ids.add(node_id)
             elif peers.is_machine_alive(node_id, now):
                 self._failed_ids.discard(node_id)
+        for node_id, left_at in list(self._left_at_by_id.items()):
+            if now - left_at > flow_lifetime:
+                del self._left_at_by_id[node_id]
 
     def merge(
         self,
@@ -95,5 +107,5 @@
     ) -> None:
         """Merge what another agent reported; ``known_ids`` are not absent here."""
         for node_id, absent_for in reported:
-            if node_id not in known_ids:
+            if node_id not in known_ids and node_id not in self._left_at_by_id:
                 self.record(node_id, now - absent_for)
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -202,7 +202,7 @@
             elif not member.is_gone:
                 self._set_member(member)
             elif not member.may_have_flows:
-                self.absent.forget(member.node_id)
+                self.absent.record_left(member.node_id, now)
             if member.is_gone and member.node_id in self.peer_by_id:
                 self.peer_by_id[member.node_id].member = member
                 self._unlisted_ids.add(member.node_id)
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -77,12 +77,14 @@
     def announce_end(self, now: Seconds) -> list[FlowEffect]:
         """Announce to balancers and other agents that this process ends.
 
-        An agent whose upstream is gone has left, and nobody has to wait for it. The
-        other agents are told that too, since all balancers may end at the same time.
+        An agent whose upstream is gone has left, and nobody has to wait for it. So has
+        one whose upstream certainly has no flows: after its end, an upstream may still
+        send a packet again, and then does not count as gone. The other agents are told
+        that too, since all balancers may end at the same time.
         """
         agent = self.agent
         registration = agent.registration
-        has_left = agent.upstream.is_gone
+        has_left = agent.upstream.is_gone or registration.own_member.has_no_flows
         registration.announce(Status.LEFT if has_left else Status.DRAINING)
         fields = {
             "status": registration.own_member.status.name.lower(),
--- a/tests/coordination/test_agents_without_flows.py
+++ b/tests/coordination/test_agents_without_flows.py
@@ -6,8 +6,11 @@
 """
 
 import pytest
+from msgspec.structs import replace
 
-from bilberrypath.coordination.flow_events import UpstreamUnreachable
+from bilberrypath.coordination.events import Leave
+from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamUnreachable
+from bilberrypath.state.members import Status, Suspicion
 from tests.support.flow_world import make_world, open_flows
 
 BALANCERS = ["10.1.0.1", "10.1.0.2"]
@@ -98,3 +101,46 @@
         world.upstream_by_host["10.2.0.1"].draining = True
         world.run(2.0)
         assert not self.read_record(world, "10.2.0.1").has_no_flows
+
+
+class TestLeave:
+    def test_is_announced_though_the_upstream_sent_a_packet_after_its_end(self, world):
+        """Guard against waiting for an agent whose upstream was heard once more."""
+        host = "10.2.0.1"
+        node = world.node_by_host[host]
+        upstream = world.upstream_by_host[host]
+        upstream.draining = True
+        world.run(1.2)
+        upstream.is_up = False
+        world.feed(host, UpstreamLeft(upstream.name))
+        world.run(0.3)
+        node.upstream.record_received(world.now)
+        world.run(0.3)
+        world.feed(host, Leave())
+        assert self.read_status(node) is Status.LEFT
+
+    def read_status(self, node):
+        return node.registration.own_member.status
+
+
+class TestReportsOfAnAgentThatLeft:
+    def test_do_not_make_it_absent_again(self, world):
+        """Guard against agents that tell each other forever of one that has left."""
+        agent = world.node_by_host["10.2.0.1"]
+        left = world.node_by_host["10.2.0.2"].registration.own_member
+        left = replace(left, status=Status.LEFT, version=left.version + 1)
+        agent.placement.apply_changes((left,), "board", agent.node_id, world.now)
+        agent.placement.drop_unlisted(world.now + 3.0)
+        agent.peers.learn_absent(((left.node_id, 3.5),), world.now + 3.0)
+        assert left.node_id not in agent.placement.absent.list_ids()
+
+    def test_count_again_once_it_was_listed_anew(self, world):
+        agent = world.node_by_host["10.2.0.1"]
+        member = world.node_by_host["10.2.0.2"].registration.own_member
+        left = replace(member, status=Status.LEFT, version=member.version + 1)
+        anew = replace(member, incarnation=member.incarnation + 1)
+        gone = replace(anew, suspicion=Suspicion.REMOVED)
+        for record in (left, anew, gone):
+            agent.placement.apply_changes((record,), "board", agent.node_id, world.now)
+        agent.placement.drop_unlisted(world.now + 3.0)
+        assert left.node_id in agent.placement.absent.list_ids()
