Spillover between data centres where routes state terms

Cause: the constant DISTANCE_PENALTY is 0.35 of the slots, less than one request of an upstream with two slots. In the model (12 upstreams with two slots in three data centres, load reports 0.5 s late, 5% lost, 5% doubled) half of the opens leave a data centre that has room.

Change: with terms an agent outside the client's data centre counts as full, and a margin more, so that it takes an open only where no near one has room. The margin shrinks once a data centre is known to be full, which changes with hysteresis. Opens since a report count for 0.1 s only. Each agent derives the pressure of its service from the reports of the last two periods; entering and leaving is logged and counted.

--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -160,7 +160,7 @@
         reject_reason = self._find_reject_reason(now, packet.retransmit_count)
         if reject_reason is not None:
             return self._relay_or_refuse(forwarded, packet, reject_reason, now)
-        target = self._target.choose_better(forwarded, sender, now)
+        target = self._target.choose_better(forwarded, packet.flow, sender, now)
         if target is not None:
             relay_path = (*forwarded.relayed_by, self.agent.node_id)
             forwarded = msgspec.structs.replace(forwarded, relayed_by=relay_path)
@@ -249,7 +249,7 @@
         forwarded = msgspec.structs.replace(forwarded, tried_agents=tried)
         if forwarded.unanswered_count >= MAX_UNANSWERED_RELAYS:
             return self._drop_without_reset(forwarded, packet)
-        target = self._target.choose_any(forwarded, now)
+        target = self._target.choose_any(forwarded, packet.flow, now)
         is_awaiting = agent.upstream.awaits_first_report(now)
         if target is None and is_awaiting:
             return self._queue_briefly(forwarded, packet, "no_report", now)
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -8,16 +8,19 @@
 
 from __future__ import annotations
 
+from math import exp
 from typing import TYPE_CHECKING
 
 from attrs import Factory, define, frozen
 
 from bilberrypath.coordination.absent_agents import MAX_SENT_AGENTS, AbsentAgents
+from bilberrypath.load.pressure import UpstreamLoad, compute_spillover_load
 
 if TYPE_CHECKING:
     from collections.abc import Container
     from random import Random
 
+    from bilberrypath.load.pressure import ServicePressure
     from bilberrypath.protocol.flow_messages import AbsentAgent, LoadReport
     from bilberrypath.state.members import Member
     from bilberrypath.types import DataCentreName, NodeId, Seconds, ServiceName
@@ -28,6 +31,9 @@
 CROWDED_UTILIZATION = 1.0  # running requests over slots; requests queue above it
 FRESH_REPORT_AGE: Seconds = 1.1  # two load report periods
 MAX_REPORT_AGE: Seconds = 2.0  # the load of older reports is ignored
+# After this time an open that was relayed to an agent has probably been answered, or is
+# part of what the agent reports.
+RECENT_OPEN_TIME: Seconds = 0.1
 MAX_HOPS = 3  # relays of an open after which load is ignored
 
 
@@ -36,12 +42,15 @@
     """Another agent of the service, with its last load report.
 
     ``opens_since_report`` counts the opens that were relayed to it since that report.
+    ``_recent_opens`` counts them with weights that decay with ``RECENT_OPEN_TIME``.
     """
 
     member: Member
     report: LoadReport | None = None
     reported_at: Seconds = float("-inf")
     opens_since_report: int = 0
+    _recent_opens: float = 0.0
+    _opened_at: Seconds = float("-inf")
 
     def handle_report(self, report: LoadReport, now: Seconds) -> None:
         """Store a load report, and restart the count of relayed opens."""
@@ -65,6 +74,32 @@
             1, self.report.slots
         )
 
+    def record_open(self, now: Seconds) -> None:
+        """Count an open that is relayed to the agent."""
+        self.opens_since_report += 1
+        self._recent_opens = self._count_recent_opens(now) + 1
+        self._opened_at = now
+
+    def estimate_load(self, now: Seconds) -> UpstreamLoad:
+        """Return what is known of the upstream's load, where terms are stated.
+
+        A report may be a second old, so an open since then counts only while it may
+        still run: counting all of them makes an upstream with short requests look full.
+        """
+        if self.report is None or now - self.reported_at > MAX_REPORT_AGE:
+            utilization = 1.0
+        else:
+            recent_opens = self._count_recent_opens(now)
+            utilization = self.report.utilization + recent_opens / max(
+                1, self.report.slots
+            )
+        return UpstreamLoad(
+            self.member.data_centre, utilization, self.may_take_opens(now)
+        )
+
+    def _count_recent_opens(self, now: Seconds) -> float:
+        return self._recent_opens * exp((self._opened_at - now) / RECENT_OPEN_TIME)
+
 
 @frozen
 class OwnLoad:
@@ -78,11 +113,30 @@
 
 @frozen
 class PlacementConstraints:
-    """The client's data centre, and the agents and data centres to exclude."""
+    """The client's data centre, and the agents and data centres to exclude.
+
+    ``pressure`` is that of the service, or None if the route states no terms. With it,
+    an open leaves its client's data centre only if no upstream there has room.
+    """
 
     client_data_centre: DataCentreName
     excluded_ids: Container[NodeId]
     excluded_data_centres: Container[DataCentreName]
+    pressure: ServicePressure | None = None
+
+    def is_near(self, data_centre: DataCentreName) -> bool:
+        """Return whether a data centre is the client's, or the client's is unknown."""
+        return self.client_data_centre in ("", data_centre)
+
+    def compute_score(self, utilization: float, data_centre: DataCentreName) -> float:
+        """Return the value by which agents are compared; the lowest is the best."""
+        if self.pressure is None:
+            penalty = compute_distance_penalty(data_centre, self.client_data_centre)
+            return utilization + penalty
+        is_near_full = self.client_data_centre in self.pressure.full_data_centres
+        return compute_spillover_load(
+            utilization, self.is_near(data_centre), is_near_full
+        )
 
 
 def compute_distance_penalty(
@@ -217,26 +271,45 @@
     ) -> NodeId | None:
         """Return an agent that is clearly better than this one, or None.
 
-        The gain must exceed ``MIN_GAIN``, or just be positive if this agent is full.
+        The gain must exceed ``MIN_GAIN``, or just be positive if this agent is full, or
+        if terms are stated and only the other agent is in the client's data centre.
         """
         best = self._sample_best(constraints, now)
         if best is None:
             return None
-        own_score = own.utilization + compute_distance_penalty(
-            own.data_centre, constraints.client_data_centre
-        )
+        own_score = constraints.compute_score(own.utilization, own.data_centre)
         gain = own_score - _score(best, constraints, now)
         is_full = own.busy_count >= own.slots
-        if gain > MIN_GAIN or (is_full and gain > 0):
-            return self._record_choice(best)
+        is_nearer = constraints.pressure is not None and (
+            constraints.is_near(best.member.data_centre)
+            and not constraints.is_near(own.data_centre)
+        )
+        if gain > MIN_GAIN or ((is_full or is_nearer) and gain > 0):
+            return self._record_choice(best, now)
         return None
 
+    def list_recent_loads(self, now: Seconds) -> list[UpstreamLoad]:
+        """Return what peers reported within the last two report periods.
+
+        Opens sent since are left out: they would let the pressure follow each of this
+        agent's own choices.
+        """
+        return [
+            UpstreamLoad(
+                peer.member.data_centre,
+                peer.report.utilization,
+                peer.may_take_opens(now),
+            )
+            for peer in self.peer_by_id.values()
+            if peer.report is not None and now - peer.reported_at <= FRESH_REPORT_AGE
+        ]
+
     def choose_any(
         self, constraints: PlacementConstraints, now: Seconds
     ) -> NodeId | None:
         """Return the best agent for an open that this agent cannot take, or None."""
         best = self._sample_best(constraints, now)
-        return None if best is None else self._record_choice(best)
+        return None if best is None else self._record_choice(best, now)
 
     def is_crowded(self, node_id: NodeId, now: Seconds) -> bool:
         """Return whether requests are expected to queue at an agent."""
@@ -253,8 +326,8 @@
             "pressure_age": age,
         }
 
-    def _record_choice(self, peer: PeerAgent) -> NodeId:
-        peer.opens_since_report += 1
+    def _record_choice(self, peer: PeerAgent, now: Seconds) -> NodeId:
+        peer.record_open(now)
         return peer.member.node_id
 
     def _sample_best(
@@ -281,6 +354,9 @@
             for peer in candidates
             if peer.member.data_centre == constraints.client_data_centre
         ]
+        if constraints.pressure is not None:
+            candidates = _prefer_with_room(candidates, now)
+            near = _prefer_with_room(near, now)
         sampled = self._sample(candidates, SAMPLE_SIZE) + self._sample(
             near, SAMPLE_SIZE
         )
@@ -292,8 +368,14 @@
         return self.rng.sample(peers, min(count, len(peers)))
 
 
+def _prefer_with_room(peers: list[PeerAgent], now: Seconds) -> list[PeerAgent]:
+    """Return the peers that probably have a free slot, or all if none has."""
+    return [peer for peer in peers if peer.estimate_load(now).has_room] or peers
+
+
 def _score(peer: PeerAgent, constraints: PlacementConstraints, now: Seconds) -> float:
-    penalty = compute_distance_penalty(
-        peer.member.data_centre, constraints.client_data_centre
-    )
-    return peer.estimate_utilization(now) + penalty
+    if constraints.pressure is None:
+        utilization = peer.estimate_utilization(now)
+    else:
+        utilization = peer.estimate_load(now).utilization
+    return constraints.compute_score(utilization, peer.member.data_centre)
--- a/bilberrypath/coordination/open_target.py
+++ b/bilberrypath/coordination/open_target.py
@@ -28,20 +28,22 @@
 
     agent: FlowAgent = field(repr=False)
 
-    def choose_any(self, forwarded: ForwardedPacket, now: Seconds) -> NodeId | None:
+    def choose_any(
+        self, forwarded: ForwardedPacket, flow: bytes, now: Seconds
+    ) -> NodeId | None:
         """Return an agent for an open that this agent cannot accept, or None.
 
         One that does not respond is tried only if no other can take the open.
         """
         placement = self.agent.placement
-        target = placement.choose_any(self._make_constraints(forwarded), now)
+        target = placement.choose_any(self._make_constraints(forwarded, flow), now)
         if target is None:
-            fallback = self._make_fallback_constraints(forwarded)
+            fallback = self._make_fallback_constraints(forwarded, flow)
             target = placement.choose_any(fallback, now)
         return target
 
     def choose_better(
-        self, forwarded: ForwardedPacket, sender: NodeId, now: Seconds
+        self, forwarded: ForwardedPacket, flow: bytes, sender: NodeId, now: Seconds
     ) -> NodeId | None:
         """Return another agent that should take an open, or None to accept it here.
 
@@ -50,13 +52,13 @@
         agent = self.agent
         if agent.is_leaving:
             constraints = self._make_constraints(
-                forwarded, sender, agent.node_id, *forwarded.relayed_by
+                forwarded, flow, sender, agent.node_id, *forwarded.relayed_by
             )
             return agent.placement.choose_any(constraints, now)
-        return self._choose_less_busy(forwarded, sender, now)
+        return self._choose_less_busy(forwarded, flow, sender, now)
 
     def _choose_less_busy(
-        self, forwarded: ForwardedPacket, sender: NodeId, now: Seconds
+        self, forwarded: ForwardedPacket, flow: bytes, sender: NodeId, now: Seconds
     ) -> NodeId | None:
         """Return an agent with less load that should take an open, or None.
 
@@ -70,11 +72,13 @@
         busy = agent.flows.busy_count
         utilization = agent.flows.compute_utilization(slots, now)
         own = OwnLoad(busy, slots, utilization, agent.setup.own_member.data_centre)
-        constraints = self._make_constraints(forwarded, sender, *forwarded.relayed_by)
+        constraints = self._make_constraints(
+            forwarded, flow, sender, *forwarded.relayed_by
+        )
         return agent.placement.choose_less_busy(own, constraints, now)
 
     def _make_constraints(
-        self, forwarded: ForwardedPacket, *excluded: NodeId
+        self, forwarded: ForwardedPacket, flow: bytes, *excluded: NodeId
     ) -> PlacementConstraints:
         """Return constraints that exclude tried, unresponsive and given agents."""
         agent = self.agent
@@ -82,19 +86,22 @@
             forwarded.client_data_centre,
             {*excluded, *forwarded.tried_agents, *agent.unresponsive_peers.since_by_id},
             agent.routes.table.data_centres_out,
+            agent.peers.pressure_monitor.find_pressure(flow),
         )
 
     def _make_fallback_constraints(
-        self, forwarded: ForwardedPacket
+        self, forwarded: ForwardedPacket, flow: bytes
     ) -> PlacementConstraints:
         """Return constraints that admit unresponsive peers.
 
         They apply if no responsive agent can take the open: trying one more agent
         costs little.
         """
-        out = self.agent.routes.table.data_centres_out
+        agent = self.agent
+        out = agent.routes.table.data_centres_out
         return PlacementConstraints(
             forwarded.client_data_centre,
-            {*forwarded.tried_agents, self.agent.node_id},
+            {*forwarded.tried_agents, agent.node_id},
             out,
+            agent.peers.pressure_monitor.find_pressure(flow),
         )
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination.service_pressure import ServicePressureMonitor
 from bilberrypath.protocol import flow_messages as msg
 
 if TYPE_CHECKING:
@@ -24,8 +25,12 @@
 
     agent: FlowAgent = field(repr=False)
     _load_reporter: LoadReporter
+    pressure_monitor: ServicePressureMonitor = field(init=False)
     _logged_ids: frozenset[NodeId] = frozenset()
 
+    def __attrs_post_init__(self) -> None:
+        self.pressure_monitor = ServicePressureMonitor(self.agent)
+
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Drop what is too old, log who came or went, and report the load if due."""
         agent = self.agent
@@ -33,7 +38,7 @@
         agent.placement.absent.sweep(
             agent.setup.flow_lifetime, agent.unresponsive_peers, now
         )
-        effects = self._log_changes()
+        effects = self._log_changes() + self.pressure_monitor.tick(now)
         for node_id in agent.placement.absent:
             effects += agent.unresponsive_peers.record_timeout(node_id, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
--- a/tests/support/flow_model.py
+++ b/tests/support/flow_model.py
@@ -34,6 +34,15 @@
     return header + data
 
 
+@frozen
+class ReportFaults:
+    """What happens to load reports: a delay in seconds, and shares lost and doubled."""
+
+    delay: float = 0.0
+    loss: float = 0.0
+    duplication: float = 0.0
+
+
 @frozen
 class Arrival:
     """A packet that an upstream received.
@@ -204,15 +213,21 @@
 class ModelClient:
     """One flow of a client, and counts of what it received.
 
+    ``balancer`` is the host that its packets pass through, None for a random one.
     ``acknowledged`` is the sequence number that the client expects next.
     ``answered_at`` is the time of the last answer. A request that is retried has
-    its next attempt, on another flow, in ``next_try``.
+    its next attempt, on another flow, in ``next_try``. A client that
+    ``closes_when_answered`` uses each flow for one request.
     """
 
     world: FlowWorld
     flow: bytes
+    address: tuple
+    balancer: str | None = None
+    host: str = "100.64.0.1"
     opened: bool = False
     requests_when_open: bool = False
+    closes_when_answered: bool = False
     acknowledged: int = 0
     answers: int = 0
     answered_at: float = 0.0
@@ -248,7 +263,10 @@
 
     def _retry(self):
         if self.tries_left and self.next_try is None:
-            self.next_try = self.world.make_client()
+            self.next_try = self.world.make_client(
+                self.address, self.balancer, self.host
+            )
+            self.next_try.closes_when_answered = self.closes_when_answered
             self.next_try.request(self.tries_left - 1)
 
     def _send_open_copy(self, number):
@@ -277,8 +295,10 @@
         elif packet.data_length:
             self.answers += 1
             self.answered_at = self.world.now
+            if self.closes_when_answered:
+                self.close()
         if packet.is_rst or self.is_shed:
             self._retry()
 
     def _send(self, datagram, through):
-        self.world.send_packet(datagram, through)
+        self.world.send_packet(datagram, through or self.balancer)
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -24,7 +24,12 @@
 from bilberrypath.protocol.flow_packet import pack_endpoint, pack_flow_key
 from bilberrypath.state.members import Member, Role, Status
 from bilberrypath.state.routes import FlowRoute, RouteTable, Target, UpstreamLimits
-from tests.support.flow_model import ModelClient, ModelUpstream, write_packet
+from tests.support.flow_model import (
+    ModelClient,
+    ModelUpstream,
+    ReportFaults,
+    write_packet,
+)
 
 PEER_PORT = 7600
 REPORT_PERIOD = 1.0  # seconds
@@ -43,12 +48,13 @@
     receiver) pairs of hosts between which messages and machine probes are lost and
     pulls of routes fail. Hosts in ``powered_off`` do not answer machine probes.
     ``counts`` counts by (event, reason), and ``decisions`` lists (event, flow, fields)
-    of logged decisions.
+    of logged decisions. ``report_faults`` applies to load reports only.
     """
 
     seed: int = 1
     loss: float = 0.0
     now: float = 0.0
+    report_faults: ReportFaults | None = None
     rng: Random = field(init=False)
     codec: PlatformPacketCodec = Factory(PlatformPacketCodec)
     node_by_host: dict = Factory(dict)
@@ -130,10 +136,12 @@
         """Replace the route table in the store, as the operator does."""
         self.table = table
 
-    def make_client(self, address=ADDRESS):
+    def make_client(self, address=ADDRESS, balancer=None, host="100.64.0.1"):
+        """Return a client whose packets pass through ``balancer``, if that is given."""
         self._last_port += 1
-        flow = pack_flow_key(("100.64.0.1", self._last_port), address)
-        client = self.client_by_flow[flow] = ModelClient(self, flow)
+        flow = pack_flow_key((host, self._last_port), address)
+        client = ModelClient(self, flow, address, balancer, host)
+        self.client_by_flow[flow] = client
         return client
 
     # Virtual time
@@ -221,7 +229,18 @@
                 effects = node.handle(ev.ControlReceived(sender, message), self.now)
             self.perform(to, effects)
 
-        self.after(LINK_DELAY, arrive)
+        for delay in self._list_delays(effect.message):
+            self.after(delay, arrive)
+
+    def _list_delays(self, message):
+        """Return the delay of each copy of a message that arrives."""
+        faults = self.report_faults
+        if faults is None or not isinstance(message, msg.LoadReport):
+            return [LINK_DELAY]
+        copies = (self.rng.random() >= faults.loss) + (
+            self.rng.random() < faults.duplication
+        )
+        return [LINK_DELAY + faults.delay * self.rng.uniform(0.8, 1.2)] * copies
 
     def _pull_routes(self, host, peer):
         def complete():
