Decide on opens in one pure function

The limits of the queue of a cold upstream moved there, so experiments and their test name them as load.admission.NAME; the checks of that test are the same.

Result: no change of behaviour.

--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -3,7 +3,8 @@
     python -m benchmarks.experiment benchmarks/experiments/cold_crowd.toml
 
 An experiment names a load, one variable of the load with its values, and policies.
-A policy sets constants of ``bilberrypath.coordination``, written ``module.NAME``. All
+A policy sets constants of ``bilberrypath.coordination``, written ``module.NAME``, or of
+another layer, written ``load.module.NAME``. All
 policies are run with the same seeds for each value of the variable, so that differences
 come from the policy. A table is printed, and a plot is written to ``out/``.
 """
@@ -25,7 +26,7 @@
 from matplotlib import pyplot
 
 OUT = Path("out")
-PACKAGE = "bilberrypath.coordination"
+PACKAGE = "bilberrypath"
 CROWD_TIME = 0.2  # seconds over which the requests of the crowd are sent
 LATER_TIME = 2.0  # seconds over which the later requests are sent
 CONFIDENCE = 1.96  # standard errors of a 95% interval
@@ -96,8 +97,14 @@
 
 @contextmanager
 def use_constant(name, value):
-    """Set a constant, named as ``module.NAME``, within the context."""
-    module_name, _, constant = name.partition(".")
+    """Set a constant within the context.
+
+    It is named as ``module.NAME`` in the coordination layer, or as
+    ``layer.module.NAME``.
+    """
+    module_name, _, constant = name.rpartition(".")
+    if "." not in module_name:
+        module_name = f"coordination.{module_name}"
     module = importlib.import_module(f"{PACKAGE}.{module_name}")
     if not hasattr(module, constant):
         raise ExperimentError(f"{PACKAGE}.{module_name} has no constant {constant!r}")
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -14,10 +14,25 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
-from bilberrypath.coordination.open_placement import MAX_HOPS
+from bilberrypath.coordination.open_effects import (
+    describe_attempt,
+    report_accepted,
+    report_deferred,
+    report_refused,
+    report_relayed,
+    send_not_taken,
+)
 from bilberrypath.coordination.open_target import OpenTarget
 from bilberrypath.coordination.pending_opens import PendingOpen, RelayedOpen
-from bilberrypath.coordination.upstream_health import RejectReason
+from bilberrypath.load.admission import (
+    MAX_UNANSWERED_RELAYS,
+    Defer,
+    Keep,
+    PassOn,
+    Refuse,
+    Take,
+    decide_open,
+)
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import parse_address
 
@@ -31,9 +46,6 @@
 RELAY_TIMEOUT: Seconds = 0.025  # several round trips between data centres
 ACCEPT_TIMEOUT: Seconds = 0.04  # usually within 1 ms; up to 40 ms on a slow upstream
 ROUTES_TIMEOUT: Seconds = 0.1  # half of a client's first retransmission timeout
-FIRST_REPORT_TIMEOUT: Seconds = 0.5  # an upstream reports as soon as it can
-MAX_OPEN_COPIES = 2  # retransmissions by a client; its last copy is not deferred
-MAX_UNANSWERED_RELAYS = 3  # more agents of a service rarely fail at once
 MAX_QUEUED_OPENS = 256  # opens that wait for a route table or an upstream report
 
 
@@ -102,7 +114,8 @@
         if pending is None:
             return []
         self.agent.deadlines.clear(("open", packet.flow))
-        return self._relay_or_refuse(pending.forwarded, packet, "upstream_refused", now)
+        returned = PendingOpen(pending.forwarded, packet, pending.sender, now)
+        return self._decide_without_room(returned, "upstream_refused", now)
 
     def handle_deadline(self, kind: str, flow: bytes, now: Seconds) -> list[FlowEffect]:
         """Handle the timeout of an open.
@@ -138,14 +151,6 @@
         )
         return [*notices, fx.Count("open_waits", reason)]
 
-    def _send_not_taken(
-        self, forwarded: ForwardedPacket, flow: bytes
-    ) -> list[FlowEffect]:
-        """Tell those that wait for the location of an open that it was not taken."""
-        return self.agent.send_location(
-            forwarded, flow, "", tried_agents=forwarded.tried_agents
-        )
-
     def _decide(
         self,
         forwarded: ForwardedPacket,
@@ -153,20 +158,99 @@
         sender: NodeId,
         now: Seconds,
     ) -> list[FlowEffect]:
-        """Accept, relay or refuse an open by the routes in force and the loads."""
+        """Decide on an open by the routes in force and the loads."""
         rejection = self._check_routes(forwarded, packet)
         if rejection is not None:
             return rejection
+        opened = PendingOpen(forwarded, packet, sender, now)
         reject_reason = self._find_reject_reason(now, packet.retransmit_count)
         if reject_reason is not None:
-            return self._relay_or_refuse(forwarded, packet, reject_reason, now)
+            return self._decide_without_room(opened, reject_reason, now)
         target = self._target.choose_better(forwarded, packet.flow, sender, now)
-        if target is not None:
-            relay_path = (*forwarded.relayed_by, self.agent.node_id)
-            forwarded = msgspec.structs.replace(forwarded, relayed_by=relay_path)
-            reason = "leaving" if self.agent.is_leaving else "load"
-            return self._relay(forwarded, packet, target, reason, now)
-        return self._accept(forwarded, packet, sender, now)
+        return self._perform(opened, None, target, now)
+
+    def _decide_without_room(
+        self, opened: PendingOpen, reason: str, now: Seconds
+    ) -> list[FlowEffect]:
+        """Decide on an open that this agent cannot accept.
+
+        If no responsive agent can take it, an unresponsive one is tried.
+        """
+        tried = (*opened.forwarded.tried_agents, self.agent.node_id)
+        forwarded = msgspec.structs.replace(opened.forwarded, tried_agents=tried)
+        opened = evolve(opened, forwarded=forwarded)
+        target = None
+        if forwarded.unanswered_count < MAX_UNANSWERED_RELAYS:
+            target = self._target.choose_any(forwarded, opened.packet.flow, now)
+        return self._perform(opened, reason, target, now)
+
+    def _perform(
+        self,
+        opened: PendingOpen,
+        reason: str | None,
+        target: NodeId | None,
+        now: Seconds,
+    ) -> list[FlowEffect]:
+        """Have an open decided, and perform the decision.
+
+        ``reason`` is why this agent may not accept it, and ``target`` the agent that
+        can take it.
+        """
+        agent = self.agent
+        decision = decide_open(
+            agent.upstream.describe_room(now, reason),
+            agent.routes.find_terms(opened.packet.flow),
+            describe_attempt(agent, opened, target, now),
+            agent.peers.pressure_monitor.pressure,
+        )
+        match decision:
+            case Take():
+                return self._accept(opened, now)
+            case PassOn():
+                if reason is None:
+                    opened = self._record_relay(opened)
+                return self._relay(opened, target, decision.reason, now)
+            case Keep():
+                return self._queue_briefly(opened, decision, now)
+            case Defer():
+                return report_deferred(agent, opened)
+            case Refuse():
+                return self._refuse(opened, decision.reason)
+
+    def _record_relay(self, opened: PendingOpen) -> PendingOpen:
+        """Return an open that is not relayed back here for load."""
+        forwarded = opened.forwarded
+        relay_path = (*forwarded.relayed_by, self.agent.node_id)
+        forwarded = msgspec.structs.replace(forwarded, relayed_by=relay_path)
+        return evolve(opened, forwarded=forwarded)
+
+    def _accept(self, opened: PendingOpen, now: Seconds) -> list[FlowEffect]:
+        """Send an open to this agent's upstream, and wait for its acceptance."""
+        agent, packet = self.agent, opened.packet
+        held = agent.flows.add(packet, is_confirmed=True, now=now)
+        agent.flows.record_client_packet(held, packet, now)
+        agent.upstream.health.record_open(now)
+        self._pending_open_by_flow[packet.flow] = opened
+        agent.deadlines.set(("open", packet.flow), now + ACCEPT_TIMEOUT)
+        return report_accepted(agent, opened)
+
+    def _relay(
+        self, opened: PendingOpen, target: NodeId, reason: str, now: Seconds
+    ) -> list[FlowEffect]:
+        """Relay an open, and wait for the report that the target has taken it."""
+        agent, flow = self.agent, opened.packet.flow
+        agent.redirects.record(flow, target, now)
+        self._relayed_open_by_flow[flow] = RelayedOpen(
+            opened.forwarded, opened.packet, target
+        )
+        agent.deadlines.set(("relay", flow), now + RELAY_TIMEOUT)
+        return report_relayed(agent, opened, target, reason, now)
+
+    def _refuse(self, opened: PendingOpen, reason: str) -> list[FlowEffect]:
+        """Reset an open that no agent can take, unless a relay was unanswered."""
+        if opened.forwarded.unanswered_count:
+            return self._drop_without_reset(opened.forwarded, opened.packet)
+        return report_refused(self.agent, opened, reason)
 
     def _check_routes(
         self, forwarded: ForwardedPacket, packet: FlowPacket
@@ -177,14 +261,14 @@
         """
         agent = self.agent
         if forwarded.service not in ("", agent.service):
-            notices = self._send_not_taken(forwarded, packet.flow)
+            notices = send_not_taken(self.agent, forwarded, packet.flow)
             return [fx.Count("open_dropped", "other_service"), *notices]
         routes = agent.routes
         is_older = forwarded.revision != routes.choose_newer(forwarded.revision)
         if forwarded.service and not is_older:
             return None
         routes_notice = msg.RoutesChanged(routes.revision)
-        notices = self._send_not_taken(forwarded, packet.flow)
+        notices = send_not_taken(self.agent, forwarded, packet.flow)
         notices.append(
             fx.SendControl(parse_address(forwarded.origin_balancer), routes_notice)
         )
@@ -204,72 +288,8 @@
         reject_reason = agent.upstream.find_reject_reason(now, retransmit_count)
         return None if reject_reason is None else reject_reason.value
 
-    def _accept(
-        self,
-        forwarded: ForwardedPacket,
-        packet: FlowPacket,
-        sender: NodeId,
-        now: Seconds,
-    ) -> list[FlowEffect]:
-        """Send an open to this agent's upstream, and wait for its acceptance."""
-        agent = self.agent
-        flow = packet.flow
-        held = agent.flows.add(packet, is_confirmed=True, now=now)
-        agent.flows.record_client_packet(held, packet, now)
-        agent.upstream.health.record_open(now)
-        self._pending_open_by_flow[flow] = PendingOpen(forwarded, packet, sender, now)
-        agent.deadlines.set(("open", flow), now + ACCEPT_TIMEOUT)
-        fields = {
-            "busy": agent.flows.busy_count,
-            "hops": forwarded.hops,
-            "revision": agent.routes.revision_label,
-            "balancer": forwarded.origin_balancer,
-        }
-        return [
-            ffx.SendToUpstream(packet.datagram),
-            *agent.send_location(
-                forwarded, flow, agent.node_id, sender, forwarded.tried_agents
-            ),
-            fx.Count("open", "accepted"),
-            ffx.LogDecision("open_accepted", flow, fields),
-        ]
-
-    def _relay_or_refuse(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str, now: Seconds
-    ) -> list[FlowEffect]:
-        """Relay an open that this agent cannot accept, or else defer or refuse it.
-
-        ``reason`` is why it cannot. If no responsive agent can take the open, an
-        unresponsive one is tried. While the upstream's first report or the other agents
-        are awaited, the open is queued rather than refused or relayed to a crowded
-        upstream.
-        """
-        agent = self.agent
-        tried = (*forwarded.tried_agents, agent.node_id)
-        forwarded = msgspec.structs.replace(forwarded, tried_agents=tried)
-        if forwarded.unanswered_count >= MAX_UNANSWERED_RELAYS:
-            return self._drop_without_reset(forwarded, packet)
-        target = self._target.choose_any(forwarded, packet.flow, now)
-        is_awaiting = agent.upstream.awaits_first_report(now)
-        if target is None and is_awaiting:
-            return self._queue_briefly(forwarded, packet, "no_report", now)
-        if target is None and agent.is_joining(now) and not forwarded.has_waited:
-            return self._queue_briefly(forwarded, packet, "no_agents", now)
-        is_crowded = reason == RejectReason.CROWDED.value
-        if is_crowded and (target is None or forwarded.hops >= MAX_HOPS):
-            return self._defer(forwarded, packet, reason)
-        if target is None:
-            return self._refuse(forwarded, packet, reason)
-        if (
-            is_awaiting
-            and not forwarded.has_waited
-            and agent.placement.is_crowded(target, now)
-        ):
-            return self._queue_briefly(forwarded, packet, "no_report", now)
-        return self._relay(forwarded, packet, target, reason, now)
-
     def _queue_briefly(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str, now: Seconds
+        self, opened: PendingOpen, keep: Keep, now: Seconds
     ) -> list[FlowEffect]:
         """Queue an open for a report of the upstream, or for the list of agents.
 
@@ -277,40 +297,17 @@
         open that has waited before is dropped; the client's next retransmission starts
         a new placement.
         """
+        forwarded, packet = opened.forwarded, opened.packet
         tried = tuple(
             node for node in forwarded.tried_agents if node != self.agent.node_id
         )
         forwarded = msgspec.structs.replace(forwarded, tried_agents=tried)
         requeued = msgspec.structs.replace(forwarded, has_waited=True)
         pending = PendingOpen(requeued, packet, "", now)
-        if not forwarded.has_waited and self._try_queue(
-            pending, now + FIRST_REPORT_TIMEOUT
-        ):
-            return self._notify_queued(pending, reason)
-        notices = self._send_not_taken(forwarded, packet.flow)
-        return [fx.Count("open_dropped", reason), *notices]
-
-    def _defer(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str
-    ) -> list[FlowEffect]:
-        """Drop an open until its client retransmits it, or refuse the last copy.
-
-        If all candidate upstreams are in cold start with requests queued, one more
-        open would only lengthen every wait. The client retransmits within a fraction
-        of a second, by when there is room. Its last copy is refused at once, so that
-        the client can start over.
-        """
-        if packet.retransmit_count >= MAX_OPEN_COPIES:
-            return self._refuse(forwarded, packet, reason)
-        fields = {
-            "copies": packet.retransmit_count,
-            "tried": list(forwarded.tried_agents),
-        }
-        return [
-            *self._send_not_taken(forwarded, packet.flow),
-            fx.Count("open", "deferred"),
-            ffx.LogDecision("open_deferred", packet.flow, fields),
-        ]
+        if not forwarded.has_waited and self._try_queue(pending, keep.until):
+            return self._notify_queued(pending, keep.reason)
+        notices = send_not_taken(self.agent, forwarded, packet.flow)
+        return [fx.Count("open_dropped", keep.reason), *notices]
 
     def _drop_without_reset(
         self, forwarded: ForwardedPacket, packet: FlowPacket
@@ -330,48 +327,6 @@
             ffx.LogDecision("open_left", packet.flow, fields),
         ]
 
-    def _refuse(
-        self, forwarded: ForwardedPacket, packet: FlowPacket, reason: str
-    ) -> list[FlowEffect]:
-        """Reset an open that no agent can take, unless a relay was unanswered."""
-        if forwarded.unanswered_count:
-            return self._drop_without_reset(forwarded, packet)
-        agent = self.agent
-        fields = {"reason": reason, "tried": list(forwarded.tried_agents)}
-        return [
-            *self._send_not_taken(forwarded, packet.flow),
-            *agent.reset(packet.flow, packet.acknowledged, "nobody_able"),
-            fx.Count("open", "refused"),
-            ffx.LogDecision("open_refused", packet.flow, fields),
-        ]
-
-    def _relay(
-        self,
-        forwarded: ForwardedPacket,
-        packet: FlowPacket,
-        target: NodeId,
-        reason: str,
-        now: Seconds,
-    ) -> list[FlowEffect]:
-        """Relay an open, and wait for the report that the target has taken it."""
-        agent = self.agent
-        flow = packet.flow
-        agent.redirects.record(flow, target, now)
-        self._relayed_open_by_flow[flow] = RelayedOpen(forwarded, packet, target)
-        agent.deadlines.set(("relay", flow), now + RELAY_TIMEOUT)
-        fields = {
-            "to": target,
-            "reason": reason,
-            "busy": agent.flows.busy_count,
-            "revision": agent.routes.revision_label,
-            **agent.placement.describe(target, now),
-        }
-        return [
-            *agent.relay_to(target, forwarded, packet),
-            fx.Count("open_passed_on", reason),
-            ffx.LogDecision("open_passed_on", flow, fields),
-        ]
-
     def _retry_unanswered(
         self, unanswered: RelayedOpen, now: Seconds
     ) -> list[FlowEffect]:
@@ -406,7 +361,4 @@
         effects: list[FlowEffect] = [fx.Count("upstream_silent", "open")]
         if agent.upstream.health.record_open_timeout(now):
             effects += agent.upstream.suspect("silent", now)
-        effects += self._relay_or_refuse(
-            pending.forwarded, pending.packet, "upstream_silent", now
-        )
-        return effects
+        return effects + self._decide_without_room(pending, "upstream_silent", now)
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -22,6 +22,7 @@
     ReportKind,
     UpstreamHealth,
 )
+from bilberrypath.load.admission import UpstreamRoom, is_crowded
 from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
@@ -33,10 +34,6 @@
 # An upstream starts up to 80 ms before its agent after a loss of power, as it loads
 # less. A former process that accepted an open of it takes longer to be started again.
 START_GAP_MS = 150
-MAX_QUEUE_FIRST_OPEN = (
-    3.0  # per slot; with 4, most requests of a burst miss their latency target
-)
-MAX_QUEUE_REPEATED_OPEN = 2.0  # per slot: one request that runs, and one that waits
 POST_COLD_START_TIME: Seconds = 2.0  # about the time that a burst takes to serve
 MAX_EARLY_REPORTS = (
     10  # an upstream that starts with its agent repeats its first report 5 times
@@ -268,22 +265,22 @@
             return RejectReason.CROWDED
         return reject_reason
 
-    def _is_crowded(self, now: Seconds, retransmit_count: int) -> bool:
-        """Return whether too many requests queue during or soon after a cold start.
-
-        A first copy of an open can still be served in time. A retransmitted open is
-        already late, so its limit is lower.
-        """
-        if not self.health.was_cold(now, POST_COLD_START_TIME):
-            return False
+    def describe_room(
+        self, now: Seconds, reject_reason: str | None = None
+    ) -> UpstreamRoom:
+        """Return what the upstream may take now, for the admission of opens."""
         flows = self.agent.flows
-        queue_length = flows.busy_count + flows.count_awaiting_data(now)
-        return (
-            queue_length
-            >= (MAX_QUEUE_REPEATED_OPEN if retransmit_count else MAX_QUEUE_FIRST_OPEN)
-            * self.slots
+        return UpstreamRoom(
+            reject_reason,
+            flows.busy_count + flows.count_awaiting_data(now),
+            self.slots,
+            self.health.was_cold(now, POST_COLD_START_TIME),
+            self.awaits_first_report(now),
         )
 
+    def _is_crowded(self, now: Seconds, retransmit_count: int) -> bool:
+        return is_crowded(self.describe_room(now), retransmit_count)
+
     def announce_status(self, reason: str, now: Seconds) -> list[FlowEffect]:
         """Announce what balancers know of the upstream, if that changed.
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -15,7 +15,7 @@
     summarize,
     use_constant,
 )
-from bilberrypath.coordination import upstream_monitor
+from bilberrypath.load import admission
 
 EXPERIMENTS = Path(__file__).parents[1] / "benchmarks" / "experiments"
 LOAD = Load(3, 2, 0.05, 8, 2.0, 40, 20, 0.2, 1.0, 0.3, 0.01)
@@ -27,7 +27,7 @@
 
 class TestExperiment:
     def test_same_seed_gives_the_same_result(self):
-        constants = {"upstream_monitor.MAX_QUEUE_FIRST_OPEN": 2.0}
+        constants = {"load.admission.MAX_QUEUE_FIRST_OPEN": 2.0}
         first_results, second_results = (
             run_policy(constants, LOAD, [3]) for _ in range(2)
         )
@@ -35,10 +35,10 @@
         assert 0 < first_results[0].worth <= 1
 
     def test_constants_are_restored(self):
-        value_before = upstream_monitor.MAX_QUEUE_FIRST_OPEN
-        with use_constant("upstream_monitor.MAX_QUEUE_FIRST_OPEN", 9.0):
-            assert upstream_monitor.MAX_QUEUE_FIRST_OPEN == 9.0
-        assert value_before == upstream_monitor.MAX_QUEUE_FIRST_OPEN
+        value_before = admission.MAX_QUEUE_FIRST_OPEN
+        with use_constant("load.admission.MAX_QUEUE_FIRST_OPEN", 9.0):
+            assert admission.MAX_QUEUE_FIRST_OPEN == 9.0
+        assert value_before == admission.MAX_QUEUE_FIRST_OPEN
 
     def test_error_names_an_unknown_constant(self):
         with (
