--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -22,17 +22,22 @@
 from bilberrypath.coordination.load_reporter import LoadReporter
 from bilberrypath.coordination.open_handler import OpenHandler
 from bilberrypath.coordination.open_placement import OpenPlacement
-from bilberrypath.coordination.packet_relay import list_notified, make_relayed
+from bilberrypath.coordination.packet_relay import (
+    list_notified,
+    make_relayed,
+    may_follow_redirect,
+)
 from bilberrypath.coordination.pause_detector import PauseDetector
+from bilberrypath.coordination.request_scheduler import RequestScheduler
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.service_peers import ServicePeers
+from bilberrypath.coordination.trials import has_unanswered_trial
 from bilberrypath.coordination.unresponsive_peers import UnresponsivePeers
 from bilberrypath.coordination.upstream_monitor import UpstreamMonitor
 from bilberrypath.coordination.upstream_packets import UpstreamPackets
 from bilberrypath.dispatch import dispatchmethod
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id, parse_address
-from bilberrypath.state.members import Status
 
 if TYPE_CHECKING:
     from random import Random
@@ -58,16 +63,17 @@
         self.rng = rng
         self.routes = RouteTracker()
         self.registration = FlowRegistration(setup.own_member, setup.seeds, rng)
-        self.flows = HeldFlows()
+        self.flows = HeldFlows(find_terms=self.routes.find_terms)
         self.redirects = FlowLocationCache()
         self.unresponsive_peers = UnresponsivePeers()
         self.placement = OpenPlacement(rng)
         self.deadlines: Deadlines[tuple[str, bytes]] = Deadlines()
+        self.request_scheduler = RequestScheduler(self)
         self.upstream = UpstreamMonitor(self, now)
         self.open_handler = OpenHandler(self)
         self.locator = FlowLocator(self)
         self.upstream_packets = UpstreamPackets(self)
-        self._started_at = now
+        self.started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
         self.peers = ServicePeers(self, LoadReporter(rng, now))
         self.is_leaving = False
@@ -102,7 +108,7 @@
 
     def is_joining(self, now: Seconds) -> bool:
         """Return whether this process just started and may learn of more agents."""
-        is_new = now - self._started_at < ev.STARTUP_WINDOW
+        is_new = now - self.started_at < ev.STARTUP_WINDOW
         return is_new and now - self.agents_changed_at < JOIN_QUIET_TIME
 
     def next_timer_at(self) -> Seconds | None:
@@ -122,6 +128,8 @@
                 effects += self.locator.lost_flows.retry(flow, now)
             elif kind == "end":
                 effects += self.upstream.probe_until_end(now)
+            elif kind == "gate":
+                effects += self.request_scheduler.release_due(now)
             else:
                 effects += self.open_handler.handle_deadline(kind, flow, now)
         return effects
@@ -158,20 +166,29 @@
     ) -> list[FlowEffect]:
         """Deliver, queue or relay a packet, or place or look up its flow."""
         held = self.flows.get(packet.flow)
+        if held is not None and has_unanswered_trial(self, held, now):
+            return self.locator.end_trial(forwarded, packet, now)
         if held is not None and not held.may_take(packet, now):
             return [fx.Count("packet_queued", "not_confirmed")]
         if held is not None:
-            self.flows.record_client_packet(held, packet, now)
+            if self.request_scheduler.is_active:
+                sent = self.request_scheduler.deliver(held, packet, now)
+            else:
+                self.flows.record_client_packet(held, packet, now)
+                sent = [ffx.SendToUpstream(packet.datagram)]
+            if not forwarded.wants_location:
+                return sent
             tried = forwarded.tried_agents if packet.is_syn else ()
+            own = self.node_id
             notices = self.send_location(
-                forwarded, packet.flow, self.node_id, sender, tried, held.is_confirmed
+                forwarded, packet.flow, own, sender, tried, is_certain=held.is_confirmed
             )
-            return [ffx.SendToUpstream(packet.datagram), *notices]
+            return [*sent, *notices]
         if self.locator.try_queue(forwarded, packet):
             return []
         holder = self.redirects.find(packet.flow, now)
-        if holder is not None and self._may_follow_redirect(
-            holder, sender, forwarded, now
+        if holder is not None and may_follow_redirect(
+            self, holder, sender, forwarded, now
         ):
             self.unresponsive_peers.expect_answer(holder, now)
             return self.relay_to(holder, forwarded, packet)
@@ -180,29 +197,6 @@
             return self.open_handler.place(forwarded, packet, sender, now)
         return self.locator.locate(forwarded, packet, now)
 
-    def _may_follow_redirect(
-        self,
-        holder: NodeId,
-        sender: NodeId,
-        forwarded: msg.ForwardedPacket,
-        now: Seconds,
-    ) -> bool:
-        """Return whether a packet may be relayed to the holder of its redirect.
-
-        It may not if the holder has failed or is no known peer, if it has already tried
-        the packet or sent it here, or if this agent has relayed the packet before.
-        """
-        is_known_peer = self.placement.may_have_flows(holder)
-        if self.node_id in forwarded.relayed_by or self.unresponsive_peers.has_failed(
-            holder, now
-        ):
-            return False
-        return (
-            is_known_peer
-            and holder not in (sender, self.node_id)
-            and holder not in forwarded.tried_agents
-        )
-
     def relay_to(
         self, agent: NodeId, forwarded: msg.ForwardedPacket, packet: FlowPacket
     ) -> list[FlowEffect]:
@@ -218,17 +212,20 @@
         holder: NodeId,
         sender: NodeId = "",
         tried_agents: tuple[NodeId, ...] = (),
-        is_certain: bool = False,
+        **qualifiers: bool,
     ) -> list[FlowEffect]:
         """Send a flow's location to the processes that handled its packet.
 
         ``tried_agents`` are told too; see :func:`list_notified`. Nothing is sent unless
-        the location is wanted. An empty ``holder`` means that no holder is known.
+        the location is wanted. An empty ``holder`` means that no holder is known, and
+        ``qualifiers`` are further fields of the message.
         """
         if not forwarded.wants_location:
             return []
         services = () if holder else tuple(self.routes.list_services(flow))
-        message = msg.FlowLocation(flow, holder, self.service, is_certain, services)
+        message = msg.FlowLocation(
+            flow, holder, self.service, services=services, **qualifiers
+        )
         return [
             fx.SendControl(parse_address(node_id), message)
             for node_id in list_notified(forwarded, self.node_id, sender, tried_agents)
@@ -284,6 +281,7 @@
     def _(self, event: fev.RoutesPulled, now: Seconds) -> list[FlowEffect]:
         effects = self.routes.handle_reply(event.reply)
         self.registration.routes_revision = self.routes.revision
+        effects += self.request_scheduler.update(now)
         effects += self.upstream.announce_status("routes", now)
         return effects + self.open_handler.retry_queued(now)
 
@@ -295,18 +293,7 @@
     @handle.register(ev.Leave)
     def _(self, event: ev.Leave, now: Seconds) -> list[FlowEffect]:
         self.is_leaving = True
-        status = Status.LEFT if self.upstream.is_gone else Status.DRAINING
-        self.registration.announce(status)
-        fields = {
-            "status": status.name.lower(),
-            "flows": len(self.flows),
-            **self.upstream.health.describe(now),
-        }
-        return [
-            fx.LogStateChange("leaving", fields),
-            *self.registration.send_heartbeats(0, 0, now),
-            *self.peers.send_load_report(now),
-        ]
+        return [*self.request_scheduler.update(now), *self.peers.announce_end(now)]
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
@@ -319,6 +306,7 @@
         idle_limit = self.routes.table.idle_timeout + IDLE_MARGIN
         self.flows.sweep(idle_limit, now)
         self.redirects.sweep(idle_limit, now)
+        effects += self.request_scheduler.handle_removed(now)
         return effects + self.peers.tick(now)
 
     # Messages
@@ -356,7 +344,13 @@
     def _(
         self, message: msg.LoadReport, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        self.peers.handle_load_report(message, format_node_id(sender), now)
+        return self.peers.handle_load_report(message, format_node_id(sender), now)
+
+    @_handle_message.register(msg.FlowHeartbeat)
+    def _(
+        self, message: msg.FlowHeartbeat, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        self.peers.handle_end(message.member, format_node_id(sender), now)
         return []
 
     @_handle_message.register(msg.FlowHeartbeatAck)
@@ -392,5 +386,7 @@
         pause = self.pause_detector.record(now)
         if pause:
             self.upstream.health.shift_for_pause(pause)
+            self.flows.shift_for_pause(pause)
             self.unresponsive_peers.shift_for_pause(pause)
             self.deadlines.shift_for_pause(pause)
+            self.request_scheduler.shift_for_pause()
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -14,12 +14,14 @@
 from attrs import Factory, define
 
 from bilberrypath.coordination.failure_rate import FailureRate
+from bilberrypath.load.upstream_speed import UpstreamSpeed
 from bilberrypath.protocol.flow_packet import ENDPOINT_LENGTH
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from bilberrypath.protocol.flow_packet import FlowPacket
+    from bilberrypath.state.route_terms import RouteTerms
     from bilberrypath.types import Seconds
 
 UTILIZATION_TIME_CONSTANT: Seconds = 1.0  # of the moving average of busy flows
@@ -42,7 +44,9 @@
     """One flow of the upstream.
 
     ``seen_at`` is the time of its last packet, and ``busy_since`` that of the running
-    request's first data, or None. ``is_open`` is false until the upstream accepts the
+    request's first data, or None. ``sent_at`` is the time at which that request was
+    sent to the upstream. ``kind`` is the kind of request that the route stated when the
+    flow sent its first one. ``is_open`` is false until the upstream accepts the
     open or sends data. ``is_confirmed`` is false while a tentative delivery is the
     only sign that the upstream has the flow. Two upstreams may accept one open, and
     the client then uses one of them: ``is_chosen`` is true once the client has
@@ -50,9 +54,11 @@
     the upstream has sent more. ``upstream_acknowledged`` is the upstream's last
     acknowledgement, None before the first. ``acknowledged`` is the client's last, for
     use in a reset. ``is_live`` is true until the flow has ended. ``has_failed`` is true
-    once the running request has been counted as unanswered. ``tried_at`` is the time
-    of the last packet that was delivered while nothing but a trial showed that the flow
-    is here, and ``waiting`` are those that came after it.
+    once the running request has been counted as unanswered. ``sent_at`` is the time at
+    which the running request was sent to the upstream. It is None if none is running
+    there: while the request is kept (``is_kept``), and after a reset by the client.
+    ``tried_at`` is the time of the last packet that was delivered while nothing but a
+    trial showed that the flow is here, and ``waiting`` are those that came after it.
     """
 
     seen_at: Seconds
@@ -63,6 +69,9 @@
     accepted_sequence: int | None = None
     upstream_acknowledged: int | None = None
     busy_since: Seconds | None = None
+    sent_at: Seconds | None = None
+    kind: str | None = None
+    is_kept: bool = False
     client_closed: bool = False
     upstream_closed: bool = False
     is_live: bool = True
@@ -129,16 +138,20 @@
 class HeldFlows:
     """All flows of the upstream, with their load.
 
-    ``busy_count`` counts the flows with a running request, and ``live_count`` those
-    that have not ended. ``_opened_at_by_key`` holds the flows that were just opened
-    and have sent no data yet. ``failure_rate`` covers the requests of all flows.
-    ``count_by_endpoint`` counts the flows by the packed address that their clients send
-    to.
+    ``busy_count`` counts the flows with a running request, ``sent_count`` those whose
+    request was sent to the upstream, and ``live_count`` those that have not ended.
+    ``_opened_at_by_key`` holds the flows that were just opened and have sent no data
+    yet. ``failure_rate`` covers the requests of all flows. ``count_by_endpoint`` counts
+    the flows by the packed address that their clients send to. ``speed`` is measured
+    from the requests of all flows. ``find_terms`` returns the terms of a flow's route.
     """
 
     flow_by_key: dict[bytes, HeldFlow] = Factory(dict)
     failure_rate: FailureRate = Factory(FailureRate)
+    speed: UpstreamSpeed = Factory(UpstreamSpeed)
+    find_terms: Callable[[bytes], RouteTerms | None] | None = None
     busy_count: int = 0
+    sent_count: int = 0
     live_count: int = 0
     count_by_endpoint: Counter[bytes] = Factory(Counter)
     _mean_busy: float = 0.0
@@ -195,6 +208,53 @@
             self._update_mean(now)
             held.busy_since = now
             self.busy_count += 1
+            self._record_sent(held, packet.flow, now)
+        if packet.is_rst:
+            self._mark_not_sent(held, now)
+
+    def _record_sent(self, held: HeldFlow, flow: bytes, now: Seconds) -> None:
+        """Record that the request that just began is sent to the upstream."""
+        if held.kind is None:
+            terms = None if self.find_terms is None else self.find_terms(flow)
+            held.kind = "" if terms is None else terms.kind
+        self.mark_sent(held, now)
+
+    def mark_kept(self, held: HeldFlow, now: Seconds) -> None:
+        """Record that the request that just began is kept, and not sent yet."""
+        held.is_kept = True
+        self._mark_not_sent(held, now)
+
+    def mark_sent(self, held: HeldFlow, now: Seconds) -> None:
+        """Record that the running request of a flow is sent to the upstream now."""
+        held.is_kept = False
+        held.sent_at = now
+        self.sent_count += 1
+        self.speed.record_sent(held.kind or "", now)
+
+    def mark_discarded(self, held: HeldFlow, now: Seconds) -> None:
+        """Record that the kept request of a flow is not sent to the upstream."""
+        held.is_kept = False
+        self._mark_idle(held, now)
+
+    def update_speed(
+        self, slots: int, cold_until: Seconds, is_other: bool, now: Seconds
+    ) -> None:
+        """Adapt the measured speed to a report of the upstream.
+
+        With ``is_other`` the upstream has restarted, or is not the one measured before.
+        Requests that are sent before ``cold_until`` are not measured.
+        """
+        if is_other:
+            self.speed.forget(now)
+        self.speed.set_slots(slots)
+        self.speed.learn_from(cold_until)
+
+    def shift_for_pause(self, pause: Seconds) -> None:
+        """Leave a pause of this process out of the times of running requests."""
+        self.speed.shift_for_pause(pause)
+        for held in self.flow_by_key.values():
+            if held.sent_at is not None:
+                held.sent_at += pause
 
     def record_upstream_packet(
         self, held: HeldFlow, packet: FlowPacket, now: Seconds
@@ -210,7 +270,8 @@
             held.is_chosen = True
         if packet.is_syn_ack or packet.data_length:
             held.is_open = True
-        if packet.data_length or packet.is_fin or packet.is_rst:
+        is_end = packet.is_fin or packet.is_rst
+        if is_end or (packet.data_length and not held.is_kept):
             self._record_outcome(held, packet, now)
             self._mark_idle(held, now)
         if packet.is_fin:
@@ -261,8 +322,12 @@
 
     def _record_outcome(self, held: HeldFlow, packet: FlowPacket, now: Seconds) -> None:
         """Count a running request as answered, or as failed if its flow was reset."""
-        if held.busy_since is None:
+        if held.busy_since is None or held.is_kept:
             return
+        if packet.data_length and held.sent_at is not None:
+            self.speed.record_answered(held.kind or "", held.sent_at, now)
+            held.sent_at = None
+            self.sent_count -= 1
         if not packet.is_rst:
             self.failure_rate.record_answered(now)
         elif not held.has_failed:
@@ -289,9 +354,18 @@
             held.is_live = False
             self.live_count -= 1
 
+    def _mark_not_sent(self, held: HeldFlow, now: Seconds) -> None:
+        """Record that no answer of the upstream is awaited; it is not measured."""
+        if held.sent_at is not None:
+            self.speed.record_failed(held.kind or "", held.sent_at, now)
+            held.sent_at = None
+            self.sent_count -= 1
+
     def _mark_idle(self, held: HeldFlow, now: Seconds) -> None:
         if held.busy_since is None:
             return
+        self._mark_not_sent(held, now)
+        held.is_kept = False
         self._update_mean(now)
         held.busy_since = None
         held.has_failed = False
--- a/bilberrypath/coordination/open_effects.py
+++ b/bilberrypath/coordination/open_effects.py
@@ -18,7 +18,11 @@
 
 
 def describe_attempt(
-    agent: FlowAgent, opened: PendingOpen, target: NodeId | None, now: Seconds
+    agent: FlowAgent,
+    opened: PendingOpen,
+    target: NodeId | None,
+    now: Seconds,
+    is_late: bool = False,
 ) -> OpenAttempt:
     """Return an open as the admission sees it; ``target`` is who could take it."""
     forwarded = opened.forwarded
@@ -33,6 +37,7 @@
         has_waited=forwarded.has_waited,
         retransmit_count=opened.packet.retransmit_count,
         unanswered_count=forwarded.unanswered_count,
+        is_late=is_late,
     )
 
 
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -14,6 +14,7 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
+from bilberrypath.coordination.late_opens import LateOpens
 from bilberrypath.coordination.open_effects import (
     describe_attempt,
     report_accepted,
@@ -28,6 +29,7 @@
     MAX_UNANSWERED_RELAYS,
     Defer,
     Keep,
+    LeaveRefusal,
     PassOn,
     Refuse,
     Take,
@@ -59,13 +61,15 @@
     """
 
     agent: FlowAgent = field(repr=False)
-    _target: OpenTarget = field(init=False)
+    late_opens: LateOpens = field(init=False)
+    target: OpenTarget = field(init=False)
     _pending_open_by_flow: dict[bytes, PendingOpen] = Factory(dict)
     _relayed_open_by_flow: dict[bytes, RelayedOpen] = Factory(dict)
     _queued_open_by_flow: dict[bytes, PendingOpen] = Factory(dict)
 
     def __attrs_post_init__(self) -> None:
-        self._target = OpenTarget(self.agent)
+        self.late_opens = LateOpens(self.agent)
+        self.target = OpenTarget(self.agent)
 
     def place(
         self,
@@ -73,6 +77,7 @@
         packet: FlowPacket,
         sender: NodeId,
         now: Seconds,
+        was_queued: bool = False,
     ) -> list[FlowEffect]:
         """Place an open; queue it first if its sender has a newer route table.
 
@@ -82,7 +87,7 @@
             pending = PendingOpen(forwarded, packet, sender, now)
             if self._try_queue(pending, now + ROUTES_TIMEOUT):
                 return self._notify_queued(pending, "routes_behind")
-        return self._decide(forwarded, packet, sender, now)
+        return self._decide(forwarded, packet, sender, now, was_queued)
 
     def retry_queued(self, now: Seconds) -> list[FlowEffect]:
         """Place the opens that are queued for routes, a report or the other agents."""
@@ -91,7 +96,7 @@
         for flow, pending in queued.items():
             self.agent.deadlines.clear(("wait", flow))
             effects += self.place(
-                pending.forwarded, pending.packet, pending.sender, now
+                pending.forwarded, pending.packet, pending.sender, now, was_queued=True
             )
         return effects
 
@@ -125,7 +130,9 @@
         """
         if kind == "wait":
             queued = self._queued_open_by_flow.pop(flow)
-            return self._decide(queued.forwarded, queued.packet, queued.sender, now)
+            return self._decide(
+                queued.forwarded, queued.packet, queued.sender, now, was_queued=True
+            )
         if kind == "relay":
             return self._retry_unanswered(self._relayed_open_by_flow.pop(flow), now)
         return self._handle_unaccepted(self._pending_open_by_flow.pop(flow), now)
@@ -157,32 +164,38 @@
         packet: FlowPacket,
         sender: NodeId,
         now: Seconds,
+        was_queued: bool = False,
     ) -> list[FlowEffect]:
-        """Decide on an open by the routes in force and the loads."""
+        """Decide on an open by the routes in force and the loads.
+
+        The balancer of an open that was queued here knows that, and asks nobody else.
+        """
         rejection = self._check_routes(forwarded, packet)
         if rejection is not None:
             return rejection
         opened = PendingOpen(forwarded, packet, sender, now)
         reject_reason = self._find_reject_reason(now, packet.retransmit_count)
         if reject_reason is not None:
-            return self._decide_without_room(opened, reject_reason, now)
-        target = self._target.choose_better(forwarded, packet.flow, sender, now)
+            is_late = not was_queued and self.late_opens.may_be_late(forwarded, now)
+            return self._decide_without_room(opened, reject_reason, now, is_late)
+        target = self.target.choose_better(forwarded, packet.flow, sender, now)
         return self._perform(opened, None, target, now)
 
     def _decide_without_room(
-        self, opened: PendingOpen, reason: str, now: Seconds
+        self, opened: PendingOpen, reason: str, now: Seconds, is_late: bool = False
     ) -> list[FlowEffect]:
         """Decide on an open that this agent cannot accept.
 
-        If no responsive agent can take it, an unresponsive one is tried.
+        If no responsive agent can take it, an unresponsive one is tried. ``is_late``
+        states whether others may have been asked before this agent read the open.
         """
         tried = (*opened.forwarded.tried_agents, self.agent.node_id)
         forwarded = msgspec.structs.replace(opened.forwarded, tried_agents=tried)
         opened = evolve(opened, forwarded=forwarded)
         target = None
         if forwarded.unanswered_count < MAX_UNANSWERED_RELAYS:
-            target = self._target.choose_any(forwarded, opened.packet.flow, now)
-        return self._perform(opened, reason, target, now)
+            target = self.target.choose_any(forwarded, opened.packet.flow, now)
+        return self._perform(opened, reason, target, now, is_late)
 
     def _perform(
         self,
@@ -190,6 +203,7 @@
         reason: str | None,
         target: NodeId | None,
         now: Seconds,
+        is_late: bool = False,
     ) -> list[FlowEffect]:
         """Have an open decided, and perform the decision.
 
@@ -200,7 +214,7 @@
         decision = decide_open(
             agent.upstream.describe_room(now, reason),
             agent.routes.find_terms(opened.packet.flow),
-            describe_attempt(agent, opened, target, now),
+            describe_attempt(agent, opened, target, now, is_late),
             agent.peers.pressure_monitor.pressure,
         )
         match decision:
@@ -214,6 +228,11 @@
                 return self._queue_briefly(opened, decision, now)
             case Defer():
                 return report_deferred(agent, opened)
+            case LeaveRefusal():
+                forwarded, flow = opened.forwarded, opened.packet.flow
+                return self.late_opens.leave_refusal(
+                    forwarded, flow, decision.reason, now
+                )
             case Refuse():
                 return self._refuse(opened, decision.reason)
 
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -11,29 +11,39 @@
 from math import exp
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 from bilberrypath.coordination.absent_agents import MAX_SENT_AGENTS, AbsentAgents
-from bilberrypath.load.pressure import UpstreamLoad, compute_spillover_load
+from bilberrypath.load.expected_wait import (
+    FULL_REPORTED_CONFIDENCE,
+    MIN_REFERENCE_CONFIDENCE,
+    compute_load,
+    compute_reference,
+    compute_relative_time,
+)
+from bilberrypath.load.pressure import UpstreamLoad
 
 if TYPE_CHECKING:
-    from collections.abc import Container
     from random import Random
 
-    from bilberrypath.load.pressure import ServicePressure
+    from bilberrypath.coordination.placement_constraints import (
+        OwnLoad,
+        PlacementConstraints,
+    )
+    from bilberrypath.load.upstream_speed import SpeedEstimate
     from bilberrypath.protocol.flow_messages import AbsentAgent, LoadReport
     from bilberrypath.state.members import Member
     from bilberrypath.types import DataCentreName, NodeId, Seconds, ServiceName
 
 SAMPLE_SIZE = 3  # agents compared per open; as many again near its client
 MIN_GAIN = 0.3  # of the slots; a smaller gain does not justify a relay
-DISTANCE_PENALTY = 0.35  # of the slots; extra gain required between data centres
 CROWDED_UTILIZATION = 1.0  # running requests over slots; requests queue above it
 FRESH_REPORT_AGE: Seconds = 1.1  # two load report periods
 MAX_REPORT_AGE: Seconds = 2.0  # the load of older reports is ignored
 # After this time an open that was relayed to an agent has probably been answered, or is
 # part of what the agent reports.
 RECENT_OPEN_TIME: Seconds = 0.1
+MAX_SPEED_AGE: Seconds = 5.0  # of a report; speeds change more slowly than loads
 MAX_HOPS = 3  # relays of an open after which load is ignored
 
 
@@ -43,12 +53,14 @@
 
     ``opens_since_report`` counts the opens that were relayed to it since that report.
     ``_recent_opens`` counts them with weights that decay with ``RECENT_OPEN_TIME``.
+    ``relative_time`` is its service time over the reference of the service.
     """
 
     member: Member
     report: LoadReport | None = None
     reported_at: Seconds = float("-inf")
     opens_since_report: int = 0
+    relative_time: float = 1.0
     _recent_opens: float = 0.0
     _opened_at: Seconds = float("-inf")
 
@@ -80,7 +92,7 @@
         self._recent_opens = self._count_recent_opens(now) + 1
         self._opened_at = now
 
-    def estimate_load(self, now: Seconds) -> UpstreamLoad:
+    def estimate_upstream_load(self, now: Seconds) -> UpstreamLoad:
         """Return what is known of the upstream's load, where terms are stated.
 
         A report may be a second old, so an open since then counts only while it may
@@ -100,55 +112,29 @@
     def _count_recent_opens(self, now: Seconds) -> float:
         return self._recent_opens * exp((self._opened_at - now) / RECENT_OPEN_TIME)
 
+    def estimate_load(self, now: Seconds) -> float:
+        """Return the load of one more open, or 1 without a recent report."""
+        utilization = self.estimate_utilization(now)
+        if self.relative_time == 1.0 or now - self.reported_at > MAX_REPORT_AGE:
+            return utilization
+        return compute_load(utilization, self.report.slots, self.relative_time)
+
+    def update_relative_time(self, reference: Seconds) -> None:
+        """Compare the reported service time with the usual one, 0 if unknown."""
+        report = self.report
+        if report is not None:
+            confidence = report.confidence / FULL_REPORTED_CONFIDENCE
+            self.relative_time = compute_relative_time(
+                report.service_time, confidence, reference
+            )
 
-@frozen
-class OwnLoad:
-    """The busy flows, slots, utilization and data centre of this agent."""
-
-    busy_count: int
-    slots: int
-    utilization: float
-    data_centre: DataCentreName
-
-
-@frozen
-class PlacementConstraints:
-    """The client's data centre, and the agents and data centres to exclude.
-
-    ``pressure`` is that of the service, or None if the route states no terms. With it,
-    an open leaves its client's data centre only if no upstream there has room.
-    """
-
-    client_data_centre: DataCentreName
-    excluded_ids: Container[NodeId]
-    excluded_data_centres: Container[DataCentreName]
-    pressure: ServicePressure | None = None
-
-    def is_near(self, data_centre: DataCentreName) -> bool:
-        """Return whether a data centre is the client's, or the client's is unknown."""
-        return self.client_data_centre in ("", data_centre)
-
-    def compute_score(self, utilization: float, data_centre: DataCentreName) -> float:
-        """Return the value by which agents are compared; the lowest is the best."""
-        if self.pressure is None:
-            penalty = compute_distance_penalty(data_centre, self.client_data_centre)
-            return utilization + penalty
-        is_near_full = self.client_data_centre in self.pressure.full_data_centres
-        return compute_spillover_load(
-            utilization, self.is_near(data_centre), is_near_full
-        )
-
-
-def compute_distance_penalty(
-    data_centre: DataCentreName, client_data_centre: DataCentreName
-) -> float:
-    """Return the utilization added to an agent outside the client's data centre.
-
-    A flow that stays in its client's data centre survives a network partition between
-    data centres, and its traffic costs less. An empty client data centre is unknown
-    and adds nothing.
-    """
-    return 0.0 if client_data_centre in ("", data_centre) else DISTANCE_PENALTY
+    def get_reference_time(self, now: Seconds) -> Seconds:
+        """Return the service time if it is known well and recent, else 0."""
+        report = self.report
+        if report is None or now - self.reported_at > MAX_SPEED_AGE:
+            return 0.0
+        confidence = report.confidence / FULL_REPORTED_CONFIDENCE
+        return report.service_time if confidence >= MIN_REFERENCE_CONFIDENCE else 0.0
 
 
 @define
@@ -157,14 +143,30 @@
 
     ``_unlisted_ids`` are peers that are gone by the list of agents, and are kept until
     their last load report is old. ``absent`` are those dropped then, unless they had
-    announced that they left: they get no opens, but may have flows.
+    announced that they left: they get no opens, but may have flows. ``reference`` is
+    the median of the service times of the service's agents, 0 if unknown, and
+    ``own_relative_time`` this agent's service time relative to it.
     """
 
     rng: Random
     peer_by_id: dict[NodeId, PeerAgent] = Factory(dict)
     absent: AbsentAgents = Factory(AbsentAgents)
+    reference: Seconds = 0.0
+    own_relative_time: float = 1.0
     _unlisted_ids: set[NodeId] = Factory(set)
 
+    def update_reference(self, own: SpeedEstimate, now: Seconds) -> None:
+        """Compute the reference of service times from recent reports and this agent."""
+        times = [peer.get_reference_time(now) for peer in self.peer_by_id.values()]
+        if own.confidence >= MIN_REFERENCE_CONFIDENCE:
+            times.append(own.service_time)
+        self.reference = compute_reference(times)
+        self.own_relative_time = compute_relative_time(
+            own.service_time, own.confidence, self.reference
+        )
+        for peer in self.peer_by_id.values():
+            peer.update_relative_time(self.reference)
+
     def update_agents(
         self, agents: tuple[Member, ...], own_id: NodeId, now: Seconds
     ) -> bool:
@@ -204,12 +206,12 @@
                 self.absent.forget(member.node_id)
             elif not member.is_gone:
                 self._set_member(member)
-            elif member.has_left:
+            elif not member.may_have_flows:
                 self.absent.forget(member.node_id)
             if member.is_gone and member.node_id in self.peer_by_id:
                 self.peer_by_id[member.node_id].member = member
                 self._unlisted_ids.add(member.node_id)
-            elif member.is_gone and not member.has_left:
+            elif member.is_gone and member.may_have_flows:
                 self.absent.record(member.node_id, now)
         self.drop_unlisted(now)
         return previous != set(self.peer_by_id)
@@ -221,7 +223,7 @@
             if peer is None or now - peer.reported_at > MAX_REPORT_AGE:
                 self.peer_by_id.pop(node_id, None)
                 self._unlisted_ids.discard(node_id)
-                if peer is not None and not peer.member.has_left:
+                if peer is not None and peer.member.may_have_flows:
                     self.absent.record(node_id, now)
 
     def report_absent(self, now: Seconds) -> tuple[AbsentAgent, ...]:
@@ -232,10 +234,15 @@
         unlisted = [
             (node_id, 0.0)
             for node_id in sorted(self._unlisted_ids & self.peer_by_id.keys())
-            if not self.peer_by_id[node_id].member.has_left
+            if self.peer_by_id[node_id].member.may_have_flows
         ]
         return (*self.absent.make_report(now), *unlisted[:MAX_SENT_AGENTS])
 
+    def has_announced_no_flows(self, node_id: NodeId) -> bool:
+        """Return whether a listed agent announced that its upstream has no flows."""
+        peer = self.peer_by_id.get(node_id)
+        return peer is not None and peer.member.has_no_flows
+
     def may_have_flows(self, node_id: NodeId) -> bool:
         """Return whether an agent is a known one of the service, listed or absent."""
         return node_id in self.peer_by_id or node_id in self.absent.list_ids()
@@ -244,6 +251,8 @@
         """Forget all peers, as this agent belongs to another service now."""
         self.peer_by_id.clear()
         self.absent.clear()
+        self.reference = 0.0
+        self.own_relative_time = 1.0
 
     def _set_member(self, member: Member) -> None:
         self._unlisted_ids.discard(member.node_id)
@@ -277,7 +286,11 @@
         best = self._sample_best(constraints, now)
         if best is None:
             return None
-        own_score = constraints.compute_score(own.utilization, own.data_centre)
+        if constraints.pressure is None:
+            load = compute_load(own.utilization, own.slots, self.own_relative_time)
+        else:
+            load = own.utilization
+        own_score = constraints.compute_score(load, own.data_centre)
         gain = own_score - _score(best, constraints, now)
         is_full = own.busy_count >= own.slots
         is_nearer = constraints.pressure is not None and (
@@ -321,10 +334,12 @@
         if peer.report is None:
             return {}
         age = round(now - peer.reported_at, 3)
-        return {
-            "pressure": round(peer.estimate_utilization(now), 2),
-            "pressure_age": age,
-        }
+        utilization = peer.estimate_utilization(now)
+        fields = {"pressure": round(utilization, 2), "pressure_age": age}
+        load = peer.estimate_load(now)
+        if load != utilization:
+            fields["load"] = round(load, 2)
+        return fields
 
     def _record_choice(self, peer: PeerAgent, now: Seconds) -> NodeId:
         peer.record_open(now)
@@ -370,12 +385,14 @@
 
 def _prefer_with_room(peers: list[PeerAgent], now: Seconds) -> list[PeerAgent]:
     """Return the peers that probably have a free slot, or all if none has."""
-    return [peer for peer in peers if peer.estimate_load(now).has_room] or peers
+    return [
+        peer for peer in peers if peer.estimate_upstream_load(now).has_room
+    ] or peers
 
 
 def _score(peer: PeerAgent, constraints: PlacementConstraints, now: Seconds) -> float:
     if constraints.pressure is None:
-        utilization = peer.estimate_utilization(now)
+        load = peer.estimate_load(now)
     else:
-        utilization = peer.estimate_load(now).utilization
-    return constraints.compute_score(utilization, peer.member.data_centre)
+        load = peer.estimate_upstream_load(now).utilization
+    return constraints.compute_score(load, peer.member.data_centre)
--- a/bilberrypath/coordination/open_target.py
+++ b/bilberrypath/coordination/open_target.py
@@ -6,8 +6,8 @@
 
 from attrs import define, field
 
-from bilberrypath.coordination.open_placement import (
-    MAX_HOPS,
+from bilberrypath.coordination.open_placement import MAX_HOPS
+from bilberrypath.coordination.placement_constraints import (
     OwnLoad,
     PlacementConstraints,
 )
@@ -36,7 +36,7 @@
         One that does not respond is tried only if no other can take the open.
         """
         placement = self.agent.placement
-        target = placement.choose_any(self._make_constraints(forwarded, flow), now)
+        target = placement.choose_any(self.make_constraints(forwarded, flow), now)
         if target is None:
             fallback = self._make_fallback_constraints(forwarded, flow)
             target = placement.choose_any(fallback, now)
@@ -51,7 +51,7 @@
         """
         agent = self.agent
         if agent.is_leaving:
-            constraints = self._make_constraints(
+            constraints = self.make_constraints(
                 forwarded, flow, sender, agent.node_id, *forwarded.relayed_by
             )
             return agent.placement.choose_any(constraints, now)
@@ -72,12 +72,12 @@
         busy = agent.flows.busy_count
         utilization = agent.flows.compute_utilization(slots, now)
         own = OwnLoad(busy, slots, utilization, agent.setup.own_member.data_centre)
-        constraints = self._make_constraints(
+        constraints = self.make_constraints(
             forwarded, flow, sender, *forwarded.relayed_by
         )
         return agent.placement.choose_less_busy(own, constraints, now)
 
-    def _make_constraints(
+    def make_constraints(
         self, forwarded: ForwardedPacket, flow: bytes, *excluded: NodeId
     ) -> PlacementConstraints:
         """Return constraints that exclude tried, unresponsive and given agents."""
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -153,14 +153,21 @@
         is_first_report = not self._has_received_report
         self._has_received_report = True
         kind = self.health.handle_report(event, now)
+        self.agent.request_scheduler.update_room()
         self.is_gone = self.is_gone and kind is ReportKind.OUTDATED
         if kind is ReportKind.NEW_START or not event.draining:
             self.awaits_end = False
         effects: list[FlowEffect] = []
         if kind is ReportKind.NEW_START:
             effects += self._handle_new_start(event, is_first_report, now)
-        if event.service != self.agent.service and kind is not ReportKind.OUTDATED:
+        is_other_service = event.service != self.agent.service
+        if is_other_service and kind is not ReportKind.OUTDATED:
             effects += self._change_service(event.service)
+            effects += self.agent.request_scheduler.change_service(now)
+        if kind is not ReportKind.OUTDATED:
+            is_other = is_other_service or kind is ReportKind.NEW_START
+            cold_until = self.health.cold_until
+            self.agent.flows.update_speed(self.slots, cold_until, is_other, now)
         effects.append(fx.Count("upstream_report", kind.value))
         effects += self.announce_status("report", now)
         return effects + self.agent.open_handler.retry_queued(now)
@@ -197,6 +204,9 @@
         effects = self.agent.locator.abandon_tentative_deliveries(now)
         was_gone, self.is_gone = self.is_gone, True
         if self.health.report is None or was_gone:
+            registration = self.agent.registration
+            if self._announce_no_flows(registration.own_member.status, now):
+                effects += registration.send_heartbeats(0, 0, now)
             return effects
         self.health.mark_lost()
         if not self.awaits_end:
@@ -295,6 +305,7 @@
         status = (
             Status.DRAINING if reject_reason in NOT_SERVING_REASONS else Status.SERVING
         )
+        self._announce_no_flows(status, now)
         if self.agent.registration.own_member.status in (status, Status.LEFT):
             return effects
         self.agent.registration.announce(status)
@@ -305,6 +316,18 @@
             *self.agent.peers.send_load_report(now),
         ]
 
+    def _announce_no_flows(self, status: Status, now: Seconds) -> bool:
+        """State in the member record whether the upstream certainly has no flows.
+
+        The record that announces that the upstream takes opens takes it back. Return
+        whether the record changed.
+        """
+        return self.agent.registration.announce_no_flows(
+            status is Status.DRAINING
+            and not self.agent.flows
+            and self.tracks_all_flows(now)
+        )
+
     def _announce_former_flows(self, now: Seconds) -> list[FlowEffect]:
         """Tell balancers at once that the upstream may have flows of former routes.
 
@@ -329,7 +352,7 @@
         another upstream, may be held elsewhere: they are removed without a reset, and
         their next packet is looked up.
         """
-        effects: list[FlowEffect] = []
+        effects = self.agent.request_scheduler.discard_all(reason, now)
         for flow, held in self.agent.flows:
             self.agent.flows.remove(flow, now)
             if held.is_chosen and not held.is_ended:
@@ -369,12 +392,16 @@
         """Return whether an upstream started well before this process.
 
         Its start time is unreliable if the clock was set back since. A sequence number
-        above ``MAX_EARLY_REPORTS`` shows an earlier start regardless of the clock.
+        above ``MAX_EARLY_REPORTS`` shows an earlier start regardless of the clock. So
+        does one above 1 if the start time is later than that of this process, which
+        would have received the first report.
         """
-        earliest = self.agent.setup.process_started_at - START_GAP_MS
+        setup = self.agent.setup
+        earliest = setup.process_started_at - START_GAP_MS
+        latest = setup.own_member.incarnation + START_GAP_MS
         if report.sequence > MAX_EARLY_REPORTS:
             return True
-        return report.sequence > 1 and report.started_at < earliest
+        return report.sequence > 1 and not earliest <= report.started_at <= latest
 
     def _change_service(self, service: str) -> list[FlowEffect]:
         """Change the service in the member record, and forget the old one's agents."""
--- a/bilberrypath/load/admission.py
+++ b/bilberrypath/load/admission.py
@@ -47,7 +47,8 @@
     ``has_target`` states that another agent can take it, or should, if the own upstream
     may; ``is_target_crowded`` that requests queue there. ``is_last_hop`` forbids to
     pass it on from a crowded upstream, and ``is_joining`` states that more agents may
-    become known soon.
+    become known soon. ``is_late`` states that others may have been asked before this
+    agent read the open.
     """
 
     now: Seconds
@@ -59,6 +60,7 @@
     has_waited: bool = False
     retransmit_count: int = 0
     unanswered_count: int = 0
+    is_late: bool = False
 
 
 @frozen
@@ -97,7 +99,14 @@
     reason: str
 
 
-OpenDecision = Take | PassOn | Keep | Defer | Refuse
+@frozen
+class LeaveRefusal:
+    """Have the balancer reset the open unless it has given it to another agent."""
+
+    reason: str
+
+
+OpenDecision = Take | PassOn | Keep | Defer | Refuse | LeaveRefusal
 
 
 def is_crowded(room: UpstreamRoom, retransmit_count: int) -> bool:
@@ -152,11 +161,19 @@
     if not attempt.has_target and attempt.is_joining and not attempt.has_waited:
         return Keep(keep_until, "no_agents")
     if reason == CROWDED and (not attempt.has_target or attempt.is_last_hop):
-        is_last_copy = attempt.retransmit_count >= MAX_OPEN_COPIES
-        return Refuse(reason) if is_last_copy else Defer(reason)
+        if attempt.retransmit_count < MAX_OPEN_COPIES:
+            return Defer(reason)
+        return _refuse(reason, attempt)
     if not attempt.has_target:
-        return Refuse(reason)
+        return _refuse(reason, attempt)
     may_wait = room.awaits_first_report and not attempt.has_waited
     if may_wait and attempt.is_target_crowded:
         return Keep(keep_until, "no_report")
     return PassOn(reason)
+
+
+def _refuse(reason: str, attempt: OpenAttempt) -> OpenDecision:
+    """Refuse an open; if it was read late, another agent may have taken it."""
+    if attempt.is_late and not attempt.unanswered_count:
+        return LeaveRefusal(reason)
+    return Refuse(reason)
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import Union
+from typing import Any, Union
 
 import msgspec
 
@@ -76,6 +76,10 @@
     the service has it. A holder that is not certain is being tried; without a holder,
     agents that did not answer or are still to join may have the flow. ``services`` are
     those that the flow's route names or named recently; empty with a holder.
+    ``may_be_at_unknown_agent`` qualifies a certain report without a holder: all agents
+    that know their service have just started, and one that is away may have the flow.
+    ``refuses_open`` has the balancer refuse an open that nobody can take, unless it has
+    asked another agent meanwhile: the sender may have read the open late.
     """
 
     flow: bytes
@@ -83,6 +87,8 @@
     service: str = ""
     is_certain: bool = False
     services: tuple[str, ...] = ()
+    may_be_at_unknown_agent: bool = False
+    refuses_open: bool = False
 
 
 class FlowQuery(ControlStruct, tag=22):
@@ -97,7 +103,7 @@
 
     ``may_hold`` means that the agent started after its upstream, so that the upstream
     may have the flow without a record at the agent. ``has_upstream_reported`` means
-    that a report or packet has arrived from the upstream since, and the upstream will
+    that a report or packet has arrived from the upstream lately, and the upstream will
     therefore return packets of flows that it does not hold. Both apply to all flows of
     the query; ``other_holders`` has the holder of each of its other flows. The upstream
     returned packets of ``returned_flows``, and does not have them. ``absent``
@@ -119,7 +125,9 @@
     ``utilization`` is running requests over ``slots``: the mean of the current value
     and the recent average. ``may_take_opens`` is false while the agent would refuse an
     open. ``absent`` are agents that may have flows, although they are not listed any
-    more.
+    more. ``service_time`` is that of one request at the upstream in seconds, 0 if
+    unknown, and ``confidence`` says how well it is known, in hundredths. Values of any
+    type are decoded, as an invalid one does not make the rest of the report useless.
     """
 
     revision: int
@@ -128,11 +136,14 @@
     utilization: float
     slots: int
     absent: tuple[AbsentAgent, ...] = ()
+    service_time: Any = 0.0
+    confidence: Any = 0
 
 
 class FlowHeartbeat(ControlStruct, tag=25):
     """An agent's liveness message to its heartbeat targets.
 
+    An agent that has left sends one to the other agents of its service too.
     ``agents_digest`` is the digest of the sender's list of its service's agents.
     ``takes_changes`` states that the sender applies changes to that list; an agent of
     an older build needs the whole list.
--- a/bilberrypath/state/members.py
+++ b/bilberrypath/state/members.py
@@ -62,7 +62,9 @@
     time of the process in milliseconds. ``version`` counts the changes that the
     process announced in this incarnation. Observers may only raise ``suspicion``.
     An agent with ``may_have_former_flows`` cannot rule out that its upstream has flows
-    of routes that do not name its service any more.
+    of routes that do not name its service any more. One with ``has_no_flows`` takes no
+    opens, and its upstream certainly has no flow: nothing listens at its address, or
+    the agent has seen it start.
     """
 
     node_id: CheckedNodeId
@@ -74,6 +76,7 @@
     status: Status
     suspicion: Suspicion = Suspicion.NONE
     may_have_former_flows: bool = False
+    has_no_flows: bool = False
 
     @property
     def address(self) -> Address:
@@ -91,6 +94,11 @@
         """Whether the process announced its end."""
         return self.status is Status.LEFT
 
+    @property
+    def may_have_flows(self) -> bool:
+        """Whether the upstream of an agent may have flows, by what it announced."""
+        return not (self.has_left or self.has_no_flows)
+
     @property
     def is_gone(self) -> bool:
         """Whether the process announced its end or was removed as unresponsive."""
@@ -163,6 +171,9 @@
         if known is not None and not is_newer(member, known):
             return None
         bucket = compute_table_bucket_index(member.node_id)
+        is_former_holder = known is not None and self._stays_former_holder(
+            known, member
+        )
         if known is not None:
             self._toggle_digest(bucket, known)
             self._unindex_unless_replaced(known, member)
@@ -170,6 +181,8 @@
         self._node_ids_by_bucket[bucket].add(member.node_id)
         self._member_by_id[member.node_id] = member
         self._index(member)
+        if is_former_holder:
+            self._service_by_former_holder[member.node_id] = member.service
         return known or member
 
     def drop(self, node_id: NodeId) -> None:
@@ -198,7 +211,8 @@
     def list_services_with_former_flows(self) -> list[ServiceName]:
         """Return the services whose agents may have flows of routes of other services.
 
-        These are the services of agents with ``may_have_former_flows``.
+        These are the services of agents with ``may_have_former_flows``, and of those
+        that restarted since they stated it and have not heard their upstream yet.
         """
         return [*dict.fromkeys(self._service_by_former_holder.values())]
 
@@ -264,6 +278,22 @@
         if not member.is_gone:
             self._digest_by_bucket[bucket] ^= digest_member(member)
 
+    def _stays_former_holder(self, known: Member, member: Member) -> bool:
+        """Return whether an agent without ``may_have_former_flows`` may have them.
+
+        An agent states that only once it has heard its upstream. Until it serves, a
+        restarted one counts as it did before its restart.
+        """
+        is_restarted = member.incarnation > known.incarnation
+        is_unheard = is_restarted or not known.may_have_former_flows
+        return (
+            known.node_id in self._service_by_former_holder
+            and is_unheard
+            and member.status is Status.DRAINING
+            and not member.is_gone
+            and member.service == known.service
+        )
+
     def _index(self, member: Member) -> None:
         if member.is_gone:
             return
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -29,11 +29,15 @@
     from bilberrypath.protocol.flow_messages import ForwardedPacket
     from bilberrypath.protocol.flow_packet import PacketCodec
     from bilberrypath.transport.bound_sockets import BoundSockets
+    from bilberrypath.transport.bulk_calls import FlowExplainReply, FlowExplainRequest
     from bilberrypath.types import Address, NodeId, Seconds
 
 FINAL_HEARTBEAT_DELAY: Seconds = 0.05  # lets the last heartbeats be sent
+SPEED_GAUGES = ("service_time", "relative_speed", "confidence", "limit")
 DRAIN_POLL_PERIOD: Seconds = 0.005  # short compared with the run time of a request
 
+GATE_EVENTS = ("request_kept", "request_released", "request_discarded")
+
 
 class FlowAgentDaemon(FlowDaemon):
     """The daemon of the local upstream's agent; its core is a :class:`FlowAgent`.
@@ -92,7 +96,14 @@
         self.metrics.register_revision_gauges(lambda: core.routes.revision)
         self.metrics.register_gauge("flows", lambda: len(core.flows))
         self.metrics.register_gauge("busy", lambda: core.flows.busy_count)
+        self.metrics.register_gauge(
+            "kept_requests", lambda: len(core.request_scheduler.gate)
+        )
         self.metrics.register_gauge("redirects", lambda: len(core.redirects))
+        for name in SPEED_GAUGES:
+            self.metrics.register_gauge(
+                name, lambda n=name: core.peers.describe_speed(read_clock())[n]
+            )
         self.metrics.register_gauge(
             "searches", lambda: len(core.locator.lookups.lookup_by_flow)
         )
@@ -163,6 +174,12 @@
         if await is_machine_reachable(parse_address(node_id)):
             self.handle_event(fev.MachineAnswered(node_id))
 
+    def explain(self, request: FlowExplainRequest, now: Seconds) -> FlowExplainReply:
+        """Return what the agent would do with a flow's open or next packet."""
+        from bilberrypath.transport.explain_calls import answer_at_agent
+
+        return answer_at_agent(self.core, request, now)
+
     def make_status(self, flow: bytes, now: Seconds) -> FlowStatusReply:
         """Return the status of the agent, or of ``flow`` if that is not empty."""
         core = self.core
@@ -181,15 +198,27 @@
             "unable": "" if reject_reason is None else reject_reason.value,
             "flows": len(core.flows),
             "busy": core.flows.busy_count,
+            "kept_requests": len(core.request_scheduler.gate),
+            **self._list_gate_counts(),
             "redirects": len(core.redirects),
             "knows_all_flows": core.upstream.tracks_all_flows(now),
+            **core.peers.describe_speed(now),
         }
         lists = {
             "agents": sorted(core.placement.peer_by_id),
             "silent": sorted(core.unresponsive_peers.since_by_id),
+            "terms": core.routes.describe_terms(),
         }
         return FlowStatusReply(values, lists)
 
+    def _list_gate_counts(self) -> dict[str, int]:
+        """Return how many requests were kept, released and discarded, by reason."""
+        return {
+            f"{event}{{{reason}}}": count
+            for (event, reason), count in sorted(self.metrics.count_by_event.items())
+            if event in GATE_EVENTS
+        }
+
 
 def _make_flow_status(core: FlowAgent, flow: bytes, now: Seconds) -> FlowStatusReply:
     """Return the status of a flow: in full if held here, else the holder if known."""
--- a/tests/coordination/test_absent_agents.py
+++ b/tests/coordination/test_absent_agents.py
@@ -1,9 +1,12 @@
 """Tests of flows whose agent's process is away while their upstream lives."""
 
+import msgspec
 import pytest
 
-from bilberrypath.coordination.events import Leave
+from bilberrypath.coordination.events import ControlReceived, Leave
 from bilberrypath.coordination.flow_events import UpstreamLeft
+from bilberrypath.coordination.unproven_losses import LATE_AGENT_TIME
+from bilberrypath.protocol.flow_messages import FlowHeartbeat
 from bilberrypath.state.members import Status
 from tests.coordination.test_flow_services import (
     BOARD_HOSTS,
@@ -172,6 +175,22 @@
         assert clients
         assert all(client.resets for client in clients)
 
+    def test_are_reset_if_its_machine_failed_while_all_processes_restarted(self):
+        """Guard against waiting for ever for an agent that nobody remembers."""
+        world, clients = make_world_with_flows()
+        world.power_off(AWAY)
+        others = [host for host in world.node_by_host if host not in BALANCERS]
+        for host in others:
+            world.kill(host)
+        restart_balancers(world)
+        for host in others:
+            add_restarted_agent(world, host)
+        use(world, clients, LATE_AGENT_TIME - 1.0)
+        assert [client.resets for client in clients] == [0] * len(clients)
+        use(world, clients, 1.5)
+        assert clients
+        assert all(client.resets for client in clients)
+
     def test_are_reset_after_its_upstream_ended_with_it(self):
         world, clients = make_world_with_flows()
         upstream = world.upstream_by_host[AWAY]
@@ -188,6 +207,47 @@
         assert all(client.resets for client in clients)
 
 
+class TestMemoryOfBalancers:
+    def test_is_known_to_a_new_balancer_beside_an_older_one(self):
+        world = make_world()
+        world.run(LATE_AGENT_TIME)
+        balancer = world.add_balancer(NEW_BALANCER, "a", BALANCERS)
+        assert not balancer.remembers_agents(world.now)
+        world.run(1.0)
+        assert balancer.remembers_agents(world.now)
+
+    def test_is_known_to_a_balancer_that_leaves(self):
+        """Guard against an empty list of balancers."""
+        world = make_world(balancers=1)
+        world.feed(BALANCERS[0], Leave())
+        balancer = world.node_by_host[BALANCERS[0]]
+        assert not balancer.remembers_agents(world.now)
+        world.run(LATE_AGENT_TIME)
+        assert balancer.remembers_agents(world.now)
+
+
+class TestEndOfAnotherAgent:
+    @pytest.mark.parametrize(
+        ("sender", "changes", "has_left"),
+        [
+            (AWAY, {"status": Status.LEFT}, True),
+            ("10.2.0.2", {"status": Status.LEFT}, False),
+            (AWAY, {"status": Status.DRAINING}, False),
+            (AWAY, {"status": Status.LEFT, "incarnation": 1}, False),
+        ],
+    )
+    def test_is_learned_from_its_own_newest_record(self, sender, changes, has_left):
+        """Guard against taking a living agent for one that has left."""
+        world = make_world()
+        agent = world.node_by_host["10.2.0.3"]
+        peer = agent.placement.peer_by_id[f"{AWAY}:7600"]
+        version = peer.member.version + 1
+        member = msgspec.structs.replace(peer.member, version=version, **changes)
+        heartbeat = FlowHeartbeat(member, 0, 0, 0)
+        agent.handle(ControlReceived((sender, 7600), heartbeat), world.now)
+        assert peer.member.has_left == has_left
+
+
 class TestForeignUpstreams:
     def test_get_two_packets_of_a_flow_at_most_while_its_agent_is_away(self):
         """Guard against a flow's packets going to other upstreams only."""
--- a/tests/coordination/test_open_placement.py
+++ b/tests/coordination/test_open_placement.py
@@ -3,10 +3,12 @@
 import pytest
 
 from bilberrypath.coordination.open_placement import (
-    DISTANCE_PENALTY,
     MAX_REPORT_AGE,
     MIN_GAIN,
     OpenPlacement,
+)
+from bilberrypath.coordination.placement_constraints import (
+    DISTANCE_PENALTY,
     OwnLoad,
     PlacementConstraints,
 )
--- a/tests/load/test_admission.py
+++ b/tests/load/test_admission.py
@@ -7,6 +7,7 @@
     MAX_UNANSWERED_RELAYS,
     Defer,
     Keep,
+    LeaveRefusal,
     OpenAttempt,
     PassOn,
     Refuse,
@@ -66,6 +67,22 @@
         assert decide(CROWDED, has_target=True, is_last_hop=True) == Defer(CROWDED)
         assert decide(CROWDED, retransmit_count=MAX_OPEN_COPIES) == Refuse(CROWDED)
 
+    def test_leaves_the_refusal_of_a_late_open_to_its_balancer(self):
+        """Guard against a reset of a flow that another agent has taken.
+
+        A late open is deferred and passed on as any other. After a relay that was not
+        answered, the balancer does not know who may have taken it.
+        """
+        assert decide("full", is_late=True) == LeaveRefusal("full")
+        assert decide("full", is_late=True, has_target=True) == PassOn("full")
+        assert decide("full", is_late=True, unanswered_count=1) == Refuse("full")
+        assert decide(CROWDED, is_late=True) == Defer(CROWDED)
+        last_copy = {"is_late": True, "retransmit_count": MAX_OPEN_COPIES}
+        assert decide(CROWDED, **last_copy) == LeaveRefusal(CROWDED)
+        assert decide(
+            CROWDED, has_target=True, is_last_hop=True, **last_copy
+        ) == LeaveRefusal(CROWDED)
+
     def test_passes_on_no_more_after_unanswered_relays(self):
         attempt = {"unanswered_count": MAX_UNANSWERED_RELAYS, "has_target": True}
         assert decide("full", **attempt) == Refuse("unanswered")
