Put spillover between data centres behind a setting

The setting `spillover` of [flow_agent], off by default, says whether opens of routes with terms are placed by the pressure of their service. The pressure is still derived, logged and counted wherever terms are stated.

A test compares every decision with the setting off to those without terms.

--- a/bilberrypath/coordination/flow_agent_setup.py
+++ b/bilberrypath/coordination/flow_agent_setup.py
@@ -23,6 +23,8 @@
     incarnation of ``own_member`` is later, by the time that the process loads.
     ``tracks_all_flows`` is true if this process has seen every flow of the upstream;
     otherwise this holds once ``flow_lifetime`` has passed since the start.
+    ``spillover`` states whether opens of routes with terms are compared by the pressure
+    of the service.
     """
 
     own_member: Member
@@ -32,3 +34,4 @@
     flow_lifetime: Seconds
     process_started_at: int
     tracks_all_flows: bool = False
+    spillover: bool = False
--- a/bilberrypath/coordination/placement_constraints.py
+++ b/bilberrypath/coordination/placement_constraints.py
@@ -31,9 +31,9 @@
 class PlacementConstraints:
     """The client's data centre, and the agents and data centres to exclude.
 
-    ``pressure`` is that of the service, or None if the route states no terms. With it,
-    an open leaves its client's data centre only if no upstream there has room, and the
-    compared load is the utilization.
+    ``pressure`` is that of the service, or None if the route states no terms or
+    spillover is off. With it, an open leaves its client's data centre only if no
+    upstream there has room, and the compared load is the utilization.
     """
 
     client_data_centre: DataCentreName
--- a/bilberrypath/coordination/service_pressure.py
+++ b/bilberrypath/coordination/service_pressure.py
@@ -35,7 +35,12 @@
         return self._tracker.pressure
 
     def find_pressure(self, flow: bytes) -> ServicePressure | None:
-        """Return the pressure for a flow, or None if its route states no terms."""
+        """Return the pressure by which an open of a flow is placed, or None.
+
+        It is None if spillover is off or the flow's route states no terms.
+        """
+        if not self.agent.setup.spillover:
+            return None
         terms = self.agent.routes.find_terms(flow)
         return None if terms is None else self._tracker.pressure
 
--- a/bilberrypath/flow_settings.py
+++ b/bilberrypath/flow_settings.py
@@ -55,7 +55,8 @@
     the one to which it sends packets, and ``report_address`` the one to which it sends
     a status report each ``report_period``. No flow lasts longer than
     ``flow_lifetime``. ``first_start`` is true when the whole system starts for the
-    first time, so that no earlier flows exist.
+    first time, so that no earlier flows exist. ``spillover`` is true if opens of routes
+    with terms leave their client's data centre only if no upstream there has room.
     """
 
     node: FlowNodeSettings
@@ -66,6 +67,7 @@
     report_period: Seconds
     flow_lifetime: Seconds
     first_start: bool
+    spillover: bool = False
 
 
 def load_flow_balancer_settings(path: str) -> FlowBalancerSettings:
@@ -97,9 +99,18 @@
     first_start = reader.read(
         section, "first_start", _parse_bool, "true or false", False
     )
+    spillover = reader.read(section, "spillover", _parse_bool, "true or false", False)
     raise_for_errors(path, reader)
     return FlowAgentSettings(
-        node, service, upstream, outbound, report_address, period, lifetime, first_start
+        node,
+        service,
+        upstream,
+        outbound,
+        report_address,
+        period,
+        lifetime,
+        first_start,
+        spillover,
     )
 
 
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -72,6 +72,7 @@
             settings.flow_lifetime,
             process_started_at,
             settings.first_start,
+            settings.spillover,
         )
         core = FlowAgent(setup, codec, Random(), read_clock())
         super().__init__(node, core, lambda: load_settings().node, sockets)
--- a/tests/coordination/test_spillover.py
+++ b/tests/coordination/test_spillover.py
@@ -91,6 +91,20 @@
         result = run(make_uneven_rate(1.2), terms=None, seconds=2.0)
         assert not any(event == "pressure" for event, _ in result.world.counts)
 
+    def test_nothing_changes_where_the_setting_is_false(self):
+        """Guard against spillover that an operator did not choose.
+
+        Each decision is that of routes without terms; only the pressure is kept.
+        """
+        rate = make_uneven_rate(1.2)
+        off = run(rate, seconds=2.0, spillover=False)
+        without = run(rate, terms=None, seconds=2.0)
+        assert off.world.decisions
+        assert off.world.decisions == without.world.decisions
+        assert off.world.counts["pressure", "entered"] > 0
+        on = run(rate, seconds=2.0)
+        assert on.world.decisions != without.world.decisions
+
     def test_entering_pressure_is_counted_once_per_agent_and_surge(self):
         """Guard against a pressure that flaps while the load stays high."""
         result = run(make_uneven_rate(1.4), seconds=6.0)
--- a/tests/support/data_centre_load.py
+++ b/tests/support/data_centre_load.py
@@ -38,6 +38,7 @@
     terms_by_address: dict = Factory(lambda: {BOARD: None})
     report_faults: object = None
     loss: float = 0.0
+    spillover: bool = True
 
 
 @frozen
@@ -155,7 +156,12 @@
     for index in range(demand.agents * len(demand.data_centres)):
         name = demand.data_centres[index % len(demand.data_centres)]
         host = f"10.2.0.{index + 1}"
-        world.add_agent(host, data_centre=name, seeds=list(balancers.values()))
+        world.add_agent(
+            host,
+            data_centre=name,
+            seeds=list(balancers.values()),
+            spillover=demand.spillover,
+        )
         upstream = world.upstream_by_host[host]
         upstream.slots, upstream.service_time = demand.slots, demand.service_time
         upstream.queue_capacity = demand.queue_capacity
--- a/tests/support/flow_world.py
+++ b/tests/support/flow_world.py
@@ -93,7 +93,13 @@
         return node
 
     def add_agent(
-        self, host, service="board", data_centre="a", seeds=(), tracks_all_flows=True
+        self,
+        host,
+        service="board",
+        data_centre="a",
+        seeds=(),
+        tracks_all_flows=True,
+        spillover=False,
     ):
         own_member = Member(
             f"{host}:{PEER_PORT}",
@@ -112,6 +118,7 @@
             FLOW_LIFETIME,
             own_member.incarnation,
             tracks_all_flows,
+            spillover,
         )
         node = FlowAgent(setup, self.codec, Random(self.rng.random()), self.now)
         self._start(host, node)
--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -66,6 +66,17 @@
         assert settings.report_period == 1.2
         assert settings.flow_lifetime == 60.0
         assert settings.first_start
+        assert not settings.spillover
+
+    def test_spillover_is_read(self, write):
+        """Guard against a setting that is accepted and has no effect."""
+        settings = load_flow_agent_settings(write(AGENT + "spillover = true\n"))
+        assert settings.spillover
+
+    def test_spillover_is_true_or_false(self, write):
+        """Guard against a misspelt value that is taken for the default."""
+        with pytest.raises(SettingsError, match="spillover = 'on': expected true or"):
+            load_flow_agent_settings(write(AGENT + "spillover = on\n"))
 
     def test_all_errors_are_reported_at_once(self, write):
         text = AGENT.replace("8165", "99999").replace("= true", "= perhaps")
