--- a/benchmarks/steady_load.py
+++ b/benchmarks/steady_load.py
@@ -36,9 +36,9 @@
 
     def make_client(self):
         """Return a new client whose answers are recorded here."""
-        flow = self.world.make_client().flow
-        client = TrafficClient(self.world, flow, traffic=self)
-        self.world.client_by_flow[flow] = client
+        plain = self.world.make_client()
+        client = TrafficClient(self.world, plain.flow, plain.address, traffic=self)
+        self.world.client_by_flow[plain.flow] = client
         return client
 
     def send_short(self):
@@ -161,13 +161,13 @@
     agent: object
     world: object
 
-    def choose_better(self, forwarded, sender, now):
+    def choose_better(self, forwarded, flow, sender, now):
         if forwarded.hops:
             return None
         best = min(self.world.upstream_by_host.values(), key=self._compute_wait)
         return None if best.host == self._own_host else f"{best.host}:7600"
 
-    def choose_any(self, forwarded, now):
+    def choose_any(self, forwarded, flow, now):
         return None
 
     @property
@@ -196,7 +196,7 @@
         if IS_BY_LATENCY:
             node.flows.speed = MeanLatency()
         if IS_CENTRAL:
-            node.open_handler._target = CentralTarget(node, world)
+            node.open_handler.target = CentralTarget(node, world)
         upstream.report()
 
 
--- a/bilberrypath/coordination/flow_explanation.py
+++ b/bilberrypath/coordination/flow_explanation.py
@@ -14,10 +14,7 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.core_copy import copy_core
-from bilberrypath.coordination.open_placement import (
-    FRESH_REPORT_AGE,
-    compute_distance_penalty,
-)
+from bilberrypath.coordination.open_placement import FRESH_REPORT_AGE
 from bilberrypath.coordination.rendezvous import compute_node_seed, score
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id
@@ -33,10 +30,8 @@
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_balancer import FlowBalancer
     from bilberrypath.coordination.flow_effects import FlowEffect
-    from bilberrypath.coordination.open_placement import (
-        PeerAgent,
-        PlacementConstraints,
-    )
+    from bilberrypath.coordination.open_placement import PeerAgent
+    from bilberrypath.coordination.placement_constraints import PlacementConstraints
     from bilberrypath.coordination.route_tracker import RouteTracker
     from bilberrypath.types import DataCentreName, NodeId, Seconds
 
@@ -110,7 +105,7 @@
         datagram=b"",
         client_data_centre=question.client_data_centre,
     )
-    candidates = _describe_candidates(agent, forwarded, now) if is_open else []
+    candidates = _describe_candidates(agent, forwarded, flow, now) if is_open else []
     # Even reading the load updates averages; the path also draws random numbers.
     scratch = copy_core(agent, flow)
     values |= _describe_own_load(scratch, now)
@@ -259,10 +254,10 @@
 
 
 def _describe_candidates(
-    agent: FlowAgent, forwarded: msg.ForwardedPacket, now: Seconds
+    agent: FlowAgent, forwarded: msg.ForwardedPacket, flow: bytes, now: Seconds
 ) -> list[dict[str, Value]]:
     """Return the other agents of the service, those that an open prefers first."""
-    constraints = agent.open_handler.target.make_constraints(forwarded)
+    constraints = agent.open_handler.target.make_constraints(forwarded, flow)
     rows = [
         _describe_peer(peer, constraints, now)
         for peer in agent.placement.peer_by_id.values()
@@ -274,14 +269,12 @@
     peer: PeerAgent, constraints: PlacementConstraints, now: Seconds
 ) -> dict[str, Value]:
     load = peer.estimate_utilization(now)
-    penalty = compute_distance_penalty(
-        peer.member.data_centre, constraints.client_data_centre
-    )
+    open_score = constraints.compute_score(load, peer.member.data_centre)
     row: dict[str, Value] = {
         "node": peer.member.node_id,
         "data_centre": peer.member.data_centre,
         "load": round(load, 3),
-        "score": round(load + penalty, 3),
+        "score": round(open_score, 3),
         "opens_since_report": peer.opens_since_report,
         "fresh": now - peer.reported_at <= FRESH_REPORT_AGE,
         "excluded": _find_exclusion(peer, constraints, now),
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from bilberrypath.coordination import effects as fx
+from bilberrypath.coordination.service_pressure import ServicePressureMonitor
 from bilberrypath.load.expected_wait import (
     FULL_REPORTED_CONFIDENCE,
     is_valid_confidence,
@@ -36,11 +37,15 @@
 
     agent: FlowAgent = field(repr=False)
     _load_reporter: LoadReporter
+    pressure_monitor: ServicePressureMonitor = field(init=False)
     _logged_ids: frozenset[NodeId] = frozenset()
     _logged_slots: int = 0
     _logged_limit: float = 0.0
     _next_limit_log_at: Seconds = float("-inf")
 
+    def __attrs_post_init__(self) -> None:
+        self.pressure_monitor = ServicePressureMonitor(self.agent)
+
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Drop what is too old, log who came or went, and report the load if due."""
         agent = self.agent
@@ -51,6 +56,7 @@
         speed = agent.flows.speed.estimate(now)
         agent.placement.update_reference(speed, now)
         effects = self._log_changes() + self._log_limit(speed, now)
+        effects += self.pressure_monitor.tick(now)
         for node_id in agent.placement.absent:
             effects += agent.unresponsive_peers.record_timeout(node_id, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
--- a/tests/coordination/test_learned_speed.py
+++ b/tests/coordination/test_learned_speed.py
@@ -12,6 +12,8 @@
 from bilberrypath.coordination.open_placement import (
     MAX_SPEED_AGE,
     OpenPlacement,
+)
+from bilberrypath.coordination.placement_constraints import (
     OwnLoad,
     PlacementConstraints,
 )
