Test that the agent's daemon passes the spillover setting on

The setting was read, and the tests of spillover set it in the agent's start parameters; nothing showed that the daemon hands it from one to the other.

--- a/tests/test_flow_settings.py
+++ b/tests/test_flow_settings.py
@@ -69,7 +69,7 @@
         assert not settings.spillover
 
     def test_spillover_is_read(self, write):
-        """Guard against a setting that is accepted and has no effect."""
+        """Guard against a setting that is accepted but not read."""
         settings = load_flow_agent_settings(write(AGENT + "spillover = true\n"))
         assert settings.spillover
 
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -39,6 +39,21 @@
     )
 
 
+class TestSettings:
+    @pytest.mark.parametrize("is_on", [False, True])
+    def test_spillover_is_passed_to_the_agent(self, is_on):
+        """Guard against a setting that is read and has no effect."""
+        node = FlowNodeSettings(PEER, "a", (), (AGENT, 7721), 7722, (AGENT, 7723))
+        settings = FlowAgentSettings(
+            node, "board", UPSTREAM, OUTBOUND, (AGENT, 7726), 1.0, 60.0, False, is_on
+        )
+        daemon = FlowAgentDaemon(
+            settings, PlatformPacketCodec(), lambda: settings, BoundSockets(), 1
+        )
+        assert daemon.core.setup.spillover is is_on
+        assert not daemon.core.setup.tracks_all_flows
+
+
 class TestStart:
     async def test_packet_that_waited_in_the_peer_socket_is_delivered(self, daemon):
         """Guard against reading packets before the socket to the upstream exists."""
