--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -358,7 +358,7 @@
         forwarded, packet = lookup.queued_packets[0]
         flow = packet.flow
         candidates = result.candidates
-        if self._may_be_at_silent_agent(lookup, now) or not forwarded.may_try:
+        if self.lost_flows.may_be_at_silent_agent(lookup, now) or not forwarded.may_try:
             left = self._count_trials_left(forwarded, flow, now)
             candidates = candidates[:left]
         has_queried_all = (
@@ -385,15 +385,6 @@
         reduced = FlowLookup([(relayed, packet)], lookup.tried_agents, set())
         return self._relay_queued(reduced, candidates[0], "try_each")
 
-    def _may_be_at_silent_agent(self, lookup: FlowLookup, now: Seconds) -> bool:
-        """Return whether an agent without a reply may be back soon, and have the flow.
-
-        One whose machine is silent as well is not waited for.
-        """
-        peers = self.agent.unresponsive_peers
-        silent_ids = {*lookup.pending_ids, *self.lost_flows.list_unasked(lookup, now)}
-        return any(not peers.is_machine_silent(node_id, now) for node_id in silent_ids)
-
     def _relay_queued(
         self, lookup: FlowLookup, target: NodeId, reason: str
     ) -> list[FlowEffect]:
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -113,6 +113,15 @@
             and not agent.unresponsive_peers.has_failed(node_id, now)
         ]
 
+    def may_be_at_silent_agent(self, lookup: FlowLookup, now: Seconds) -> bool:
+        """Return whether an agent without a reply may be back soon, and have the flow.
+
+        One whose machine is silent as well is not waited for.
+        """
+        peers = self.agent.unresponsive_peers
+        silent_ids = {*lookup.pending_ids, *self.list_unasked(lookup, now)}
+        return any(not peers.is_machine_silent(node_id, now) for node_id in silent_ids)
+
     def handle_no_holder(
         self, flow: bytes, lookup: FlowLookup, result: NoHolder, now: Seconds
     ) -> list[FlowEffect]:
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -15,7 +15,10 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination.events import STARTUP_WINDOW
 from bilberrypath.coordination.flow_effects import ProbeUpstream
-from bilberrypath.coordination.report_check import find_report_error
+from bilberrypath.coordination.report_check import (
+    find_report_error,
+    has_started_before,
+)
 from bilberrypath.coordination.upstream_health import (
     SILENT_AFTER_PERIODS,
     RejectReason,
@@ -31,13 +34,7 @@
     from bilberrypath.coordination.flow_events import UpstreamLeft, UpstreamReport
     from bilberrypath.types import Seconds
 
-# An upstream starts up to 80 ms before its agent after a loss of power, as it loads
-# less. A former process that accepted an open of it takes longer to be started again.
-START_GAP_MS = 150
 POST_COLD_START_TIME: Seconds = 2.0  # about the time that a burst takes to serve
-MAX_EARLY_REPORTS = (
-    10  # an upstream that starts with its agent repeats its first report 5 times
-)
 HEARD_AFTER_PERIODS = 1.25  # report periods; an upstream that is alive reports each
 UPSTREAM_PROBE_PERIOD: Seconds = 1.0  # while the upstream is silent
 END_PROBE_PERIOD: Seconds = 0.05  # from its notice until it has ended
@@ -378,7 +375,7 @@
             "ms_before_agent": self.agent.setup.process_started_at - report.started_at,
         }
         effects: list[FlowEffect] = [fx.LogStateChange("upstream_started", fields)]
-        is_older = self._started_before_agent(report)
+        is_older = has_started_before(self.agent.setup, report)
         if is_first_report and is_older and not self.agent.setup.tracks_all_flows:
             self._has_seen_all_flows = False
             return effects
@@ -388,21 +385,6 @@
         )
         return effects + self._reset_flows("upstream_restarted", now)
 
-    def _started_before_agent(self, report: UpstreamReport) -> bool:
-        """Return whether an upstream started well before this process.
-
-        Its start time is unreliable if the clock was set back since. A sequence number
-        above ``MAX_EARLY_REPORTS`` shows an earlier start regardless of the clock. So
-        does one above 1 if the start time is later than that of this process, which
-        would have received the first report.
-        """
-        setup = self.agent.setup
-        earliest = setup.process_started_at - START_GAP_MS
-        latest = setup.own_member.incarnation + START_GAP_MS
-        if report.sequence > MAX_EARLY_REPORTS:
-            return True
-        return report.sequence > 1 and not earliest <= report.started_at <= latest
-
     def _change_service(self, service: str) -> list[FlowEffect]:
         """Change the service in the member record, and forget the old one's agents."""
         previous = self.agent.registration.own_member
