--- a/bilberrypath/load/admission.py
+++ b/bilberrypath/load/admission.py
@@ -129,6 +129,9 @@
 ) -> OpenDecision:
     """Return what is done with an open.
 
+    ``terms`` of the open's route and ``pressure`` of the service change no decision
+    yet: refusal by the route's timeout and shares of less urgent opens need them.
+
     Examples
     --------
     >>> from bilberrypath.load.pressure import NO_PRESSURE
