A gate forgets the shed point of an upstream's earlier start; one copy of each derivation

Cause: the gate read the shed point before the report of a new start had made the learned speed forget it, so that the earlier start's value stayed in force for one report period. Besides, two parts derived the priorities of a service, two methods changed the own member record alike, and an explanation scored candidates by utilization while the decision compares the learned speed.

Change: the gate is updated after the speed. RouteTracker.list_priorities, with its result kept until the next table; Registration._change_own_member; estimate_compared_load for both the decision and its explanation. Names: make_*_effects for the effects of a decision on an open. Priorities of services with weight 0 count for the pressure too, as for the gate.

--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -42,6 +42,7 @@
     from bilberrypath.state.members import Member
     from bilberrypath.types import Address, NodeId, Seconds, ServiceName
 
+MS_PER_SECOND = 1000
 IDLE_MARGIN: Seconds = 5.0  # a cached location outlives the flow's own idle timeout
 
 
@@ -109,7 +110,7 @@
         own_member = self.members.own_member
         balancers = self.members.table.list_balancers()
         incarnations = [own_member.incarnation, *(b.incarnation for b in balancers)]
-        older_by = (own_member.incarnation - min(incarnations)) / 1000
+        older_by = (own_member.incarnation - min(incarnations)) / MS_PER_SECOND
         return now - self.gossiper.started_at + older_by >= LATE_AGENT_TIME
 
     def next_timer_at(self) -> Seconds | None:
--- a/bilberrypath/coordination/flow_explanation.py
+++ b/bilberrypath/coordination/flow_explanation.py
@@ -14,7 +14,10 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.core_copy import copy_core
-from bilberrypath.coordination.open_placement import FRESH_REPORT_AGE
+from bilberrypath.coordination.open_placement import (
+    FRESH_REPORT_AGE,
+    estimate_compared_load,
+)
 from bilberrypath.coordination.rendezvous import compute_node_seed, score
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import format_node_id
@@ -268,7 +271,7 @@
 def _describe_peer(
     peer: PeerAgent, constraints: PlacementConstraints, now: Seconds
 ) -> dict[str, Value]:
-    load = peer.estimate_utilization(now)
+    load = estimate_compared_load(peer, constraints, now)
     open_score = constraints.compute_score(load, peer.member.data_centre)
     row: dict[str, Value] = {
         "node": peer.member.node_id,
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -44,19 +44,18 @@
     """One flow of the upstream.
 
     ``seen_at`` is the time of its last packet, and ``busy_since`` that of the running
-    request's first data, or None. ``sent_at`` is the time at which that request was
-    sent to the upstream. ``kind`` is the kind of request that the route stated when the
-    flow sent its first one. ``is_open`` is false until the upstream accepts the
-    open or sends data. ``is_confirmed`` is false while a tentative delivery is the
-    only sign that the upstream has the flow. Two upstreams may accept one open, and
-    the client then uses one of them: ``is_chosen`` is true once the client has
-    acknowledged this upstream's acceptance, whose number is ``accepted_sequence``, or
-    the upstream has sent more. ``upstream_acknowledged`` is the upstream's last
-    acknowledgement, None before the first. ``acknowledged`` is the client's last, for
-    use in a reset. ``is_live`` is true until the flow has ended. ``has_failed`` is true
-    once the running request has been counted as unanswered. ``sent_at`` is the time at
-    which the running request was sent to the upstream. It is None if none is running
-    there: while the request is kept (``is_kept``), and after a reset by the client.
+    request's first data, or None. ``kind`` is the kind of request that the route stated
+    when the flow sent its first one. ``is_open`` is false until the upstream accepts
+    the open or sends data. ``is_confirmed`` is false while a tentative delivery is the
+    only sign that the upstream has the flow. Two upstreams may accept one open, and the
+    client then uses one of them: ``is_chosen`` is true once the client has acknowledged
+    this upstream's acceptance, whose number is ``accepted_sequence``, or the upstream
+    has sent more. ``upstream_acknowledged`` is the upstream's last acknowledgement,
+    None before the first. ``acknowledged`` is the client's last, for use in a reset.
+    ``is_live`` is true until the flow has ended. ``has_failed`` is true once the
+    running request has been counted as unanswered. ``sent_at`` is the time at which the
+    running request was sent to the upstream. It is None if none is running there: while
+    the request is kept (``is_kept``), and after a reset by the client.
     ``tried_at`` is the time of the last packet that was delivered while nothing but a
     trial showed that the flow is here, and ``waiting`` are those that came after it.
     """
--- a/bilberrypath/coordination/open_effects.py
+++ b/bilberrypath/coordination/open_effects.py
@@ -48,7 +48,7 @@
     return agent.send_location(forwarded, flow, "", tried_agents=forwarded.tried_agents)
 
 
-def report_accepted(agent: FlowAgent, opened: PendingOpen) -> list[FlowEffect]:
+def make_accepted_effects(agent: FlowAgent, opened: PendingOpen) -> list[FlowEffect]:
     """Send an open to the upstream, and its location to those that handled it."""
     forwarded, flow = opened.forwarded, opened.packet.flow
     fields = {
@@ -67,7 +67,7 @@
     ]
 
 
-def report_relayed(
+def make_relayed_effects(
     agent: FlowAgent, opened: PendingOpen, target: NodeId, reason: str, now: Seconds
 ) -> list[FlowEffect]:
     """Send an open to another agent."""
@@ -85,7 +85,7 @@
     ]
 
 
-def report_deferred(agent: FlowAgent, opened: PendingOpen) -> list[FlowEffect]:
+def make_deferred_effects(agent: FlowAgent, opened: PendingOpen) -> list[FlowEffect]:
     """Drop an open until its client retransmits it.
 
     If all candidate upstreams have requests queued, one more open would only lengthen
@@ -104,7 +104,7 @@
     ]
 
 
-def report_refused(
+def make_refused_effects(
     agent: FlowAgent, opened: PendingOpen, reason: str
 ) -> list[FlowEffect]:
     """Reset an open that no agent can take."""
--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -17,10 +17,10 @@
 from bilberrypath.coordination.late_opens import LateOpens
 from bilberrypath.coordination.open_effects import (
     describe_attempt,
-    report_accepted,
-    report_deferred,
-    report_refused,
-    report_relayed,
+    make_accepted_effects,
+    make_deferred_effects,
+    make_refused_effects,
+    make_relayed_effects,
     send_not_taken,
 )
 from bilberrypath.coordination.open_target import OpenTarget
@@ -227,7 +227,7 @@
             case Keep():
                 return self._queue_briefly(opened, decision, now)
             case Defer():
-                return report_deferred(agent, opened)
+                return make_deferred_effects(agent, opened)
             case LeaveRefusal():
                 forwarded, flow = opened.forwarded, opened.packet.flow
                 return self.late_opens.leave_refusal(
@@ -251,7 +251,7 @@
         agent.upstream.health.record_open(now)
         self._pending_open_by_flow[packet.flow] = opened
         agent.deadlines.set(("open", packet.flow), now + ACCEPT_TIMEOUT)
-        return report_accepted(agent, opened)
+        return make_accepted_effects(agent, opened)
 
     def _relay(
         self, opened: PendingOpen, target: NodeId, reason: str, now: Seconds
@@ -263,13 +263,13 @@
             opened.forwarded, opened.packet, target
         )
         agent.deadlines.set(("relay", flow), now + RELAY_TIMEOUT)
-        return report_relayed(agent, opened, target, reason, now)
+        return make_relayed_effects(agent, opened, target, reason, now)
 
     def _refuse(self, opened: PendingOpen, reason: str) -> list[FlowEffect]:
         """Reset an open that no agent can take, unless a relay was unanswered."""
         if opened.forwarded.unanswered_count:
             return self._drop_without_reset(opened.forwarded, opened.packet)
-        return report_refused(self.agent, opened, reason)
+        return make_refused_effects(self.agent, opened, reason)
 
     def _check_routes(
         self, forwarded: ForwardedPacket, packet: FlowPacket
--- a/bilberrypath/coordination/open_placement.py
+++ b/bilberrypath/coordination/open_placement.py
@@ -390,9 +390,15 @@
     ] or peers
 
 
-def _score(peer: PeerAgent, constraints: PlacementConstraints, now: Seconds) -> float:
+def estimate_compared_load(
+    peer: PeerAgent, constraints: PlacementConstraints, now: Seconds
+) -> float:
+    """Return the load by which an agent is compared with others."""
     if constraints.pressure is None:
-        load = peer.estimate_load(now)
-    else:
-        load = peer.estimate_upstream_load(now).utilization
+        return peer.estimate_load(now)
+    return peer.estimate_upstream_load(now).utilization
+
+
+def _score(peer: PeerAgent, constraints: PlacementConstraints, now: Seconds) -> float:
+    load = estimate_compared_load(peer, constraints, now)
     return constraints.compute_score(load, peer.member.data_centre)
--- a/bilberrypath/coordination/registration.py
+++ b/bilberrypath/coordination/registration.py
@@ -121,32 +121,23 @@
 
     def announce(self, status: Status) -> None:
         """Change the status in the own member; the next heartbeats carry it."""
-        if self.own_member.status is status:
-            return
-        self.own_member = msgspec.structs.replace(
-            self.own_member, version=self.own_member.version + 1, status=status
-        )
+        self._change_own_member(status=status)
 
     def announce_former_flows(self, may_have: bool) -> bool:
         """Change ``may_have_former_flows`` in the own member; return if it changed."""
-        if self.own_member.may_have_former_flows == may_have:
-            return False
-        self.own_member = msgspec.structs.replace(
-            self.own_member,
-            version=self.own_member.version + 1,
-            may_have_former_flows=may_have,
-        )
-        return True
+        return self._change_own_member(may_have_former_flows=may_have)
 
     def announce_no_flows(self, has_no_flows: bool) -> bool:
         """Change ``has_no_flows`` in the own member; return if it changed."""
-        if self.own_member.has_no_flows == has_no_flows:
+        return self._change_own_member(has_no_flows=has_no_flows)
+
+    def _change_own_member(self, **changes: object) -> bool:
+        """Change fields of the own member, with a new version; return if it changed."""
+        own = self.own_member
+        if all(getattr(own, name) == value for name, value in changes.items()):
             return False
-        self.own_member = msgspec.structs.replace(
-            self.own_member,
-            version=self.own_member.version + 1,
-            has_no_flows=has_no_flows,
-        )
+        changes["version"] = own.version + 1
+        self.own_member = msgspec.structs.replace(own, **changes)
         return True
 
     def handle_ack(
--- a/bilberrypath/coordination/request_scheduler.py
+++ b/bilberrypath/coordination/request_scheduler.py
@@ -64,7 +64,7 @@
 
     def update(self, now: Seconds) -> list[FlowEffect]:
         """Adapt to the routes in force, the agent's service, and whether it leaves."""
-        priorities = self._list_priorities()
+        priorities = self.agent.routes.list_priorities(self.agent.service)
         self.is_active = len(priorities) > 1 and not self.agent.is_leaving
         if self.is_active:
             self.gate.most_urgent = min(priorities)
@@ -151,18 +151,6 @@
         self._timer_at = None
         self._set_timer(self.gate.next_release_at())
 
-    def _list_priorities(self) -> set[int]:
-        """Return the priorities that the routes of the agent's service state."""
-        service = self.agent.service
-        priorities: set[int] = set()
-        for route in self.agent.routes.table.routes:
-            terms = route.terms
-            if terms is None or terms.priority in priorities:
-                continue
-            if service in route.list_services():
-                priorities.add(terms.priority)
-        return priorities
-
     def _offer(
         self, held: HeldFlow, packet: FlowPacket, now: Seconds
     ) -> list[FlowEffect]:
--- a/bilberrypath/coordination/route_tracker.py
+++ b/bilberrypath/coordination/route_tracker.py
@@ -59,7 +59,8 @@
     ``_restored_epoch`` is the newest epoch that a read revealed while an older one was
     in force; its changes count as made again from ``_settled_at`` on.
     ``_outdated_by_epoch`` has, for each other epoch, the highest revision that is known
-    to be older than the table in force.
+    to be older than the table in force. ``_priorities_by_service`` holds what
+    :meth:`list_priorities` found in that table.
     """
 
     route_by_endpoint: dict[bytes, FlowRoute] = Factory(dict)
@@ -72,6 +73,7 @@
     _restored_epoch: int = 0
     _settled_at: Seconds = float("-inf")
     _outdated_by_epoch: dict[int, Revision] = Factory(dict)
+    _priorities_by_service: dict[ServiceName, frozenset[int]] = Factory(dict)
 
     @property
     def table(self) -> RouteTable:
@@ -116,6 +118,17 @@
         route = self.route_by_endpoint.get(flow[ENDPOINT_LENGTH:])
         return None if route is None else route.terms
 
+    def list_priorities(self, service: ServiceName) -> frozenset[int]:
+        """Return the priorities that the routes of a service state."""
+        priorities = self._priorities_by_service.get(service)
+        if priorities is None:
+            priorities = self._priorities_by_service[service] = frozenset(
+                route.terms.priority
+                for route in self.table.routes
+                if route.terms is not None and service in route.list_services()
+            )
+        return priorities
+
     def describe_terms(self) -> list[str]:
         """Return the terms in force by the address that clients send to, for status."""
         return [
@@ -256,6 +269,7 @@
         self, new_indexed: IndexedRouteTable, delta: RouteDelta
     ) -> list[FlowEffect]:
         old_indexed, self._indexed_table = self._indexed_table, new_indexed
+        self._priorities_by_service.clear()
         self._record_outdated(old_indexed.table.revision)
         self._needs_full_table = False
         self._store_delta(old_indexed.digest, delta)
--- a/bilberrypath/coordination/service_pressure.py
+++ b/bilberrypath/coordination/service_pressure.py
@@ -13,21 +13,18 @@
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.load.pressure import ServicePressure
-    from bilberrypath.types import Revision, Seconds, ServiceName
+    from bilberrypath.types import Seconds
 
 
 @define
 class ServicePressureMonitor:
     """The part of an agent that derives the pressure from the loads it was told.
 
-    Nothing is derived for a service none of whose routes states terms. The priorities
-    of the service's routes are kept for one revision of the table.
+    Nothing is derived for a service none of whose routes states terms.
     """
 
     agent: FlowAgent = field(repr=False)
     _tracker: PressureTracker = Factory(PressureTracker)
-    _priorities: frozenset[int] = frozenset()
-    _priorities_key: tuple[Revision, ServiceName] = (-1, "")
 
     @property
     def pressure(self) -> ServicePressure:
@@ -44,23 +41,9 @@
         terms = self.agent.routes.find_terms(flow)
         return None if terms is None else self._tracker.pressure
 
-    @property
-    def priorities(self) -> frozenset[int]:
-        """The priorities that the routes of this agent's service state."""
-        agent = self.agent
-        key = (agent.routes.revision, agent.service)
-        if key != self._priorities_key:
-            self._priorities_key = key
-            self._priorities = frozenset(
-                route.terms.priority
-                for route in agent.routes.table.routes
-                if route.terms is not None and route.allows(agent.service)
-            )
-        return self._priorities
-
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Derive the pressure anew; log and count if it was entered or left."""
-        if not self.priorities:
+        if not self.agent.routes.list_priorities(self.agent.service):
             self._tracker.pressure = NO_PRESSURE
             return []
         was_high = self.pressure.is_high
--- a/bilberrypath/coordination/upstream_monitor.py
+++ b/bilberrypath/coordination/upstream_monitor.py
@@ -150,7 +150,6 @@
         is_first_report = not self._has_received_report
         self._has_received_report = True
         kind = self.health.handle_report(event, now)
-        self.agent.request_scheduler.update_room()
         self.is_gone = self.is_gone and kind is ReportKind.OUTDATED
         if kind is ReportKind.NEW_START or not event.draining:
             self.awaits_end = False
@@ -165,6 +164,7 @@
             is_other = is_other_service or kind is ReportKind.NEW_START
             cold_until = self.health.cold_until
             self.agent.flows.update_speed(self.slots, cold_until, is_other, now)
+            self.agent.request_scheduler.update_room()
         effects.append(fx.Count("upstream_report", kind.value))
         effects += self.announce_status("report", now)
         return effects + self.agent.open_handler.retry_queued(now)
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -33,9 +33,8 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 FINAL_HEARTBEAT_DELAY: Seconds = 0.05  # lets the last heartbeats be sent
-SPEED_GAUGES = ("service_time", "relative_speed", "confidence", "limit")
 DRAIN_POLL_PERIOD: Seconds = 0.005  # short compared with the run time of a request
-
+SPEED_GAUGES = ("service_time", "relative_speed", "confidence", "limit")
 GATE_EVENTS = ("request_kept", "request_released", "request_discarded")
 
 
--- a/tests/coordination/test_learned_speed.py
+++ b/tests/coordination/test_learned_speed.py
@@ -381,3 +381,19 @@
 
     def count_opens(self, world):
         return sum(len(upstream.opens) for upstream in world.upstream_by_host.values())
+
+
+class TestShedPointOfAnEarlierStart:
+    def test_is_not_used_for_the_next_start(self):
+        """Guard against a gate that takes an upstream for the one before it."""
+        world = make_world()
+        host = "10.2.0.1"
+        node = world.node_by_host[host]
+        upstream = world.upstream_by_host[host]
+        unknown_limit = node.request_scheduler.gate.urgent_limit
+        node.flows.speed._shed_at = unknown_limit + 5
+        upstream.report()
+        assert node.request_scheduler.gate.urgent_limit == unknown_limit + 5
+        upstream.restart()
+        upstream.report()
+        assert node.request_scheduler.gate.urgent_limit == unknown_limit
