Review cases 7 and 8: packets of flows at other servers, SIGHUP at a start

Case 7, tried: agents (two at a time) and frontends stopped and started in turn beside long flows. Cause: trials of a flow at servers that may have it are limited by each process for itself, and not at all once all agents answer. Case 8, tried: SIGHUPs for changed settings files while processes restart. Cause: the handler is installed after the modules are loaded.

--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -36,7 +36,7 @@
 HEARTBEAT_MS = 1200  # of both users' sites, as the next figures
 FLOW_TTL_S = 60
 GRACE_S = 6
-RESTART_DELAY = 0.5  # after which a process that ended is started again
+RESTART_DELAY = 0.5  # seconds after which a process that ended is started again
 READY_PERIOD = 0.5
 MISSES = 2
 STORE_DELAY = 0.004
@@ -277,7 +277,7 @@
             if self._asked:
                 await self._asked_end.wait()
             self._asked = False
-            await asyncio.sleep(RESTART_DELAY)
+            await asyncio.sleep(self.bench.restart_delay)
 
     async def _launch(self):
         path = self.bench.folder / f"{self.name}.ini"
@@ -354,6 +354,7 @@
         self.is_up = False
         self.acked_at = {}  # when each state was first acknowledged
         self.own, self.foreign = {}, {}  # times of packets that are no opens, by flow
+        self.ended_at = {}  # by flow
         self._flows = {}
         self._tasks = set()
 
@@ -460,6 +461,7 @@
 
     def _accept(self, packet, key, flow):
         if flow is None:
+            self.ended_at.pop(key, None)
             flow = self._flows[key] = ServerFlow(self, packet)
             self.opens.append((time.monotonic(), key))
         flow.send_syn_ack()
@@ -505,10 +507,17 @@
         self.client, self.route = syn.src, syn.dst
         self.seq = self.first_seq = random.getrandbits(32)
         self.next_in = (syn.seq + 1) & 0xFFFFFFFF
-        self.is_open = self.is_ended = False
+        self.is_open = False
         self._unacked = None
         self._tries = 0
 
+    @property
+    def is_ended(self):
+        return (self.client, self.route) in self.server.ended_at
+
+    def _end(self):
+        self.server.ended_at[(self.client, self.route)] = time.monotonic()
+
     def send_syn_ack(self):
         self._send(SYN | ACK, self.first_seq)
 
@@ -523,7 +532,7 @@
 
     def receive(self, packet):
         if packet.has(RST):
-            self.is_ended = True
+            self._end()
             self._unacked = None
             return
         if self._unacked is not None and packet.ack == self._unacked[1]:
@@ -538,7 +547,7 @@
             self._send(ACK, self.seq)
         if packet.has(FIN):
             if not self.is_ended:
-                self.is_ended = True
+                self._end()
                 self.next_in = (self.next_in + 1) & 0xFFFFFFFF
                 self._send(FIN | ACK, self.seq)
                 self.seq = (self.seq + 1) & 0xFFFFFFFF
@@ -555,7 +564,7 @@
     def close(self):
         """Send a FIN after the last answer."""
         if not self.is_ended:
-            self.is_ended = True
+            self._end()
             self._send(FIN | ACK, self.seq)
             self.seq = (self.seq + 1) & 0xFFFFFFFF
 
@@ -797,6 +806,7 @@
 
     def __init__(self, folder, front_zones, side, zones="abc", hash="steady"):
         self.hash = hash
+        self.restart_delay = RESTART_DELAY
         self.case = Path(folder)
         self.record = Record(folder)
         self.zones = [f"zone-{letter}" for letter in zones]
