--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -695,7 +695,10 @@
         return self.is_open and not self.ended
 
     async def ask(self, request_id, deadline):
-        """Send a request; return its answer's body, or None."""
+        """Send a request; return its answer's body, or None.
+
+        A flow whose request is not answered before the deadline is given up.
+        """
         data = (
             f"POST /{request_id} HTTP/1.1\r\nHost: x\r\n"
             f"Bilberrypath-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n"
@@ -710,6 +713,8 @@
             at = min(wait, until - time.monotonic())
             await self._wait(lambda: self._answer is not None or self.ended, at)
             wait = min(LAST_RETRY, 2 * wait)
+        if self._answer is None:
+            self.ended = self.ended or "given up"
         return self._answer
 
     def finish(self):
@@ -729,7 +734,7 @@
                     await self._changed.wait()
 
     def receive(self, packet):
-        if self.ended == "closed":
+        if self.ended in ("closed", "given up"):
             return
         if packet.has(RST):
             self._receive_reset(packet)
