A home agent asks the others before it tries its own upstream

Cause, one of two: a home agent that had restarted sent each packet of a flow that it did not know to its own upstream at once, and asked the other agents only when that upstream had returned it. The traces of broken flows show it again and again: `flow_tried` with nobody tried, and 1 to 70 ms later `flow_handed_over ... found`, so another agent had known the holder all along. Each restart of a home agent, and each balancer that passed over a silent one, cost a foreign packet.

Ruled out: the limit of trials, which is kept per process, is not what made these trials, as their holder was known.

Change: an agent delivers such a packet at once only if its sender knows it as the holder (`is_located`: a balancer's cached location, a redirect, or a reply that named it). Else it asks the others first, and is the first candidate if nobody knows, as the home agent of a flow often took its open. Answering queries is a module of its own.

Measured: test_restarted_home_agent fails before (foreign packets of flows whose holder others know) and passes after; 277 tests of flows, lookups and absent agents pass.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -24,10 +24,11 @@
 from bilberrypath.coordination.open_placement import OpenPlacement
 from bilberrypath.coordination.packet_relay import (
     list_notified,
-    make_relayed,
     may_follow_redirect,
+    relay_to,
 )
 from bilberrypath.coordination.pause_detector import PauseDetector
+from bilberrypath.coordination.query_answers import answer_query
 from bilberrypath.coordination.request_scheduler import RequestScheduler
 from bilberrypath.coordination.route_tracker import RouteTracker
 from bilberrypath.coordination.service_peers import ServicePeers
@@ -191,20 +192,12 @@
             self, holder, sender, forwarded, now
         ):
             self.unresponsive_peers.expect_answer(holder, now)
-            return self.relay_to(holder, forwarded, packet)
+            return relay_to(self, holder, forwarded, packet, is_located=True)
         self.redirects.forget(packet.flow)
         if packet.is_syn:
             return self.open_handler.place(forwarded, packet, sender, now)
         return self.locator.locate(forwarded, packet, now)
 
-    def relay_to(
-        self, agent: NodeId, forwarded: msg.ForwardedPacket, packet: FlowPacket
-    ) -> list[FlowEffect]:
-        """Return the effect that relays a packet to another agent."""
-        revision = self.routes.choose_newer(forwarded.revision)
-        relayed = make_relayed(forwarded, self.node_id, self.service, revision)
-        return [fx.SendControl(parse_address(agent), relayed)]
-
     def send_location(
         self,
         forwarded: msg.ForwardedPacket,
@@ -332,7 +325,7 @@
     def _(
         self, message: msg.FlowQuery, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        return [fx.SendControl(sender, self.locator.answer_query(message, now))]
+        return [fx.SendControl(sender, answer_query(self, message, now))]
 
     @_handle_message.register(msg.FlowQueryReply)
     def _(
--- a/bilberrypath/coordination/flow_balancer.py
+++ b/bilberrypath/coordination/flow_balancer.py
@@ -142,7 +142,12 @@
             return self.resolver.resolve(packet, now)
         may_reset = self.resolver.may_reset(packet.flow)
         forwarded = self.forward(
-            packet, "", holder, wants_location=False, may_reset=may_reset
+            packet,
+            "",
+            holder,
+            wants_location=False,
+            may_reset=may_reset,
+            is_located=True,
         )
         return [forwarded]
 
@@ -160,13 +165,15 @@
         may_reset: bool,
         may_try: bool = True,
         max_trials: int = MAX_TRIALS,
+        is_located: bool = False,
     ) -> fx.SendControl:
         """Return the effect that forwards a packet to an agent.
 
         ``wants_location`` makes the agent report the flow's location, and
         ``may_reset`` allows a reset if no agent of the service has the flow.
         ``may_try`` and ``max_trials`` limit deliveries to upstreams that may not have
-        it; see :class:`~bilberrypath.protocol.flow_messages.ForwardedPacket`.
+        it, and ``is_located`` states that the agent is known as its holder; see
+        :class:`~bilberrypath.protocol.flow_messages.ForwardedPacket`.
         """
         message = msg.ForwardedPacket(
             self.routes.revision,
@@ -181,6 +188,7 @@
             client_data_centre=self.members.own_member.data_centre,
             may_try=may_try,
             max_trials=max_trials,
+            is_located=is_located,
         )
         return fx.SendControl(parse_address(agent_id), message)
 
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -19,15 +19,15 @@
 )
 from bilberrypath.coordination.lookup_memory import LookupMemory
 from bilberrypath.coordination.lost_flows import LostFlows
+from bilberrypath.coordination.packet_relay import relay_to
 from bilberrypath.coordination.query_rounds import QueryRounds
-from bilberrypath.coordination.trials import has_unanswered_trial
-from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.protocol.flow_messages import ForwardedPacket, parse_address
 
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.coordination.held_flows import HeldFlow
+    from bilberrypath.protocol.flow_messages import FlowQueryReply
     from bilberrypath.protocol.flow_packet import FlowPacket
     from bilberrypath.types import NodeId, Seconds
 
@@ -60,9 +60,12 @@
     ) -> list[FlowEffect]:
         """Deliver a packet tentatively to this agent's upstream, or look up its flow.
 
-        It is delivered if the upstream may have the flow, and either has sent something
-        before or the lookup of the flow is done. A packet straight from a balancer is
-        dropped if a lookup within the last ``NOT_FOUND_TTL`` did not find its flow.
+        It is delivered if the upstream may have the flow, and either its sender knows
+        this agent as the holder or the lookup of the flow is done.
+        Otherwise the other
+        agents are asked first, also if this is the home agent of the flow: any of them
+        may know the holder. A packet straight from a balancer is dropped if a lookup
+        within the last ``NOT_FOUND_TTL`` did not find its flow.
         """
         agent = self.agent
         if forwarded.hops == 0 and self.memory.was_recently_not_found(packet.flow, now):
@@ -72,8 +75,7 @@
         may_hold &= self.may_hold(packet.flow, now)
         if may_hold and forwarded.is_lookup_done:
             return self._deliver_tentatively(forwarded, packet, now)
-        may_try = may_hold and agent.upstream.health.has_received_any
-        if may_try and self._count_trials_left(forwarded, packet.flow, now):
+        if may_hold and forwarded.is_located:
             forwarded = self._use_trials(forwarded, packet.flow, 1, now)
             return self._deliver_tentatively(forwarded, packet, now)
         if forwarded.is_lookup_done:
@@ -86,7 +88,9 @@
         """Look up a flow whose trial here was not answered; try it here last."""
         self.agent.flows.remove(packet.flow, now)
         self.memory.tentative_by_flow.pop(packet.flow, None)
-        return self.query_agents(forwarded, packet, now, may_hold=True)
+        return self.query_agents(
+            forwarded, packet, now, may_hold=True, is_unanswered=True
+        )
 
     def may_hold(self, flow: bytes, now: Seconds) -> bool:
         """Return whether the upstream may have a flow that is unknown to this agent."""
@@ -199,7 +203,7 @@
             relayed = msgspec.structs.replace(
                 forwarded, possible_holders=tuple(remaining)
             )
-            return agent.relay_to(target, relayed, packet)
+            return relay_to(agent, target, relayed, packet)
         if forwarded.is_lookup_done:
             lookup = FlowLookup([(forwarded, packet)], tried, set())
             return self.lost_flows.handle_no_holder(
@@ -207,36 +211,8 @@
             )
         return self.query_agents(forwarded, packet, now)
 
-    def answer_query(self, query: msg.FlowQuery, now: Seconds) -> msg.FlowQueryReply:
-        """Return the reply to a query for one or more flows."""
-        upstream = self.agent.upstream
-        others = [(flow, self._find_holder(flow, now)) for flow in query.other_flows]
-        flows = (query.flow, *query.other_flows)
-        returned = tuple(flow for flow in flows if self.memory.was_returned(flow))
-        return msg.FlowQueryReply(
-            query.flow,
-            self._find_holder(query.flow, now),
-            not upstream.tracks_all_flows(now),
-            upstream.health.is_heard(now),
-            tuple(others),
-            returned,
-            self.agent.placement.report_absent(now),
-        )
-
-    def _find_holder(self, flow: bytes, now: Seconds) -> NodeId:
-        """Return this agent if it has a flow, else the holder of its redirect or ""."""
-        agent = self.agent
-        held = agent.flows.get(flow)
-        if held is not None and not has_unanswered_trial(agent, held, now):
-            return agent.node_id
-        holder = agent.redirects.find(flow, now)
-        is_known_peer = holder is not None and agent.placement.may_have_flows(holder)
-        if is_known_peer and not agent.unresponsive_peers.has_failed(holder, now):
-            return holder
-        return ""
-
     def handle_query_reply(
-        self, reply: msg.FlowQueryReply, sender: NodeId, now: Seconds
+        self, reply: FlowQueryReply, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
         """Process another agent's reply, and finish the lookups that it settles.
 
@@ -287,11 +263,14 @@
         packet: FlowPacket,
         now: Seconds,
         may_hold: bool = False,
+        is_unanswered: bool = False,
     ) -> list[FlowEffect]:
         """Start a lookup among the other agents.
 
         ``may_hold`` means that this agent's upstream may have the flow. This agent
-        is then tried last, with the candidates whose upstreams have sent nothing yet.
+        is then a candidate too: the first, as the home agent of a flow often took its
+        open, or one of the last if its upstream has sent nothing yet or did not answer
+        a trial of the flow (``is_unanswered``).
         """
         agent = self.agent
         tried = tuple(dict.fromkeys((*forwarded.tried_agents, agent.node_id)))
@@ -307,8 +286,13 @@
         lookup = self.lookups.begin(forwarded, packet, tried, others)
         if lookup is None:
             return [fx.Count("packet_dropped", "too_many_searches")]
-        if may_hold:
+        is_heard = agent.upstream.health.has_received_any and not is_unanswered
+        if may_hold and is_heard:
+            lookup.first_candidate = agent.node_id
+        elif may_hold:
             lookup.silent_upstream_agents.append(agent.node_id)
+        if is_unanswered:
+            lookup.ignored_holder = agent.node_id
         if not others:
             return self._finish_lookup(
                 packet.flow, self.lookups.compute_result(packet.flow), now
@@ -339,7 +323,7 @@
         if isinstance(result, HolderFound):
             self.lost_flows.forget(flow)
             self.agent.redirects.record(flow, result.holder, now)
-            return self._relay_queued(lookup, result.holder, "found")
+            return self._relay_queued(lookup, result.holder, "found", is_located=True)
         if isinstance(result, TryCandidates):
             return self._relay_to_candidates(lookup, result, now)
         return self.lost_flows.handle_no_holder(flow, lookup, result, now)
@@ -386,14 +370,18 @@
         return self._relay_queued(reduced, candidates[0], "try_each")
 
     def _relay_queued(
-        self, lookup: FlowLookup, target: NodeId, reason: str
+        self,
+        lookup: FlowLookup,
+        target: NodeId,
+        reason: str,
+        is_located: bool = False,
     ) -> list[FlowEffect]:
         effects: list[FlowEffect] = [fx.Count("flow_search", reason)]
         for forwarded, packet in lookup.queued_packets:
             relayed = msgspec.structs.replace(
                 forwarded, tried_agents=lookup.tried_agents
             )
-            effects += self.agent.relay_to(target, relayed, packet)
+            effects += relay_to(self.agent, target, relayed, packet, is_located)
         flow = lookup.queued_packets[0][1].flow
         fields = {"to": target, "reason": reason, "tried": list(lookup.tried_agents)}
         return [*effects, ffx.LogDecision("flow_handed_over", flow, fields)]
--- a/bilberrypath/coordination/flow_lookup.py
+++ b/bilberrypath/coordination/flow_lookup.py
@@ -61,8 +61,9 @@
     ``possible_holders`` and ``silent_upstream_agents`` are agents whose upstream may
     have the flow. Agents in ``silent_upstream_agents`` have received nothing from
     their upstream since they started. ``queried_ids`` are the queried agents in the
-    order in which candidates among them are tried. ``has_complete_record`` is true if
-    one of them knows all flows that its upstream had since the upstream started.
+    order in which candidates among them are tried. ``first_candidate`` is tried before
+    them. A reply that names ``ignored_holder`` names nobody. ``has_complete_record`` is
+    true if one of them knows all flows that its upstream had since it started.
     """
 
     queued_packets: list[tuple[ForwardedPacket, FlowPacket]]
@@ -71,6 +72,8 @@
     queried_ids: tuple[NodeId, ...] = ()
     possible_holders: list[NodeId] = Factory(list)
     silent_upstream_agents: list[NodeId] = Factory(list)
+    first_candidate: NodeId = ""
+    ignored_holder: NodeId = ""
     has_complete_record: bool = False
 
     def try_queue(self, forwarded: ForwardedPacket, packet: FlowPacket) -> bool:
@@ -122,7 +125,8 @@
             return None
         lookup.pending_ids.discard(agent)
         lookup.has_complete_record |= not reply.may_hold
-        if reply.holder and reply.holder not in lookup.tried_agents:
+        excluded = (*lookup.tried_agents, lookup.ignored_holder)
+        if reply.holder and reply.holder not in excluded:
             return HolderFound(reply.holder)
         if reply.may_hold and reply.flow not in reply.returned_flows:
             (
@@ -145,6 +149,7 @@
             return order.get(node_id, len(order))
 
         candidates = (
+            *((lookup.first_candidate,) if lookup.first_candidate else ()),
             *sorted(lookup.possible_holders, key=rank),
             *sorted(lookup.silent_upstream_agents, key=rank),
         )
--- a/bilberrypath/coordination/open_effects.py
+++ b/bilberrypath/coordination/open_effects.py
@@ -7,6 +7,7 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import flow_effects as ffx
 from bilberrypath.coordination.open_placement import MAX_HOPS
+from bilberrypath.coordination.packet_relay import relay_to
 from bilberrypath.load.admission import OpenAttempt
 
 if TYPE_CHECKING:
@@ -79,7 +80,7 @@
         **agent.placement.describe(target, now),
     }
     return [
-        *agent.relay_to(target, opened.forwarded, opened.packet),
+        *relay_to(agent, target, opened.forwarded, opened.packet),
         fx.Count("open_passed_on", reason),
         ffx.LogDecision("open_passed_on", opened.packet.flow, fields),
     ]
--- a/bilberrypath/coordination/packet_relay.py
+++ b/bilberrypath/coordination/packet_relay.py
@@ -6,28 +6,39 @@
 
 import msgspec
 
+from bilberrypath.coordination.effects import SendControl
+from bilberrypath.protocol.flow_messages import parse_address
+
 if TYPE_CHECKING:
     from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.protocol.flow_messages import ForwardedPacket
-    from bilberrypath.types import NodeId, Revision, Seconds, ServiceName
+    from bilberrypath.protocol.flow_packet import FlowPacket
+    from bilberrypath.types import NodeId, Seconds
 
 
-def make_relayed(
-    forwarded: ForwardedPacket, own_id: NodeId, service: ServiceName, revision: Revision
-) -> ForwardedPacket:
-    """Return a packet as an agent of a service relays it to another agent.
+def relay_to(
+    agent: FlowAgent,
+    target: NodeId,
+    forwarded: ForwardedPacket,
+    packet: FlowPacket,
+    is_located: bool = False,
+) -> list[FlowEffect]:
+    """Return the effect that relays a packet to another agent of the service.
 
-    The first agent that a packet reaches becomes the home agent. ``revision`` is the
-    newer one of those of the packet and of the agent's route table.
+    The first agent that a packet reaches becomes the home agent. ``is_located`` states
+    whether ``target`` is known as the holder of the flow.
     """
-    return msgspec.structs.replace(
+    relayed = msgspec.structs.replace(
         forwarded,
-        revision=revision,
-        service=forwarded.service or service,
-        home_agent=forwarded.home_agent or own_id,
+        revision=agent.routes.choose_newer(forwarded.revision),
+        service=forwarded.service or agent.service,
+        home_agent=forwarded.home_agent or agent.node_id,
         wants_location=True,
         hops=forwarded.hops + 1,
+        is_located=is_located,
     )
+    return [SendControl(parse_address(target), relayed)]
 
 
 def list_notified(
--- /dev/null
+++ b/bilberrypath/coordination/query_answers.py
@@ -0,0 +1,42 @@
+"""What an agent answers to another agent that looks up flows of their service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bilberrypath.coordination.trials import has_unanswered_trial
+from bilberrypath.protocol.flow_messages import FlowQueryReply
+
+if TYPE_CHECKING:
+    from bilberrypath.coordination.flow_agent import FlowAgent
+    from bilberrypath.protocol.flow_messages import FlowQuery
+    from bilberrypath.types import NodeId, Seconds
+
+
+def answer_query(agent: FlowAgent, query: FlowQuery, now: Seconds) -> FlowQueryReply:
+    """Return the reply to a query for one or more flows."""
+    upstream, memory = agent.upstream, agent.locator.memory
+    others = [(flow, find_holder(agent, flow, now)) for flow in query.other_flows]
+    flows = (query.flow, *query.other_flows)
+    returned = tuple(flow for flow in flows if memory.was_returned(flow))
+    return FlowQueryReply(
+        query.flow,
+        find_holder(agent, query.flow, now),
+        not upstream.tracks_all_flows(now),
+        upstream.health.is_heard(now),
+        tuple(others),
+        returned,
+        agent.placement.report_absent(now),
+    )
+
+
+def find_holder(agent: FlowAgent, flow: bytes, now: Seconds) -> NodeId:
+    """Return this agent if it has a flow, else the holder of its redirect or ""."""
+    held = agent.flows.get(flow)
+    if held is not None and not has_unanswered_trial(agent, held, now):
+        return agent.node_id
+    holder = agent.redirects.find(flow, now)
+    is_known_peer = holder is not None and agent.placement.may_have_flows(holder)
+    if is_known_peer and not agent.unresponsive_peers.has_failed(holder, now):
+        return holder
+    return ""
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -45,7 +45,8 @@
     answer: each of them may have accepted it nevertheless. ``client_data_centre`` is
     the data centre of the balancer, and so of the client. Upstreams
     that may not have the flow are sent its packet only if ``may_try``, and while an
-    agent does not answer ``max_trials`` of them at most.
+    agent does not answer ``max_trials`` of them at most. ``is_located`` means that the
+    sender knows the receiver as the holder of the flow.
     """
 
     revision: int
@@ -66,6 +67,7 @@
     unanswered_count: int = 0
     may_try: bool = True
     max_trials: int = 2
+    is_located: bool = False
 
 
 class FlowLocation(ControlStruct, tag=21):
