Agents that end hand over the locations of flows

Cause, the second of two: the location of a flow is known to its holder's agent, to the home agent that relayed its open, and to the balancers that used it, in memory only. With restarts in turn all of them start anew within seconds while the flow and its upstream live on. Then nobody knows the flow, and its packets are tried at one upstream after the other. The traces show it: a lookup among six agents names no holder, `try_each` follows, and the next home agent and balancer do the same, each with a limit of its own.

Weighed: copies of each location at its open (a message more for each flow, to be repeated whenever a copy ends); asking balancers (their caches end too). Taken: an agent passes on what it knows when it ends, which is the only time at which planned work loses it. What a killed process alone knew is still lost; there the lookup tries upstreams as before.

Change: on SIGTERM, and for what has changed again when it is drained, an agent sends the locations of the flows that clients use at its own upstream, and those of its redirects, to three agents that stay (`LocationHandover`). These answer lookups with them, and pass them on when they end. A location keeps its idle time, so that those of closed flows expire as before. A redirect of which the holder is not listed yet is not forgotten any more, unless the packet shows that the holder lacks the flow.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -20,9 +20,11 @@
 from bilberrypath.coordination.flow_registration import FlowRegistration
 from bilberrypath.coordination.held_flows import HeldFlows
 from bilberrypath.coordination.load_reporter import LoadReporter
+from bilberrypath.coordination.location_handover import LocationHandover
 from bilberrypath.coordination.open_handler import OpenHandler
 from bilberrypath.coordination.open_placement import OpenPlacement
 from bilberrypath.coordination.packet_relay import (
+    is_redirect_refuted,
     list_notified,
     may_follow_redirect,
     relay_to,
@@ -73,6 +75,7 @@
         self.upstream = UpstreamMonitor(self, now)
         self.open_handler = OpenHandler(self)
         self.locator = FlowLocator(self)
+        self.handover = LocationHandover(self)
         self.upstream_packets = UpstreamPackets(self)
         self.started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
@@ -193,7 +196,8 @@
         ):
             self.unresponsive_peers.expect_answer(holder, now)
             return relay_to(self, holder, forwarded, packet, is_located=True)
-        self.redirects.forget(packet.flow)
+        if packet.is_syn or is_redirect_refuted(holder, sender, forwarded):
+            self.redirects.forget(packet.flow)
         if packet.is_syn:
             return self.open_handler.place(forwarded, packet, sender, now)
         return self.locator.locate(forwarded, packet, now)
@@ -288,6 +292,10 @@
         self.is_leaving = True
         return [*self.request_scheduler.update(now), *self.peers.announce_end(now)]
 
+    @handle.register(fev.Ending)
+    def _(self, event: fev.Ending, now: Seconds) -> list[FlowEffect]:
+        return self.handover.send(now)
+
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
         self._shift_for_pause(now)
@@ -333,6 +341,12 @@
     ) -> list[FlowEffect]:
         return self.locator.handle_query_reply(message, format_node_id(sender), now)
 
+    @_handle_message.register(msg.LocationHandover)
+    def _(
+        self, message: msg.LocationHandover, sender: Address, now: Seconds
+    ) -> list[FlowEffect]:
+        return self.handover.receive(message, format_node_id(sender), now)
+
     @_handle_message.register(msg.LoadReport)
     def _(
         self, message: msg.LoadReport, sender: Address, now: Seconds
--- a/bilberrypath/coordination/flow_events.py
+++ b/bilberrypath/coordination/flow_events.py
@@ -77,3 +77,8 @@
 @frozen
 class UpstreamUnreachable:
     """A packet to the upstream was refused: nothing listens at its address."""
+
+
+@frozen
+class Ending:
+    """This process is drained and ends now, after an earlier ``Leave``."""
--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -60,8 +60,8 @@
     ) -> list[FlowEffect]:
         """Deliver a packet tentatively to this agent's upstream, or look up its flow.
 
-        It is delivered if the upstream may have the flow, and either its sender knows
-        this agent as the holder or the lookup of the flow is done.
+        It is delivered if the upstream may have the flow, and either its sender or an
+        agent that ended knew this one as the holder, or the lookup of the flow is done.
         Otherwise the other
         agents are asked first, also if this is the home agent of the flow: any of them
         may know the holder. A packet straight from a balancer is dropped if a lookup
@@ -75,7 +75,8 @@
         may_hold &= self.may_hold(packet.flow, now)
         if may_hold and forwarded.is_lookup_done:
             return self._deliver_tentatively(forwarded, packet, now)
-        if may_hold and forwarded.is_located:
+        is_own = agent.redirects.find(packet.flow, now) == agent.node_id
+        if may_hold and (forwarded.is_located or is_own):
             forwarded = self._use_trials(forwarded, packet.flow, 1, now)
             return self._deliver_tentatively(forwarded, packet, now)
         if forwarded.is_lookup_done:
--- a/bilberrypath/coordination/packet_relay.py
+++ b/bilberrypath/coordination/packet_relay.py
@@ -87,3 +87,13 @@
         and holder not in (sender, agent.node_id)
         and holder not in forwarded.tried_agents
     )
+
+
+def is_redirect_refuted(
+    holder: NodeId | None, sender: NodeId, forwarded: ForwardedPacket
+) -> bool:
+    """Return whether a packet shows that the holder of a redirect lacks the flow.
+
+    It has sent the packet here, or its upstream was tried.
+    """
+    return holder == sender or holder in forwarded.tried_agents
--- a/bilberrypath/coordination/query_answers.py
+++ b/bilberrypath/coordination/query_answers.py
@@ -31,11 +31,16 @@
 
 
 def find_holder(agent: FlowAgent, flow: bytes, now: Seconds) -> NodeId:
-    """Return this agent if it has a flow, else the holder of its redirect or ""."""
+    """Return this agent if it has a flow, else the holder of its redirect or "".
+
+    A redirect to this agent itself was handed over by one that ended.
+    """
     held = agent.flows.get(flow)
     if held is not None and not has_unanswered_trial(agent, held, now):
         return agent.node_id
     holder = agent.redirects.find(flow, now)
+    if holder == agent.node_id:
+        return holder if agent.locator.may_hold(flow, now) else ""
     is_known_peer = holder is not None and agent.placement.may_have_flows(holder)
     if is_known_peer and not agent.unresponsive_peers.has_failed(holder, now):
         return holder
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -86,7 +86,8 @@
         An agent whose upstream is gone has left, and nobody has to wait for it. So has
         one whose upstream certainly has no flows: after its end, an upstream may still
         send a packet again, and then does not count as gone. The other agents are told
-        that too, since all balancers may end at the same time.
+        that too, since all balancers may end at the same time. Some of them are passed
+        on what is known here about the locations of flows.
         """
         agent = self.agent
         registration = agent.registration
@@ -104,6 +105,7 @@
             *registration.send_heartbeats(0, 0, now),
             *self.send_load_report(now),
             *(fx.SendControl(parse_address(id_), heartbeat) for id_ in told_ids),
+            *agent.handover.send(now),
         ]
 
     def handle_end(self, member: Member, sender: NodeId, now: Seconds) -> None:
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -24,6 +24,8 @@
 
 # The node ID of an agent, and for how many seconds it has been absent.
 AbsentAgent = tuple[CheckedNodeId, float]
+# A flow, the node ID of its holder, and for how many seconds it has been idle.
+IdleLocation = tuple[bytes, CheckedNodeId, float]
 
 
 class ForwardedPacket(ControlStruct, tag=20):
@@ -195,6 +197,16 @@
     """The answer to a ping."""
 
 
+class LocationHandover(ControlStruct, tag=30):
+    """What an agent that ends knows about the flows of its service.
+
+    ``locations`` are those of open flows at its own upstream and at others.
+    """
+
+    service: str
+    locations: tuple[IdleLocation, ...] = ()
+
+
 FlowMessage = Union[  # noqa: UP007
     ForwardedPacket,
     FlowLocation,
@@ -206,6 +218,7 @@
     RoutesChanged,
     Ping,
     Pong,
+    LocationHandover,
     ctl.Probe,
     ctl.ProbeAck,
     ctl.IndirectProbe,
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -128,6 +128,10 @@
         while not self.core.may_end(read_clock()):
             await asyncio.sleep(DRAIN_POLL_PERIOD)
 
+    def send_last_messages(self) -> None:
+        """Pass on the locations of flows that changed while this process drained."""
+        self.handle_event(fev.Ending())
+
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seed addresses at run time."""
         self.core.registration.seeds = seeds
--- /dev/null
+++ b/tests/coordination/test_location_handover.py
@@ -0,0 +1,156 @@
+"""Tests of what becomes of the locations of flows when agents restart as planned."""
+
+import pytest
+
+from bilberrypath.coordination.events import ControlReceived, Leave
+from bilberrypath.coordination.flow_events import Ending
+from bilberrypath.coordination.location_handover import HANDOVER_FANOUT
+from bilberrypath.protocol.flow_messages import LocationHandover
+from tests.coordination.test_absent_agents import (
+    AWAY,
+    add_restarted_agent,
+    assert_whole,
+    count_misled,
+    restart_balancers,
+    use,
+)
+from tests.support.flow_world import count_foreign, find_holder, make_world, open_flows
+
+OTHER = "10.2.0.2"
+FLOW = bytes(12)
+
+
+def make_world_with_answered_flows(agents=5, seed=1):
+    world = make_world(agents=agents, seed=seed)
+    clients = open_flows(world, 40)
+    for client in clients:
+        client.send_request()
+    world.run(0.3)
+    return world, clients
+
+
+def end_as_planned(world, host):
+    """End a process as after SIGTERM: it announces its end, drains and exits."""
+    world.feed(host, Leave())
+    world.run(0.05)
+    world.feed(host, Ending())
+    world.kill(host)
+
+
+def hand_over(world, locations=(), service="board", sender=OTHER):
+    """Have AWAY receive what an agent at its end states."""
+    message = LocationHandover(service, tuple(locations))
+    world.feed(AWAY, ControlReceived((sender, 7600), message))
+
+
+class TestLocationsAtAPlannedEnd:
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_outlast_restarts_of_all_agents_and_balancers(self, seed):
+        """Guard against locations that end with the processes that know them."""
+        world, clients = make_world_with_answered_flows(agents=7, seed=seed)
+        hosts = [f"10.2.0.{number}" for number in range(1, 8)]
+        for _ in range(2):
+            for pair in (hosts[:2], hosts[2:4], hosts[4:6], hosts[6:]):
+                for host in pair:
+                    end_as_planned(world, host)
+                world.run(1.0)
+                for host in pair:
+                    add_restarted_agent(world, host)
+                world.run(1.2)
+            restart_balancers(world)
+            world.run(2.0)
+            use(world, clients, 0.6)
+        assert_whole(world, clients)
+        assert count_misled(world, clients, 0.0) == 0
+        assert count_foreign(world) == 0
+
+    def test_are_kept_while_the_holder_is_away(self):
+        world, clients = make_world_with_answered_flows()
+        held = [c for c in clients if find_holder(world, c.flow) == AWAY]
+        end_as_planned(world, AWAY)
+        restart_balancers(world)
+        for number in range(2, 6):
+            end_as_planned(world, f"10.2.0.{number}")
+            world.run(0.5)
+            add_restarted_agent(world, f"10.2.0.{number}")
+            world.run(1.0)
+        for client in held:
+            client.send_request()
+        world.run(1.0)
+        assert count_foreign(world) == 0
+        add_restarted_agent(world, AWAY)
+        world.run(1.5)
+        assert_whole(world, held)
+
+    def test_include_flows_that_opened_while_the_agent_drained(self):
+        world, _ = make_world_with_answered_flows(agents=2)
+        world.feed(AWAY, Leave())
+        world.run(0.05)
+        clients = open_flows(world, 20)
+        for client in clients:
+            client.send_request()
+        world.run(0.3)
+        world.feed(AWAY, Ending())
+        world.kill(AWAY)
+        world.run(0.1)
+        held = [c for c in clients if find_holder(world, c.flow) == AWAY]
+        redirects = world.node_by_host[OTHER].redirects
+        holders = {redirects.find(c.flow, world.now) for c in held}
+        assert holders <= {f"{AWAY}:7600"}
+
+    def test_are_sent_once_to_few_agents(self):
+        """Guard against messages that grow with the size of the service."""
+        world, _ = make_world_with_answered_flows(agents=8)
+        agent = world.node_by_host[AWAY]
+        first = agent.handle(Leave(), world.now)
+        again = agent.handle(Ending(), world.now)
+        recipients = [e.to for e in first if is_handover(e)]
+        assert len(set(recipients)) == HANDOVER_FANOUT
+        assert not any(is_handover(effect) for effect in again)
+
+    def test_leave_out_flows_of_an_upstream_that_is_gone(self):
+        world, clients = make_world_with_answered_flows()
+        held = [c.flow for c in clients if find_holder(world, c.flow) == AWAY]
+        agent = world.node_by_host[AWAY]
+        agent.upstream.is_gone = True
+        sent = [e.message for e in agent.handle(Leave(), world.now) if is_handover(e)]
+        named = {flow for message in sent for flow, _, _ in message.locations}
+        assert named.isdisjoint(held)
+
+
+def is_handover(effect):
+    return isinstance(getattr(effect, "message", None), LocationHandover)
+
+
+class TestReceivedLocation:
+    @pytest.fixture
+    def world(self):
+        return make_world()
+
+    def find(self, world):
+        location = world.node_by_host[AWAY].redirects.location_by_flow.get(FLOW)
+        return None if location is None else location.holder
+
+    def test_is_used(self, world):
+        hand_over(world, [(FLOW, "10.2.0.3:7600", 1.0)])
+        assert self.find(world) == "10.2.0.3:7600"
+
+    def test_of_the_holder_replaces_another(self, world):
+        world.node_by_host[AWAY].redirects.record(FLOW, "10.2.0.3:7600", world.now)
+        hand_over(world, [(FLOW, f"{OTHER}:7600", 1.0)])
+        assert self.find(world) == f"{OTHER}:7600"
+
+    def test_of_another_agent_replaces_no_newer_one(self, world):
+        world.node_by_host[AWAY].redirects.record(FLOW, "10.2.0.3:7600", world.now)
+        hand_over(world, [(FLOW, "10.2.0.4:7600", 1.0)])
+        assert self.find(world) == "10.2.0.3:7600"
+
+    @pytest.mark.parametrize("idle_time", [-1.0, 61.0, float("nan"), float("inf")])
+    def test_with_an_impossible_time_is_ignored(self, world, idle_time):
+        hand_over(world, [(FLOW, "10.2.0.3:7600", idle_time)])
+        assert self.find(world) is None
+
+    def test_of_another_service_is_ignored(self, world):
+        hand_over(world, [(FLOW, "10.2.0.3:7600", 1.0)], service="photo")
+        assert self.find(world) is None
+        assert world.counts["handover_dropped", "other_service"] == 1
