Trials of a flow count at whichever agent looks it up

Cause: the limit of trials while an agent does not answer is kept by each home agent and each balancer for itself. The next home agent and balancer of the flow begin anew, and a restart forgets it. A stalled holder showed it in the model as well: home agent 4 tried two upstreams, and 0.4 s later home agent 5 two others.

Change: an agent states in its reply to a lookup how many trials of the flow it knows of that still count, and the one that looks the flow up takes these off. An agent that ends passes its trials on with the locations. Agents that were killed are not covered.

Measured: TestTrials fails before and passes after.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -344,8 +344,8 @@
         flow = packet.flow
         candidates = result.candidates
         if self.lost_flows.may_be_at_silent_agent(lookup, now) or not forwarded.may_try:
-            left = self._count_trials_left(forwarded, flow, now)
-            candidates = candidates[:left]
+            left = self._count_trials_left(forwarded, flow, now) - lookup.trial_count
+            candidates = candidates[: max(0, left)]
         has_queried_all = (
             result.is_complete
             and candidates == result.candidates
--- a/bilberrypath/coordination/location_handover.py
+++ b/bilberrypath/coordination/location_handover.py
@@ -37,7 +37,7 @@
     _sent_holder_by_flow: dict[bytes, NodeId] = Factory(dict)
 
     def send(self, now: Seconds) -> list[FlowEffect]:
-        """Pass on the locations that were not passed on before."""
+        """Pass on the locations that were not passed on before, and recent trials."""
         recipients = self._choose_recipients()
         if not recipients:
             return []
@@ -46,7 +46,8 @@
             for location in self._list_locations(now)
             if self._sent_holder_by_flow.get(location[0]) != location[1]
         ]
-        if not locations:
+        trials = self.agent.locator.memory.trials.list_recent(now)
+        if not locations and not trials:
             return []
         self._sent_holder_by_flow |= {flow: holder for flow, holder, _ in locations}
         fields = {"flows": len(locations), "to": recipients}
@@ -54,18 +55,21 @@
             fx.LogStateChange("locations_handed_over", fields),
             *(
                 fx.SendControl(parse_address(node_id), message)
-                for message in self._make_messages(locations)
+                for message in self._make_messages(locations, trials)
                 for node_id in recipients
             ),
         ]
 
     def _make_messages(
-        self, locations: list[msg.IdleLocation]
+        self, locations: list[msg.IdleLocation], trials: list[msg.PastTrial]
     ) -> list[msg.LocationHandover]:
         service, step = self.agent.service, MAX_ENTRIES_PER_MESSAGE
         return [
             msg.LocationHandover(service, tuple(locations[start : start + step]))
             for start in range(0, len(locations), step)
+        ] + [
+            msg.LocationHandover(service, trials=tuple(trials[start : start + step]))
+            for start in range(0, len(trials), step)
         ]
 
     def _list_locations(self, now: Seconds) -> list[msg.IdleLocation]:
@@ -106,7 +110,7 @@
     def receive(
         self, message: msg.LocationHandover, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
-        """Record the locations that an agent of the service passed on.
+        """Record the locations and trials that an agent of the service passed on.
 
         What the holder itself states replaces what is known here; other locations
         replace older ones.
@@ -122,4 +126,7 @@
             seen_at = now - idle_time
             if known is None or sender == holder or known.seen_at < seen_at:
                 agent.redirects.record(flow, holder, seen_at)
+        for flow, age in message.trials:
+            if age >= 0:
+                agent.locator.memory.trials.record(flow, 1, now - age)
         return [fx.Count("handover", "received")]
--- a/bilberrypath/coordination/trial_budget.py
+++ b/bilberrypath/coordination/trial_budget.py
@@ -31,6 +31,19 @@
         times = self._times_by_flow.get(flow, ())
         return MAX_TRIALS - sum(now - at < TRIAL_WINDOW for at in times)
 
+    def count_recent(self, flow: bytes, now: Seconds) -> int:
+        """Return how many trials of a flow count now, ``MAX_TRIALS`` at most."""
+        return MAX_TRIALS - self.count_left(flow, now)
+
+    def list_recent(self, now: Seconds) -> list[tuple[bytes, Seconds]]:
+        """Return the flow and the age of each trial that counts now."""
+        return [
+            (flow, now - at)
+            for flow, times in self._times_by_flow.items()
+            for at in times
+            if now - at < TRIAL_WINDOW
+        ]
+
     def record(self, flow: bytes, count: int, now: Seconds) -> None:
         """Record trials of a flow."""
         times = self._times_by_flow.setdefault(flow, deque(maxlen=MAX_TRIALS))
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -26,6 +26,8 @@
 AbsentAgent = tuple[CheckedNodeId, float]
 # A flow, the node ID of its holder, and for how many seconds it has been idle.
 IdleLocation = tuple[bytes, CheckedNodeId, float]
+# A flow, and how many seconds ago it was tried at an upstream that may not have it.
+PastTrial = tuple[bytes, float]
 
 
 class ForwardedPacket(ControlStruct, tag=20):
@@ -112,6 +114,7 @@
     the query; ``other_holders`` has the holder of each of its other flows. The upstream
     returned packets of ``returned_flows``, and does not have them. ``absent``
     are agents that may have flows, although they are not listed any more.
+    ``trial_counts`` has how many trials of a flow the agent knows of that count now.
     """
 
     flow: bytes
@@ -121,6 +124,7 @@
     other_holders: tuple[tuple[bytes, str], ...] = ()
     returned_flows: tuple[bytes, ...] = ()
     absent: tuple[AbsentAgent, ...] = ()
+    trial_counts: tuple[tuple[bytes, int], ...] = ()
 
 
 class LoadReport(ControlStruct, tag=24):
@@ -200,11 +204,13 @@
 class LocationHandover(ControlStruct, tag=30):
     """What an agent that ends knows about the flows of its service.
 
-    ``locations`` are those of open flows at its own upstream and at others.
+    ``locations`` are those of open flows at its own upstream and at others, and
+    ``trials`` those that still limit further trials of their flows.
     """
 
     service: str
     locations: tuple[IdleLocation, ...] = ()
+    trials: tuple[PastTrial, ...] = ()
 
 
 FlowMessage = Union[  # noqa: UP007
--- a/tests/coordination/test_location_handover.py
+++ b/tests/coordination/test_location_handover.py
@@ -11,6 +11,7 @@
     add_restarted_agent,
     assert_whole,
     count_misled,
+    restart_agents_in_turn,
     restart_balancers,
     use,
 )
@@ -37,9 +38,9 @@
     world.kill(host)
 
 
-def hand_over(world, locations=(), service="board", sender=OTHER):
+def hand_over(world, locations=(), trials=(), service="board", sender=OTHER):
     """Have AWAY receive what an agent at its end states."""
-    message = LocationHandover(service, tuple(locations))
+    message = LocationHandover(service, tuple(locations), tuple(trials))
     world.feed(AWAY, ControlReceived((sender, 7600), message))
 
 
@@ -154,3 +155,36 @@
         hand_over(world, [(FLOW, "10.2.0.3:7600", 1.0)], service="photo")
         assert self.find(world) is None
         assert world.counts["handover_dropped", "other_service"] == 1
+
+
+class TestTrials:
+    def test_that_another_agent_counted_limit_those_of_this_one(self):
+        """Guard against a limit that each home agent of a flow begins anew."""
+        world, clients = make_world_with_answered_flows()
+        held = [c for c in clients if find_holder(world, c.flow) == AWAY]
+        restart_agents_in_turn(world, range(2, 6))
+        world.kill(AWAY)
+        restart_balancers(world)
+        world.run(2.0)
+        for client in held:
+            world.node_by_host[OTHER].locator.memory.trials.record(
+                client.flow, 2, world.now
+            )
+            client.send_request()
+        world.run(1.0)
+        assert held
+        assert count_foreign(world) == 0
+
+    def test_are_handed_over(self):
+        world = make_world()
+        hand_over(world, trials=[(FLOW, 0.5), (FLOW, 0.6)])
+        trials = world.node_by_host[AWAY].locator.memory.trials
+        assert trials.count_left(FLOW, world.now) == 0
+        assert trials.count_left(FLOW, world.now + 2.1) == 2
+
+    @pytest.mark.parametrize("age", [-1.0, float("nan")])
+    def test_with_an_impossible_age_are_ignored(self, age):
+        world = make_world()
+        hand_over(world, trials=[(FLOW, age)])
+        trials = world.node_by_host[AWAY].locator.memory.trials
+        assert trials.count_left(FLOW, world.now) == 2
