An agent that ends waits until two others have what it hands over

Cause: the three recipients were drawn among the agents that had not failed to answer yet. In a roll up to five of seven have just ended or are about to, which the list shows seconds later; then all three copies go to processes that are gone. The traces show lookups that five of six agents do not answer, and locations known to nobody though their holder had ended as planned.

Change: agents that answer, take opens and have reported their load most recently come first. A receiver acknowledges each message. Until two agents have all of them, the ending agent sends them to further ones at each tick, and does not exit, for one second at most (it is given six).

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -100,7 +100,7 @@
         just opened, or if the upstream is not alive. Flows of one that is about to end
         are still to be reset.
         """
-        if self.upstream.awaits_end:
+        if self.upstream.awaits_end or not self.handover.is_confirmed(now):
             return False
         is_idle = self.flows.busy_count + self.flows.count_awaiting_data(now) == 0
         return is_idle or not self.upstream.is_alive
@@ -342,10 +342,11 @@
         return self.locator.handle_query_reply(message, format_node_id(sender), now)
 
     @_handle_message.register(msg.LocationHandover)
+    @_handle_message.register(msg.LocationHandoverAck)
     def _(
-        self, message: msg.LocationHandover, sender: Address, now: Seconds
+        self, message: msg.HandoverMessage, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        return self.handover.receive(message, format_node_id(sender), now)
+        return self.handover.handle(message, format_node_id(sender), now)
 
     @_handle_message.register(msg.LoadReport)
     def _(
@@ -390,8 +391,7 @@
         return []
 
     def _shift_for_pause(self, now: Seconds) -> None:
-        pause = self.pause_detector.record(now)
-        if pause:
+        if pause := self.pause_detector.record(now):
             self.upstream.health.shift_for_pause(pause)
             self.flows.shift_for_pause(pause)
             self.unresponsive_peers.shift_for_pause(pause)
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -57,6 +57,7 @@
         agent.placement.update_reference(speed, now)
         effects = self._log_changes() + self._log_limit(speed, now)
         effects += self.pressure_monitor.tick(now)
+        effects += agent.handover.tick(now)
         for node_id in agent.placement.absent:
             effects += agent.unresponsive_peers.record_timeout(node_id, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -205,14 +205,23 @@
     """What an agent that ends knows about the flows of its service.
 
     ``locations`` are those of open flows at its own upstream and at others, and
-    ``trials`` those that still limit further trials of their flows.
+    ``trials`` those that still limit further trials of their flows. The receiver
+    acknowledges ``number``, which counts the messages of the sender.
     """
 
     service: str
+    number: int
     locations: tuple[IdleLocation, ...] = ()
     trials: tuple[PastTrial, ...] = ()
 
 
+class LocationHandoverAck(ControlStruct, tag=31):
+    """The acknowledgement of a :class:`LocationHandover` by its number."""
+
+    number: int
+
+
+HandoverMessage = LocationHandover | LocationHandoverAck
 FlowMessage = Union[  # noqa: UP007
     ForwardedPacket,
     FlowLocation,
@@ -225,6 +234,7 @@
     Ping,
     Pong,
     LocationHandover,
+    LocationHandoverAck,
     ctl.Probe,
     ctl.ProbeAck,
     ctl.IndirectProbe,
--- a/tests/coordination/test_location_handover.py
+++ b/tests/coordination/test_location_handover.py
@@ -4,7 +4,10 @@
 
 from bilberrypath.coordination.events import ControlReceived, Leave
 from bilberrypath.coordination.flow_events import Ending
-from bilberrypath.coordination.location_handover import HANDOVER_FANOUT
+from bilberrypath.coordination.location_handover import (
+    CONFIRM_TIMEOUT,
+    HANDOVER_FANOUT,
+)
 from bilberrypath.protocol.flow_messages import LocationHandover
 from tests.coordination.test_absent_agents import (
     AWAY,
@@ -40,7 +43,7 @@
 
 def hand_over(world, locations=(), trials=(), service="board", sender=OTHER):
     """Have AWAY receive what an agent at its end states."""
-    message = LocationHandover(service, tuple(locations), tuple(trials))
+    message = LocationHandover(service, 0, tuple(locations), tuple(trials))
     world.feed(AWAY, ControlReceived((sender, 7600), message))
 
 
@@ -118,6 +121,40 @@
         named = {flow for message in sent for flow, _, _ in message.locations}
         assert named.isdisjoint(held)
 
+    def test_reach_agents_that_live_although_most_others_have_just_ended(self):
+        """Guard against locations that are passed on to processes that are gone."""
+        world, clients = make_world_with_answered_flows(agents=8)
+        held = [c.flow for c in clients if find_holder(world, c.flow) == AWAY]
+        for number in range(2, 7):
+            world.kill(f"10.2.0.{number}")
+        world.feed(AWAY, Leave())
+        world.run(0.6)
+        assert held
+        for host in ("10.2.0.7", "10.2.0.8"):
+            redirects = world.node_by_host[host].redirects
+            assert {redirects.find(flow, world.now) for flow in held} == {
+                f"{AWAY}:7600"
+            }
+
+    def test_keep_the_process_until_they_are_acknowledged(self):
+        world, _ = make_world_with_answered_flows()
+        agent = world.node_by_host[AWAY]
+        world.feed(AWAY, Leave())
+        assert not agent.may_end(world.now)
+        world.run(0.01)
+        assert agent.may_end(world.now)
+
+    def test_keep_the_process_for_a_limited_time(self):
+        world, _ = make_world_with_answered_flows()
+        agent = world.node_by_host[AWAY]
+        for number in range(2, 6):
+            world.kill(f"10.2.0.{number}")
+        world.feed(AWAY, Leave())
+        world.run(CONFIRM_TIMEOUT - 0.1)
+        assert not agent.may_end(world.now)
+        world.run(0.2)
+        assert agent.may_end(world.now)
+
 
 def is_handover(effect):
     return isinstance(getattr(effect, "message", None), LocationHandover)
