No trials while the holder of a flow may become known

Cause: three ways to a trial that a moment later would not have been made. - An agent that had just started and had no list of agents yet asked nobody and tried its own upstream (traces: `asked: 0`, 20 ms after its start). - A lookup takes what was answered within 50 ms for the whole answer. On a busy machine the agent that knows the holder replies later; its reply was dropped. - A repeated lookup leaves out the agents that have denied the flow, and with them the trials that they had named: two home agents that looked up one flow at a time went beyond two (test_get_two_packets_of_a_flow_at_most..., red on the way to this change).

Change: no upstream is tried before the first list of agents, nor by the first lookups of a flow (0.3 s) while an agent that may be back is silent. A late reply that names a holder is remembered for a flow that is looked up again. Replies name the age of each trial, so that the asking agent keeps them for as long as they count.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -223,6 +223,7 @@
         lookup = self.lookups.get(reply.flow)
         if lookup is not None and sender in lookup.pending_ids:
             self.agent.peers.learn_absent(reply.absent, now)
+            self.memory.trials.learn(reply.trials, now)
         for flow, holder in ((reply.flow, reply.holder), *reply.other_holders):
             if self.agent.unresponsive_peers.has_failed(holder, now):
                 holder = ""
@@ -230,6 +231,8 @@
             result = self.lookups.handle_query_reply(answer, sender)
             if result is not None:
                 effects += self._finish_lookup(flow, result, now)
+            elif holder and self.lost_flows.is_unproven(flow):
+                self.agent.redirects.record(flow, holder, now)
         return effects
 
     def query_waiting(self, now: Seconds) -> list[FlowEffect]:
@@ -338,14 +341,18 @@
         one packet suffices; the client retransmits the others. The last candidate may
         reset the flow only if all agents were queried here; else this agent looks the
         flow up again. The number of candidates is limited while the flow may be at an
-        agent that did not answer.
+        agent that did not answer, and none is tried while the holder may become known.
         """
         forwarded, packet = lookup.queued_packets[0]
         flow = packet.flow
         candidates = result.candidates
-        if self.lost_flows.may_be_at_silent_agent(lookup, now) or not forwarded.may_try:
-            left = self._count_trials_left(forwarded, flow, now) - lookup.trial_count
-            candidates = candidates[: max(0, left)]
+        if self.lost_flows.may_be_known_soon(lookup, now):
+            candidates = ()
+        elif (
+            self.lost_flows.may_be_at_silent_agent(lookup, now) or not forwarded.may_try
+        ):
+            left = self._count_trials_left(forwarded, flow, now)
+            candidates = candidates[:left]
         has_queried_all = (
             result.is_complete
             and candidates == result.candidates
--- a/bilberrypath/coordination/flow_lookup.py
+++ b/bilberrypath/coordination/flow_lookup.py
@@ -64,7 +64,6 @@
     order in which candidates among them are tried. ``first_candidate`` is tried before
     them. A reply that names ``ignored_holder`` names nobody. ``has_complete_record`` is
     true if one of them knows all flows that its upstream had since it started.
-    ``trial_count`` is the number of trials of the flow that they know of.
     """
 
     queued_packets: list[tuple[ForwardedPacket, FlowPacket]]
@@ -75,7 +74,6 @@
     silent_upstream_agents: list[NodeId] = Factory(list)
     first_candidate: NodeId = ""
     ignored_holder: NodeId = ""
-    trial_count: int = 0
     has_complete_record: bool = False
 
     def try_queue(self, forwarded: ForwardedPacket, packet: FlowPacket) -> bool:
@@ -127,7 +125,6 @@
             return None
         lookup.pending_ids.discard(agent)
         lookup.has_complete_record |= not reply.may_hold
-        lookup.trial_count += max(0, dict(reply.trial_counts).get(reply.flow, 0))
         excluded = (*lookup.tried_agents, lookup.ignored_holder)
         if reply.holder and reply.holder not in excluded:
             return HolderFound(reply.holder)
--- a/bilberrypath/coordination/location_handover.py
+++ b/bilberrypath/coordination/location_handover.py
@@ -192,9 +192,7 @@
             seen_at = now - idle_time
             if known is None or sender == holder or known.seen_at < seen_at:
                 agent.redirects.record(flow, holder, seen_at)
-        for flow, age in message.trials:
-            if age >= 0:
-                agent.locator.memory.trials.record(flow, 1, now - age)
+        agent.locator.memory.trials.learn(message.trials, now)
         acknowledgement = msg.LocationHandoverAck(message.number)
         return [
             fx.Count("handover", "received"),
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -20,6 +20,7 @@
 
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
+LATE_REPLY_TIME: Seconds = 0.3  # of an agent that is busy; twelve usual replies
 NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
 
 
@@ -39,6 +40,23 @@
         """Forget a flow that a lookup has found."""
         self._unproven_losses.forget(flow)
 
+    def is_unproven(self, flow: bytes) -> bool:
+        """Return whether a flow without a known holder is looked up repeatedly."""
+        return self._unproven_losses.get(flow) is not None
+
+    def may_be_known_soon(self, lookup: FlowLookup, now: Seconds) -> bool:
+        """Return whether an agent that has not replied yet may know the holder.
+
+        Agents that are busy reply late, and one that has just started may not know whom
+        to ask. So the first lookup of a flow that some agent did not answer has no
+        upstream tried, and neither has one before a list of agents has arrived.
+        """
+        if self.agent.agents_changed_at > now:
+            return True
+        loss = self._unproven_losses.get(lookup.queued_packets[0][1].flow)
+        is_new = loss is None or now - loss.since < LATE_REPLY_TIME
+        return is_new and self.may_be_at_silent_agent(lookup, now)
+
     def is_only_service(self, flow: bytes) -> bool:
         """Return whether a flow's route has no service but this agent's.
 
--- a/bilberrypath/coordination/query_answers.py
+++ b/bilberrypath/coordination/query_answers.py
@@ -19,7 +19,6 @@
     others = [(flow, find_holder(agent, flow, now)) for flow in query.other_flows]
     flows = (query.flow, *query.other_flows)
     returned = tuple(flow for flow in flows if memory.was_returned(flow))
-    trial_counts = ((flow, memory.trials.count_recent(flow, now)) for flow in flows)
     return FlowQueryReply(
         query.flow,
         find_holder(agent, query.flow, now),
@@ -28,7 +27,7 @@
         tuple(others),
         returned,
         agent.placement.report_absent(now),
-        tuple((flow, count) for flow, count in trial_counts if count),
+        tuple(memory.trials.list_recent(now, flows)),
     )
 
 
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -114,7 +114,7 @@
     the query; ``other_holders`` has the holder of each of its other flows. The upstream
     returned packets of ``returned_flows``, and does not have them. ``absent``
     are agents that may have flows, although they are not listed any more.
-    ``trial_counts`` has how many trials of a flow the agent knows of that count now.
+    ``trials`` are those that the agent knows of and that limit further ones.
     """
 
     flow: bytes
@@ -124,7 +124,7 @@
     other_holders: tuple[tuple[bytes, str], ...] = ()
     returned_flows: tuple[bytes, ...] = ()
     absent: tuple[AbsentAgent, ...] = ()
-    trial_counts: tuple[tuple[bytes, int], ...] = ()
+    trials: tuple[PastTrial, ...] = ()
 
 
 class LoadReport(ControlStruct, tag=24):
--- a/tests/coordination/test_restarted_home_agent.py
+++ b/tests/coordination/test_restarted_home_agent.py
@@ -1,11 +1,21 @@
 """Tests of the lookup by a home agent that has restarted."""
 
+from bilberrypath.platform.packet_codec import ACK
+from bilberrypath.protocol.flow_messages import ForwardedPacket
 from tests.coordination.test_absent_agents import (
     AWAY,
+    add_restarted_agent,
     restart_agents_in_turn,
     restart_balancers,
 )
-from tests.support.flow_world import count_foreign, find_holder, make_world, open_flows
+from tests.coordination.test_flow_absence import stall_agent
+from tests.support.flow_world import (
+    count_foreign,
+    find_holder,
+    make_world,
+    open_flows,
+    write_packet,
+)
 
 
 def make_world_with_answered_flows(agents=5, seed=1):
@@ -42,6 +52,42 @@
         at_home = [c for c in clients if c.answers == 2 and not is_foreign(world, c)]
         assert len(at_home) > len(clients) / 4
 
+    def test_tries_no_upstream_while_the_holder_answers_late(self):
+        """Guard against trials of a flow whose holder is only busy."""
+        world, clients = make_world_with_answered_flows()
+        held = [c for c in clients if find_holder(world, c.flow) == "10.2.0.2"]
+        for number in (1, 3, 4, 5):
+            restart_agents_in_turn(world, [number])
+        restart_balancers(world)
+        world.run(2.0)
+        stall_agent(world, "10.2.0.2", 0.15)
+        for client in held:
+            client.send_request()
+        world.run(1.0)
+        assert held
+        assert count_foreign(world) == 0
+
+    def test_tries_no_upstream_before_it_knows_another_agent(self):
+        """Guard against trials by a process that has just started and asked nobody."""
+        world, clients = make_world_with_answered_flows()
+        world.kill(AWAY)
+        world.run(0.5)
+        add_restarted_agent(world, AWAY)
+        agent = world.node_by_host[AWAY]
+        agent.upstream.health.record_received(world.now)
+        packet = write_packet(clients[0].flow, ACK, 2, clients[0].acknowledged)
+        forwarded = ForwardedPacket(
+            1, "board", "10.1.0.1:7600", True, "", (), 0, False, packet
+        )
+        sender = ("10.1.0.1", 7600)
+        effects = agent.handle_forwarded_packet(forwarded, sender, world.now)
+        effects += agent.run_due_timers(world.now + 0.1)
+        assert not any(is_relayed(effect) for effect in effects)
+
+
+def is_relayed(effect):
+    return isinstance(getattr(effect, "message", None), ForwardedPacket)
+
 
 def is_foreign(world, client):
     upstreams = world.upstream_by_host.values()
