A service that leaves a route twice between two ticks is forgotten once

Cause: FormerServices queued such a service twice with one expiry. When the first was forgotten its route was gone, and the second raised KeyError. That ends the tick of the process, of which this is the first step: no heartbeat, gossip or failure detection in any process for as many ticks as there were duplicates.

Change: what was recorded since the last tick is a set. The expiry of each service is unique since then.

--- a/bilberrypath/state/former_services.py
+++ b/bilberrypath/state/former_services.py
@@ -24,13 +24,13 @@
     """The former services of routes, by the packed address of the route.
 
     A service is kept for ``FORMER_SERVICE_TTL`` after the first :meth:`tick` that
-    follows the change.
+    follows the change, however often it left the route before that tick.
     """
 
     _expires_at_by_service_by_endpoint: dict[bytes, dict[ServiceName, Seconds]] = (
         Factory(dict)
     )
-    _recorded: list[tuple[bytes, ServiceName]] = Factory(list)
+    _recorded: dict[tuple[bytes, ServiceName], None] = Factory(dict)
     _queue: deque[tuple[Seconds, bytes, ServiceName]] = Factory(deque)
 
     def __len__(self) -> int:
@@ -43,7 +43,7 @@
         )
         for service in services:
             expires_at_by_service[service] = float("inf")
-            self._recorded.append((endpoint, service))
+            self._recorded[endpoint, service] = None
 
     def list(self, endpoint: bytes) -> tuple[ServiceName, ...]:
         """Return the former services of a route."""
@@ -51,7 +51,7 @@
 
     def tick(self, now: Seconds) -> None:
         """Set when the newly recorded services expire, and forget the expired ones."""
-        recorded, self._recorded = self._recorded, []
+        recorded, self._recorded = self._recorded, {}
         expires_at = now + FORMER_SERVICE_TTL
         for endpoint, service in recorded:
             self._expires_at_by_service_by_endpoint[endpoint][service] = expires_at
--- a/tests/state/test_former_services.py
+++ b/tests/state/test_former_services.py
@@ -32,3 +32,11 @@
         assert former.list(ENDPOINT) == ("board",)
         former.tick(FORMER_SERVICE_TTL + 10.0)
         assert former.list(ENDPOINT) == ()
+
+    def test_service_that_left_twice_between_two_ticks_is_forgotten_once(self, former):
+        """Guard against an error at its end that stops all that a tick does."""
+        former.record(ENDPOINT, ["board"])
+        former.tick(0.0)
+        former.tick(FORMER_SERVICE_TTL)
+        assert former.list(ENDPOINT) == ()
+        assert len(former) == 0
