A heartbeat without a start time is refused

Cause: a missing `born` was read as 0. As the first report after a restart it was taken for an upstream that had started long ago, and the upstream's own next report, with a later start, for a new start, which has none of the earlier flows.

Ruled out: making the comparison tolerate 0. Such a heartbeat is another writer's by the users' protocol, in which the field is always there, as the other fields are; one of those that is missing was refused already.

Change: `born` is required and at least 1; else the heartbeat gets 400 with the name of the field and makes no event. test_report_without_a_start_time, which asked for the old reading, is replaced by one that asks for a refusal without each of the nine fields.

Measured: three tests fail before, pass after.

--- a/bilberrypath/platform/upstream_reports.py
+++ b/bilberrypath/platform/upstream_reports.py
@@ -31,9 +31,9 @@
     """An upstream's heartbeat; ``seq`` increases with each of them.
 
     ``version`` is that of its software, ``slots`` the number of requests that it runs
-    at once, ``born`` its start time in milliseconds since the epoch, 0 if not given,
-    and ``cold_remaining_ms`` the remaining time of its cold start. A negative one is
-    taken as 0.
+    at once, ``born`` its start time in milliseconds since the epoch, and
+    ``cold_remaining_ms`` the remaining time of its cold start. A negative one is taken
+    as 0. All fields are required: a heartbeat without one is another writer's.
     """
 
     service: str
@@ -44,7 +44,7 @@
     state: str
     cold_remaining_ms: Annotated[float, Meta(le=MAX_COLD_START_MS)]
     seq: BoundedInteger
-    born: Annotated[int, Meta(ge=0, le=MAX_START_TIME_MS)] = 0
+    born: Annotated[int, Meta(ge=1, le=MAX_START_TIME_MS)]
 
 
 _decode_heartbeat = msgspec.json.Decoder(HeartbeatDocument).decode
--- a/tests/platform/test_odd_reports.py
+++ b/tests/platform/test_odd_reports.py
@@ -55,6 +55,7 @@
     "slots above 64 bits as a real number": write_report(slots=b"1e30"),
     "sequence number too large": write_report(seq=LARGE),
     "sequence number below 0": write_report(seq=-1),
+    "start time missing": write_report().replace(b',"born":1700000000123', b""),
     "start time too large": write_report(born=LARGE),
     "start time in the far future": write_report(born=10**15),
     "cold start too long": write_report(coldRemainingMs=1e300),
--- a/tests/platform/test_upstream_reports.py
+++ b/tests/platform/test_upstream_reports.py
@@ -58,9 +58,13 @@
         put_report(events, HEARTBEAT | {"state": "draining"})
         assert events[0].draining
 
-    def test_report_without_a_start_time(self, events):
-        put_report(events, {k: v for k, v in HEARTBEAT.items() if k != "born"})
-        assert events[0].started_at == 0
+    @pytest.mark.parametrize("name", HEARTBEAT)
+    def test_report_without_a_field_is_refused(self, events, name):
+        """Guard against a missing start time that passes for a very early one."""
+        response = put_report(events, {k: v for k, v in HEARTBEAT.items() if k != name})
+        assert response.status == 400
+        assert name.encode() in response.body
+        assert events == []
 
     @pytest.mark.parametrize(
         "change",
@@ -72,6 +76,8 @@
             {"address": "here"},
             {"address": 7},
             {"seq": None},
+            {"born": 0},
+            {"born": None},
         ],
     )
     def test_report_with_an_invalid_field_is_refused(self, events, change):
