--- a/tests/platform/test_lean_start.py
+++ b/tests/platform/test_lean_start.py
@@ -51,3 +51,17 @@
         other_socket.close()
         assert f"{HOST}:7720: Address already in use" in result.stderr
         assert not {"asyncio", "h11", "structlog"} & set(result.stdout.split())
+
+
+def test_sighup_does_not_end_a_process_that_is_starting():
+    """Guard against changed settings that end a process before it serves."""
+    script = """
+import os, signal
+import bilberrypath.platform.process_start
+os.kill(os.getpid(), signal.SIGHUP)
+print("running")
+"""
+    result = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True
+    )
+    assert result.stdout == "running\n"
