A late reply does not bring back a location that was refuted

Change: only a reply that comes after the end of its lookup counts, and only if the agent that it names has not denied the flow.

Measured: test_that_names_an_agent_without_the_flow_is_ignored and test_to_a_running_lookup_is_left_to_it describe what the code before did otherwise.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -62,10 +62,9 @@
 
         It is delivered if the upstream may have the flow, and either its sender or an
         agent that ended knew this one as the holder, or the lookup of the flow is done.
-        Otherwise the other
-        agents are asked first, also if this is the home agent of the flow: any of them
-        may know the holder. A packet straight from a balancer is dropped if a lookup
-        within the last ``NOT_FOUND_TTL`` did not find its flow.
+        Otherwise the other agents are asked first, also if this is the home agent of
+        the flow: any of them may know the holder. A packet straight from a balancer is
+        dropped if a lookup within the last ``NOT_FOUND_TTL`` did not find its flow.
         """
         agent = self.agent
         if forwarded.hops == 0 and self.memory.was_recently_not_found(packet.flow, now):
@@ -217,7 +216,8 @@
     ) -> list[FlowEffect]:
         """Process another agent's reply, and finish the lookups that it settles.
 
-        A holder that counts as failed at this agent is ignored.
+        A holder that counts as failed at this agent is ignored. A reply that arrives
+        after its lookup may still name the holder of a flow that was not found.
         """
         effects: list[FlowEffect] = []
         lookup = self.lookups.get(reply.flow)
@@ -231,8 +231,8 @@
             result = self.lookups.handle_query_reply(answer, sender)
             if result is not None:
                 effects += self._finish_lookup(flow, result, now)
-            elif holder and self.lost_flows.is_unproven(flow):
-                self.agent.redirects.record(flow, holder, now)
+            elif self.lookups.get(flow) is None:
+                self.lost_flows.record_late_reply(flow, holder, now)
         return effects
 
     def query_waiting(self, now: Seconds) -> list[FlowEffect]:
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -20,7 +20,7 @@
 
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
-LATE_REPLY_TIME: Seconds = 0.3  # of an agent that is busy; twelve usual replies
+LATE_REPLY_TIME: Seconds = 0.3  # of an agent that is busy; a lookup waits for 0.05 s
 NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
 
 
@@ -40,9 +40,14 @@
         """Forget a flow that a lookup has found."""
         self._unproven_losses.forget(flow)
 
-    def is_unproven(self, flow: bytes) -> bool:
-        """Return whether a flow without a known holder is looked up repeatedly."""
-        return self._unproven_losses.get(flow) is not None
+    def record_late_reply(self, flow: bytes, holder: NodeId, now: Seconds) -> None:
+        """Record the holder that a reply names after the end of its lookup.
+
+        It is used if the flow is still looked up, and the holder has not denied it.
+        """
+        loss = self._unproven_losses.get(flow)
+        if holder and loss is not None and holder not in loss.denied_by:
+            self.agent.redirects.record(flow, holder, now)
 
     def may_be_known_soon(self, lookup: FlowLookup, now: Seconds) -> bool:
         """Return whether an agent that has not replied yet may know the holder.
--- a/tests/coordination/test_restarted_home_agent.py
+++ b/tests/coordination/test_restarted_home_agent.py
@@ -1,7 +1,10 @@
 """Tests of the lookup by a home agent that has restarted."""
 
+import pytest
+
+from bilberrypath.coordination.flow_lookup import FlowLookup
 from bilberrypath.platform.packet_codec import ACK
-from bilberrypath.protocol.flow_messages import ForwardedPacket
+from bilberrypath.protocol.flow_messages import FlowQueryReply, ForwardedPacket
 from tests.coordination.test_absent_agents import (
     AWAY,
     add_restarted_agent,
@@ -17,6 +20,8 @@
     write_packet,
 )
 
+OTHER = "10.2.0.2:7600"
+
 
 def make_world_with_answered_flows(agents=5, seed=1):
     world = make_world(agents=agents, seed=seed)
@@ -85,6 +90,41 @@
         assert not any(is_relayed(effect) for effect in effects)
 
 
+class TestLateReply:
+    FLOW = bytes(12)
+    HOLDER = "10.2.0.3:7600"
+
+    @pytest.fixture
+    def agent(self):
+        """Return an agent that looks up a flow again, which OTHER has denied."""
+        world = make_world()
+        agent = world.node_by_host[AWAY]
+        packet = agent.codec.parse_client_packet(write_packet(self.FLOW, ACK))
+        forwarded = ForwardedPacket(
+            1, "board", "10.1.0.1:7600", True, "", (OTHER,), 0, False, packet.datagram
+        )
+        lookup = FlowLookup([(forwarded, packet)], (OTHER,), set())
+        agent.locator.lost_flows.retry_later(lookup, world.now)
+        return agent
+
+    def reply(self, agent, holder):
+        now = agent.started_at + 4.0
+        reply = FlowQueryReply(self.FLOW, holder, may_hold=False)
+        agent.locator.handle_query_reply(reply, "10.2.0.4:7600", now)
+        return agent.redirects.find(self.FLOW, now)
+
+    def test_names_the_holder_of_a_flow_that_is_looked_up(self, agent):
+        assert self.reply(agent, self.HOLDER) == self.HOLDER
+
+    def test_that_names_an_agent_without_the_flow_is_ignored(self, agent):
+        """Guard against a stale location that ends the search for a flow."""
+        assert self.reply(agent, OTHER) is None
+
+    def test_to_a_running_lookup_is_left_to_it(self, agent):
+        agent.locator.lookups.lookup_by_flow[self.FLOW] = FlowLookup([], (), set())
+        assert self.reply(agent, self.HOLDER) is None
+
+
 def is_relayed(effect):
     return isinstance(getattr(effect, "message", None), ForwardedPacket)
 
