Flows that open just before their agent ends, and packets returned after two opens

The client had not chosen the upstream when the agent passed on what it knew; the flow followed with the last message at the end of the process, which nobody acknowledged and of which the receivers had ended. - A copy of the open was accepted at another upstream, which returned the client's next packet. That is a foreign packet, but was not counted as a trial, so that two trials followed it.

Change: a drained agent passes on what has changed, and waits for the acknowledgements of that as well. A packet that is returned without having been tried counts as a trial.

Measured: test_that_changed_while_it_drained_keep_the_process_too and test_include_a_packet_that_an_upstream_with_the_open_alone_returned.

--- a/bilberrypath/coordination/flow_locator.py
+++ b/bilberrypath/coordination/flow_locator.py
@@ -121,7 +121,8 @@
         ``held`` is what was known of the flow. A packet that was delivered tentatively
         is relayed to the next agent. A flow that was confirmed here is looked up, as
         the upstream has lost it; another service can have it only if the client did
-        not choose this upstream.
+        not choose this upstream. Its packet counts as a trial, as that of any upstream
+        without the flow.
         """
         agent = self.agent
         forwarded = self.memory.tentative_by_flow.pop(packet.flow, None)
@@ -130,6 +131,7 @@
         if forwarded is not None:
             count = fx.Count("flow_refused", "wrong_guess")
             return [count, *self._relay_to_next(forwarded, packet, now)]
+        self.memory.trials.record(packet.flow, 1, now)
         if held is None or not held.is_confirmed:
             return [fx.Count("flow_refused", "known")]
         forwarded = ForwardedPacket(
--- a/bilberrypath/coordination/location_handover.py
+++ b/bilberrypath/coordination/location_handover.py
@@ -42,7 +42,7 @@
     _messages: list[msg.LocationHandover] = Factory(list)
     _missing_by_id: dict[NodeId, set[int]] = Factory(dict)
     _sent_holder_by_flow: dict[bytes, NodeId] = Factory(dict)
-    _began_at: Seconds | None = None
+    _sent_at: Seconds = float("-inf")
 
     def send(self, now: Seconds) -> list[FlowEffect]:
         """Pass on the locations that were not passed on before, and recent trials."""
@@ -55,8 +55,7 @@
         messages = self._make_messages(locations, trials)
         if not messages:
             return []
-        if self._began_at is None:
-            self._began_at = now
+        self._sent_at = now
         self._sent_holder_by_flow |= {flow: holder for flow, holder, _ in locations}
         self._messages += messages
         recipients = list(self._missing_by_id) or self._choose_recipients(now)
@@ -82,7 +81,7 @@
 
         Enough agents have received what it had to pass on, or it has waited for long.
         """
-        if not self._messages or now - self._began_at > CONFIRM_TIMEOUT:
+        if now - self._sent_at > CONFIRM_TIMEOUT:
             return True
         confirmed = sum(not missing for missing in self._missing_by_id.values())
         return confirmed >= min(MIN_CONFIRMED, len(self.agent.placement.peer_by_id))
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -122,9 +122,15 @@
         """Wait until the upstream runs no request or is down.
 
         New opens are relayed to other agents from now on, while established flows
-        stay here. Packets that arrive meanwhile wait for the next process.
+        stay here. Packets that arrive meanwhile wait for the next process. Locations of
+        flows that changed meanwhile are passed on before the end.
         """
         await asyncio.sleep(FINAL_HEARTBEAT_DELAY)
+        await self._wait_until_it_may_end()
+        self.send_last_messages()
+        await self._wait_until_it_may_end()
+
+    async def _wait_until_it_may_end(self) -> None:
         while not self.core.may_end(read_clock()):
             await asyncio.sleep(DRAIN_POLL_PERIOD)
 
--- a/tests/coordination/test_location_handover.py
+++ b/tests/coordination/test_location_handover.py
@@ -8,6 +8,7 @@
     CONFIRM_TIMEOUT,
     HANDOVER_FANOUT,
 )
+from bilberrypath.platform.packet_codec import ACK
 from bilberrypath.protocol.flow_messages import LocationHandover
 from tests.coordination.test_absent_agents import (
     AWAY,
@@ -18,7 +19,13 @@
     restart_balancers,
     use,
 )
-from tests.support.flow_world import count_foreign, find_holder, make_world, open_flows
+from tests.support.flow_world import (
+    count_foreign,
+    find_holder,
+    make_world,
+    open_flows,
+    write_packet,
+)
 
 OTHER = "10.2.0.2"
 FLOW = bytes(12)
@@ -144,6 +151,21 @@
         world.run(0.01)
         assert agent.may_end(world.now)
 
+    def test_that_changed_while_it_drained_keep_the_process_too(self):
+        """Guard against a flow that opens just before its agent ends."""
+        world, clients = make_world_with_answered_flows()
+        agent = world.node_by_host[AWAY]
+        world.feed(AWAY, Leave())
+        world.run(0.05)
+        assert agent.may_end(world.now)
+        held = next(c for c in clients if find_holder(world, c.flow) != AWAY)
+        packet = write_packet(held.flow, ACK, 101, 2, b"answer", back=True)
+        world.perform(AWAY, agent.handle_upstream_packet(packet, world.now))
+        world.feed(AWAY, Ending())
+        assert not agent.may_end(world.now)
+        world.run(0.01)
+        assert agent.may_end(world.now)
+
     def test_keep_the_process_for_a_limited_time(self):
         world, _ = make_world_with_answered_flows()
         agent = world.node_by_host[AWAY]
@@ -195,6 +217,17 @@
 
 
 class TestTrials:
+    def test_include_a_packet_that_an_upstream_with_the_open_alone_returned(self):
+        """Guard against a third foreign packet where two upstreams accepted an open."""
+        world, clients = make_world_with_answered_flows()
+        client = next(c for c in clients if find_holder(world, c.flow) != AWAY)
+        agent = world.node_by_host[AWAY]
+        datagram = write_packet(client.flow, ACK, 2, client.acknowledged)
+        packet = agent.codec.parse_client_packet(datagram)
+        held = agent.flows.add(packet, is_confirmed=True, now=world.now)
+        agent.locator.handle_returned(packet, held, world.now)
+        assert agent.locator.memory.trials.count_left(client.flow, world.now) == 1
+
     def test_that_another_agent_counted_limit_those_of_this_one(self):
         """Guard against a limit that each home agent of a flow begins anew."""
         world, clients = make_world_with_answered_flows()
