--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -81,6 +81,28 @@
         )
 
 
+class TestDrain:
+    async def test_ends_once_its_last_messages_are_acknowledged(
+        self, daemon, monkeypatch
+    ):
+        """Guard against locations of flows that only the ending process knows."""
+        answers = iter([False, True, False, False, True])
+        asked, sent_after = [], []
+
+        def may_end(now):
+            asked.append(now)
+            return next(answers)
+
+        monkeypatch.setattr(daemon.core, "may_end", may_end)
+        monkeypatch.setattr(
+            daemon, "send_last_messages", lambda: sent_after.append(len(asked))
+        )
+        await daemon.wait_until_drained()
+        daemon.sockets.close()
+        assert sent_after == [2]
+        assert len(asked) == 5
+
+
 class TestProbeOfTheUpstream:
     async def test_only_a_refused_connection_shows_that_it_is_gone(
         self, daemon, monkeypatch
