Location transfers: names, derived state, one copy of what tests share

Reading the diff as a newcomer: the message and the part of the agent had one name, and the log had two events with "handed over" for different things. They are LocationTransfer and LocationTransfers now, with the event `locations_transferred` and the counters `location_transfer` and `location_transfer_dropped`. What was sent is read from the messages instead of a second record. The end of a drain is handled in one place, by the agent's daemon, also if it is cancelled. Two copies of a test world are one; two tests of a received location are one with parameters, with the same assertions.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -20,7 +20,7 @@
 from bilberrypath.coordination.flow_registration import FlowRegistration
 from bilberrypath.coordination.held_flows import HeldFlows
 from bilberrypath.coordination.load_reporter import LoadReporter
-from bilberrypath.coordination.location_handover import LocationHandover
+from bilberrypath.coordination.location_transfers import LocationTransfers
 from bilberrypath.coordination.open_handler import OpenHandler
 from bilberrypath.coordination.open_placement import OpenPlacement
 from bilberrypath.coordination.packet_relay import (
@@ -75,7 +75,7 @@
         self.upstream = UpstreamMonitor(self, now)
         self.open_handler = OpenHandler(self)
         self.locator = FlowLocator(self)
-        self.handover = LocationHandover(self)
+        self.location_transfers = LocationTransfers(self)
         self.upstream_packets = UpstreamPackets(self)
         self.started_at = now
         self.agents_changed_at = float("inf")  # until a first list of agents arrives
@@ -98,9 +98,9 @@
 
         It can if no request is running and none is about to begin on a flow that was
         just opened, or if the upstream is not alive. Flows of one that is about to end
-        are still to be reset.
+        are still to be reset, and sent locations of flows to be acknowledged.
         """
-        if self.upstream.awaits_end or not self.handover.is_confirmed(now):
+        if self.upstream.awaits_end or not self.location_transfers.is_confirmed(now):
             return False
         is_idle = self.flows.busy_count + self.flows.count_awaiting_data(now) == 0
         return is_idle or not self.upstream.is_alive
@@ -294,7 +294,7 @@
 
     @handle.register(fev.Ending)
     def _(self, event: fev.Ending, now: Seconds) -> list[FlowEffect]:
-        return self.handover.send(now)
+        return self.location_transfers.send(now)
 
     @handle.register(ev.Tick)
     def _(self, event: ev.Tick, now: Seconds) -> list[FlowEffect]:
@@ -341,12 +341,12 @@
     ) -> list[FlowEffect]:
         return self.locator.handle_query_reply(message, format_node_id(sender), now)
 
-    @_handle_message.register(msg.LocationHandover)
-    @_handle_message.register(msg.LocationHandoverAck)
+    @_handle_message.register(msg.LocationTransfer)
+    @_handle_message.register(msg.LocationTransferAck)
     def _(
-        self, message: msg.HandoverMessage, sender: Address, now: Seconds
+        self, message: msg.TransferMessage, sender: Address, now: Seconds
     ) -> list[FlowEffect]:
-        return self.handover.handle(message, format_node_id(sender), now)
+        return self.location_transfers.handle(message, format_node_id(sender), now)
 
     @_handle_message.register(msg.LoadReport)
     def _(
--- a/bilberrypath/coordination/location_handover.py
+++ b/bilberrypath/coordination/location_transfers.py
@@ -1,10 +1,9 @@
-"""Handing over of flow locations by an agent that ends.
+"""Transfer of flow locations from an agent that ends to agents that stay.
 
-The location of a flow is known to the agent that holds it, to the agents that relayed
-it, and to nobody else in the service. An agent that ends passes on what it knows to a
-few agents that stay, and these do the same when they end. So the next process of a
-holder gets the packets of its flows, and no other upstream has to be tried, however
-many agents restart meanwhile.
+The location of a flow is known to the agent that holds it and to those that relayed
+it, in memory. An agent that ends sends what it knows to a few others, which do the same
+when they end. So the next process of a holder gets the packets of its flows, and no
+other upstream has to be tried, however many agents restart meanwhile.
 """
 
 from __future__ import annotations
@@ -23,63 +22,51 @@
     from bilberrypath.coordination.flow_effects import FlowEffect
     from bilberrypath.types import NodeId, Seconds
 
-HANDOVER_FANOUT = 3  # agents; some of these may be about to end as well
+TRANSFER_FANOUT = 3  # agents; some of these may be about to end as well
 MIN_CONFIRMED = 2  # of them, which this agent waits for
 CONFIRM_TIMEOUT: Seconds = 1.0  # a small part of the time a process is given to end
 MAX_ENTRIES_PER_MESSAGE = 32  # about 1.3 KB
 
 
 @define
-class LocationHandover:
-    """The part of an agent that passes on and receives the locations of flows.
+class LocationTransfers:
+    """The part of an agent that sends and receives the locations of flows.
 
-    ``_messages`` are those sent so far, by number, and ``_missing_by_id`` has for each
-    recipient the numbers that it has not acknowledged. ``_sent_holder_by_flow`` is what
-    they contain.
+    ``_messages`` are those sent so far, by number, the last at ``_sent_at``, and
+    ``_missing_by_id`` has for each recipient the numbers that it has not acknowledged.
     """
 
     agent: FlowAgent = field(repr=False)
-    _messages: list[msg.LocationHandover] = Factory(list)
+    _messages: list[msg.LocationTransfer] = Factory(list)
     _missing_by_id: dict[NodeId, set[int]] = Factory(dict)
-    _sent_holder_by_flow: dict[bytes, NodeId] = Factory(dict)
     _sent_at: Seconds = float("-inf")
 
     def send(self, now: Seconds) -> list[FlowEffect]:
-        """Pass on the locations that were not passed on before, and recent trials."""
-        locations = [
-            location
-            for location in self._list_locations(now)
-            if self._sent_holder_by_flow.get(location[0]) != location[1]
-        ]
-        trials = [] if self._messages else self._list_trials(now)
+        """Send the locations that were not sent before, and at first recent trials."""
+        sent = {entry[:2] for message in self._messages for entry in message.locations}
+        known = self._list_locations(now)
+        locations = [location for location in known if location[:2] not in sent]
+        budget = self.agent.locator.memory.trials
+        trials = [] if self._messages else budget.list_recent(now)
         messages = self._make_messages(locations, trials)
         if not messages:
             return []
         self._sent_at = now
-        self._sent_holder_by_flow |= {flow: holder for flow, holder, _ in locations}
         self._messages += messages
         recipients = list(self._missing_by_id) or self._choose_recipients(now)
-        fields = {"flows": len(locations), "to": recipients}
-        return [
-            fx.LogStateChange("locations_handed_over", fields),
-            *self._send_to(recipients, messages),
-        ]
+        return self._send_to(recipients, messages)
 
     def tick(self, now: Seconds) -> list[FlowEffect]:
         """Send all messages to further agents while too few have received them."""
         if self.is_confirmed(now):
             return []
         recipients = self._choose_recipients(now) or list(self._missing_by_id)
-        fields = {"flows": len(self._sent_holder_by_flow), "to": recipients}
-        return [
-            fx.LogStateChange("locations_handed_over", fields),
-            *self._send_to(recipients, self._messages),
-        ]
+        return self._send_to(recipients, self._messages)
 
     def is_confirmed(self, now: Seconds) -> bool:
         """Return whether this agent need not wait for acknowledgements.
 
-        Enough agents have received what it had to pass on, or it has waited for long.
+        Enough agents have received what it sent, or it has waited long enough.
         """
         if now - self._sent_at > CONFIRM_TIMEOUT:
             return True
@@ -87,20 +74,25 @@
         return confirmed >= min(MIN_CONFIRMED, len(self.agent.placement.peer_by_id))
 
     def _send_to(
-        self, recipients: list[NodeId], messages: list[msg.LocationHandover]
+        self, recipients: list[NodeId], messages: list[msg.LocationTransfer]
     ) -> list[FlowEffect]:
         for node_id in recipients:
             missing = self._missing_by_id.setdefault(node_id, set())
             missing.update(message.number for message in messages)
+        count = sum(len(message.locations) for message in messages)
+        fields = {"flows": count, "to": recipients}
         return [
-            fx.SendControl(parse_address(node_id), message)
-            for message in messages
-            for node_id in recipients
+            fx.LogStateChange("locations_transferred", fields),
+            *(
+                fx.SendControl(parse_address(node_id), message)
+                for message in messages
+                for node_id in recipients
+            ),
         ]
 
     def _make_messages(
         self, locations: list[msg.IdleLocation], trials: list[msg.PastTrial]
-    ) -> list[msg.LocationHandover]:
+    ) -> list[msg.LocationTransfer]:
         step = MAX_ENTRIES_PER_MESSAGE
         parts = [
             (tuple(locations[start : start + step]), ())
@@ -111,13 +103,10 @@
         ]
         first = len(self._messages)
         return [
-            msg.LocationHandover(self.agent.service, number, *part)
+            msg.LocationTransfer(self.agent.service, number, *part)
             for number, part in enumerate(parts, first)
         ]
 
-    def _list_trials(self, now: Seconds) -> list[msg.PastTrial]:
-        return self.agent.locator.memory.trials.list_recent(now)
-
     def _list_locations(self, now: Seconds) -> list[msg.IdleLocation]:
         """Return the known locations of open flows, and how long each was idle.
 
@@ -152,37 +141,37 @@
             for node_id, peer in agent.placement.peer_by_id.items()
             if node_id not in self._missing_by_id
         )
-        return [node_id for *_, node_id in ranked[:HANDOVER_FANOUT]]
+        return [node_id for *_, node_id in ranked[:TRANSFER_FANOUT]]
 
     @dispatchmethod
     def handle(
-        self, message: msg.HandoverMessage, sender: NodeId, now: Seconds
+        self, message: msg.TransferMessage, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
-        """Handle what another agent passes on, or its acknowledgement."""
+        """Handle a transfer of another agent, or its acknowledgement."""
         raise TypeError(
-            f"LocationHandover has no handler for {type(message).__name__}; "
-            "register one with LocationHandover.handle"
+            f"LocationTransfers has no handler for {type(message).__name__}; "
+            "register one with LocationTransfers.handle"
         )
 
-    @handle.register(msg.LocationHandoverAck)
+    @handle.register(msg.LocationTransferAck)
     def _(
-        self, message: msg.LocationHandoverAck, sender: NodeId, now: Seconds
+        self, message: msg.LocationTransferAck, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
         self._missing_by_id.get(sender, set()).discard(message.number)
         return []
 
-    @handle.register(msg.LocationHandover)
+    @handle.register(msg.LocationTransfer)
     def _(
-        self, message: msg.LocationHandover, sender: NodeId, now: Seconds
+        self, message: msg.LocationTransfer, sender: NodeId, now: Seconds
     ) -> list[FlowEffect]:
-        """Record the locations and trials that an agent of the service passed on.
+        """Record the locations and trials that an agent of the service sent.
 
         What the holder itself states replaces what is known here; other locations
         replace older ones.
         """
         agent = self.agent
         if message.service != agent.service:
-            return [fx.Count("handover_dropped", "other_service")]
+            return [fx.Count("location_transfer_dropped", "other_service")]
         limit = agent.setup.flow_lifetime
         for flow, holder, idle_time in message.locations:
             if not 0 <= idle_time <= limit:
@@ -192,8 +181,8 @@
             if known is None or sender == holder or known.seen_at < seen_at:
                 agent.redirects.record(flow, holder, seen_at)
         agent.locator.memory.trials.learn(message.trials, now)
-        acknowledgement = msg.LocationHandoverAck(message.number)
+        acknowledgement = msg.LocationTransferAck(message.number)
         return [
-            fx.Count("handover", "received"),
+            fx.Count("location_transfer", "received"),
             fx.SendControl(parse_address(sender), acknowledgement),
         ]
--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -20,7 +20,7 @@
 
 AGENTS_SETTLE_TIME: Seconds = 1.0  # agents started together differ by less than 0.5 s
 JOINT_START_SETTLE_TIME: Seconds = 0.4  # two heartbeats of an agent that has started
-LATE_REPLY_TIME: Seconds = 0.3  # of an agent that is busy; a lookup waits for 0.05 s
+LATE_REPLY_TIME: Seconds = 0.3  # of a busy agent; a lookup waits for 0.05 s
 NEW_FLOW_JOIN_TIME: Seconds = 0.6  # within which an agent that took an open is known
 
 
@@ -56,7 +56,7 @@
         to ask. So the first lookup of a flow that some agent did not answer has no
         upstream tried, and neither has one before a list of agents has arrived.
         """
-        if self.agent.agents_changed_at > now:
+        if not self._is_agent_list_known(now):
             return True
         loss = self._unproven_losses.get(lookup.queued_packets[0][1].flow)
         is_new = loss is None or now - loss.since < LATE_REPLY_TIME
@@ -91,13 +91,15 @@
         if quiet_for > JOINT_START_SETTLE_TIME:
             return True
         loss = self._unproven_losses.get(flow)
-        is_list_known = self.agent.agents_changed_at <= now
         return (
-            is_list_known
+            self._is_agent_list_known(now)
             and loss is not None
             and now - loss.since >= NEW_FLOW_JOIN_TIME
         )
 
+    def _is_agent_list_known(self, now: Seconds) -> bool:
+        return self.agent.agents_changed_at <= now
+
     def may_be_at_unknown_agent(self, lookup: FlowLookup, now: Seconds) -> bool:
         """Return whether an agent that no agent knows of may have a flow.
 
--- a/bilberrypath/coordination/query_answers.py
+++ b/bilberrypath/coordination/query_answers.py
@@ -34,7 +34,7 @@
 def find_holder(agent: FlowAgent, flow: bytes, now: Seconds) -> NodeId:
     """Return this agent if it has a flow, else the holder of its redirect or "".
 
-    A redirect to this agent itself was handed over by one that ended.
+    A redirect to this agent itself came from an agent that ended.
     """
     held = agent.flows.get(flow)
     if held is not None and not has_unanswered_trial(agent, held, now):
--- a/bilberrypath/coordination/service_peers.py
+++ b/bilberrypath/coordination/service_peers.py
@@ -57,7 +57,7 @@
         agent.placement.update_reference(speed, now)
         effects = self._log_changes() + self._log_limit(speed, now)
         effects += self.pressure_monitor.tick(now)
-        effects += agent.handover.tick(now)
+        effects += agent.location_transfers.tick(now)
         for node_id in agent.placement.absent:
             effects += agent.unresponsive_peers.record_timeout(node_id, now)
         if self._load_reporter.is_due(self._compute_utilization(now), now):
@@ -87,8 +87,8 @@
         An agent whose upstream is gone has left, and nobody has to wait for it. So has
         one whose upstream certainly has no flows: after its end, an upstream may still
         send a packet again, and then does not count as gone. The other agents are told
-        that too, since all balancers may end at the same time. Some of them are passed
-        on what is known here about the locations of flows.
+        that too, since all balancers may end at the same time. A few of
+        them are sent the locations of the flows that are known here.
         """
         agent = self.agent
         registration = agent.registration
@@ -106,7 +106,7 @@
             *registration.send_heartbeats(0, 0, now),
             *self.send_load_report(now),
             *(fx.SendControl(parse_address(id_), heartbeat) for id_ in told_ids),
-            *agent.handover.send(now),
+            *agent.location_transfers.send(now),
         ]
 
     def handle_end(self, member: Member, sender: NodeId, now: Seconds) -> None:
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -201,7 +201,7 @@
     """The answer to a ping."""
 
 
-class LocationHandover(ControlStruct, tag=30):
+class LocationTransfer(ControlStruct, tag=30):
     """What an agent that ends knows about the flows of its service.
 
     ``locations`` are those of open flows at its own upstream and at others, and
@@ -215,13 +215,13 @@
     trials: tuple[PastTrial, ...] = ()
 
 
-class LocationHandoverAck(ControlStruct, tag=31):
-    """The acknowledgement of a :class:`LocationHandover` by its number."""
+class LocationTransferAck(ControlStruct, tag=31):
+    """The acknowledgement of a :class:`LocationTransfer` by its number."""
 
     number: int
 
 
-HandoverMessage = LocationHandover | LocationHandoverAck
+TransferMessage = LocationTransfer | LocationTransferAck
 FlowMessage = Union[  # noqa: UP007
     ForwardedPacket,
     FlowLocation,
@@ -233,8 +233,8 @@
     RoutesChanged,
     Ping,
     Pong,
-    LocationHandover,
-    LocationHandoverAck,
+    LocationTransfer,
+    LocationTransferAck,
     ctl.Probe,
     ctl.ProbeAck,
     ctl.IndirectProbe,
--- a/bilberrypath/transport/flow_agent_daemon.py
+++ b/bilberrypath/transport/flow_agent_daemon.py
@@ -122,22 +122,20 @@
         """Wait until the upstream runs no request or is down.
 
         New opens are relayed to other agents from now on, while established flows
-        stay here. Packets that arrive meanwhile wait for the next process. Locations of
-        flows that changed meanwhile are passed on before the end.
+        stay here. Packets that arrive meanwhile wait for the next process. The core is
+        told of the end also if this is cancelled, as the time for it is over.
         """
-        await asyncio.sleep(FINAL_HEARTBEAT_DELAY)
-        await self._wait_until_it_may_end()
-        self.send_last_messages()
+        try:
+            await asyncio.sleep(FINAL_HEARTBEAT_DELAY)
+            await self._wait_until_it_may_end()
+        finally:
+            self.handle_event(fev.Ending())
         await self._wait_until_it_may_end()
 
     async def _wait_until_it_may_end(self) -> None:
         while not self.core.may_end(read_clock()):
             await asyncio.sleep(DRAIN_POLL_PERIOD)
 
-    def send_last_messages(self) -> None:
-        """Pass on the locations of flows that changed while this process drained."""
-        self.handle_event(fev.Ending())
-
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seed addresses at run time."""
         self.core.registration.seeds = seeds
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -108,7 +108,6 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(DRAIN_TIMEOUT):
                     await self.wait_until_drained()
-            self.send_last_messages()
         finally:
             self._close()
         self.write_log("stopped")
@@ -158,10 +157,6 @@
     async def wait_until_drained(self) -> None:
         """Wait until the process can end without loss of requests or packets."""
 
-    def send_last_messages(self) -> None:
-        """Send what other processes need to know when this one ends."""
-        return
-
     @abstractmethod
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seed addresses at run time."""
--- a/tests/coordination/test_absent_agents.py
+++ b/tests/coordination/test_absent_agents.py
@@ -25,13 +25,19 @@
 FOREIGN_LIMIT = 3  # packets of a flow at other upstreams, and none at its own
 
 
-def make_world_with_flows(agents=4, seed=1):
-    """Return a world, and the clients whose flows the upstream beside AWAY has."""
+def make_world_with_answered_flows(agents=5, seed=1):
+    """Return a world, and the clients of 40 flows with one answer each."""
     world = make_world(agents=agents, seed=seed)
     clients = open_flows(world, 40)
     for client in clients:
         client.send_request()
     world.run(0.2)
+    return world, clients
+
+
+def make_world_with_flows(agents=4, seed=1):
+    """Return a world, and the clients whose flows the upstream beside AWAY has."""
+    world, clients = make_world_with_answered_flows(agents, seed)
     return world, [c for c in clients if find_holder(world, c.flow) == AWAY]
 
 
--- a/tests/coordination/test_location_handover.py
+++ b/tests/coordination/test_location_transfers.py
@@ -1,20 +1,21 @@
-"""Tests of what becomes of the locations of flows when agents restart as planned."""
+"""Tests of the transfer of flow locations when agents restart as planned."""
 
 import pytest
 
 from bilberrypath.coordination.events import ControlReceived, Leave
 from bilberrypath.coordination.flow_events import Ending
-from bilberrypath.coordination.location_handover import (
+from bilberrypath.coordination.location_transfers import (
     CONFIRM_TIMEOUT,
-    HANDOVER_FANOUT,
+    TRANSFER_FANOUT,
 )
 from bilberrypath.platform.packet_codec import ACK
-from bilberrypath.protocol.flow_messages import LocationHandover
+from bilberrypath.protocol.flow_messages import LocationTransfer
 from tests.coordination.test_absent_agents import (
     AWAY,
     add_restarted_agent,
     assert_whole,
     count_misled,
+    make_world_with_answered_flows,
     restart_agents_in_turn,
     restart_balancers,
     use,
@@ -28,18 +29,10 @@
 )
 
 OTHER = "10.2.0.2"
+THIRD = "10.2.0.3:7600"
 FLOW = bytes(12)
 
 
-def make_world_with_answered_flows(agents=5, seed=1):
-    world = make_world(agents=agents, seed=seed)
-    clients = open_flows(world, 40)
-    for client in clients:
-        client.send_request()
-    world.run(0.3)
-    return world, clients
-
-
 def end_as_planned(world, host):
     """End a process as after SIGTERM: it announces its end, drains and exits."""
     world.feed(host, Leave())
@@ -48,9 +41,9 @@
     world.kill(host)
 
 
-def hand_over(world, locations=(), trials=(), service="board", sender=OTHER):
+def receive_transfer(world, locations=(), trials=(), service="board", sender=OTHER):
     """Have AWAY receive what an agent at its end states."""
-    message = LocationHandover(service, 0, tuple(locations), tuple(trials))
+    message = LocationTransfer(service, 0, tuple(locations), tuple(trials))
     world.feed(AWAY, ControlReceived((sender, 7600), message))
 
 
@@ -115,21 +108,21 @@
         agent = world.node_by_host[AWAY]
         first = agent.handle(Leave(), world.now)
         again = agent.handle(Ending(), world.now)
-        recipients = [e.to for e in first if is_handover(e)]
-        assert len(set(recipients)) == HANDOVER_FANOUT
-        assert not any(is_handover(effect) for effect in again)
+        recipients = [e.to for e in first if is_transfer(e)]
+        assert len(set(recipients)) == TRANSFER_FANOUT
+        assert not any(is_transfer(effect) for effect in again)
 
     def test_leave_out_flows_of_an_upstream_that_is_gone(self):
         world, clients = make_world_with_answered_flows()
         held = [c.flow for c in clients if find_holder(world, c.flow) == AWAY]
         agent = world.node_by_host[AWAY]
         agent.upstream.is_gone = True
-        sent = [e.message for e in agent.handle(Leave(), world.now) if is_handover(e)]
+        sent = [e.message for e in agent.handle(Leave(), world.now) if is_transfer(e)]
         named = {flow for message in sent for flow, _, _ in message.locations}
         assert named.isdisjoint(held)
 
     def test_reach_agents_that_live_although_most_others_have_just_ended(self):
-        """Guard against locations that are passed on to processes that are gone."""
+        """Guard against locations that are sent to processes that are gone."""
         world, clients = make_world_with_answered_flows(agents=8)
         held = [c.flow for c in clients if find_holder(world, c.flow) == AWAY]
         for number in range(2, 7):
@@ -178,8 +171,8 @@
         assert agent.may_end(world.now)
 
 
-def is_handover(effect):
-    return isinstance(getattr(effect, "message", None), LocationHandover)
+def is_transfer(effect):
+    return isinstance(getattr(effect, "message", None), LocationTransfer)
 
 
 class TestReceivedLocation:
@@ -192,28 +185,32 @@
         return None if location is None else location.holder
 
     def test_is_used(self, world):
-        hand_over(world, [(FLOW, "10.2.0.3:7600", 1.0)])
-        assert self.find(world) == "10.2.0.3:7600"
-
-    def test_of_the_holder_replaces_another(self, world):
-        world.node_by_host[AWAY].redirects.record(FLOW, "10.2.0.3:7600", world.now)
-        hand_over(world, [(FLOW, f"{OTHER}:7600", 1.0)])
-        assert self.find(world) == f"{OTHER}:7600"
-
-    def test_of_another_agent_replaces_no_newer_one(self, world):
-        world.node_by_host[AWAY].redirects.record(FLOW, "10.2.0.3:7600", world.now)
-        hand_over(world, [(FLOW, "10.2.0.4:7600", 1.0)])
-        assert self.find(world) == "10.2.0.3:7600"
+        receive_transfer(world, [(FLOW, THIRD, 1.0)])
+        assert self.find(world) == THIRD
+
+    @pytest.mark.parametrize(
+        ("stated", "expected"),
+        [
+            pytest.param(f"{OTHER}:7600", f"{OTHER}:7600", id="by the holder itself"),
+            pytest.param("10.2.0.4:7600", THIRD, id="by another agent"),
+        ],
+    )
+    def test_replaces_a_newer_one_if_its_holder_states_it(
+        self, world, stated, expected
+    ):
+        world.node_by_host[AWAY].redirects.record(FLOW, THIRD, world.now)
+        receive_transfer(world, [(FLOW, stated, 1.0)])
+        assert self.find(world) == expected
 
     @pytest.mark.parametrize("idle_time", [-1.0, 61.0, float("nan"), float("inf")])
     def test_with_an_impossible_time_is_ignored(self, world, idle_time):
-        hand_over(world, [(FLOW, "10.2.0.3:7600", idle_time)])
+        receive_transfer(world, [(FLOW, THIRD, idle_time)])
         assert self.find(world) is None
 
     def test_of_another_service_is_ignored(self, world):
-        hand_over(world, [(FLOW, "10.2.0.3:7600", 1.0)], service="photo")
+        receive_transfer(world, [(FLOW, THIRD, 1.0)], service="photo")
         assert self.find(world) is None
-        assert world.counts["handover_dropped", "other_service"] == 1
+        assert world.counts["location_transfer_dropped", "other_service"] == 1
 
 
 class TestTrials:
@@ -245,9 +242,9 @@
         assert held
         assert count_foreign(world) == 0
 
-    def test_are_handed_over(self):
+    def test_are_transferred(self):
         world = make_world()
-        hand_over(world, trials=[(FLOW, 0.5), (FLOW, 0.6)])
+        receive_transfer(world, trials=[(FLOW, 0.5), (FLOW, 0.6)])
         trials = world.node_by_host[AWAY].locator.memory.trials
         assert trials.count_left(FLOW, world.now) == 0
         assert trials.count_left(FLOW, world.now + 2.1) == 2
@@ -255,6 +252,6 @@
     @pytest.mark.parametrize("age", [-1.0, float("nan")])
     def test_with_an_impossible_age_are_ignored(self, age):
         world = make_world()
-        hand_over(world, trials=[(FLOW, age)])
+        receive_transfer(world, trials=[(FLOW, age)])
         trials = world.node_by_host[AWAY].locator.memory.trials
         assert trials.count_left(FLOW, world.now) == 2
--- a/tests/coordination/test_restarted_home_agent.py
+++ b/tests/coordination/test_restarted_home_agent.py
@@ -8,6 +8,7 @@
 from tests.coordination.test_absent_agents import (
     AWAY,
     add_restarted_agent,
+    make_world_with_answered_flows,
     restart_agents_in_turn,
     restart_balancers,
 )
@@ -16,22 +17,12 @@
     count_foreign,
     find_holder,
     make_world,
-    open_flows,
     write_packet,
 )
 
 OTHER = "10.2.0.2:7600"
 
 
-def make_world_with_answered_flows(agents=5, seed=1):
-    world = make_world(agents=agents, seed=seed)
-    clients = open_flows(world, 40)
-    for client in clients:
-        client.send_request()
-    world.run(0.3)
-    return world, clients
-
-
 class TestRestartedHomeAgent:
     def test_asks_the_others_before_it_tries_its_own_upstream(self):
         """Guard against foreign packets of a flow whose holder others know."""
--- a/tests/transport/test_flow_agent_daemon.py
+++ b/tests/transport/test_flow_agent_daemon.py
@@ -95,7 +95,7 @@
 
         monkeypatch.setattr(daemon.core, "may_end", may_end)
         monkeypatch.setattr(
-            daemon, "send_last_messages", lambda: sent_after.append(len(asked))
+            daemon, "handle_event", lambda event: sent_after.append(len(asked))
         )
         await daemon.wait_until_drained()
         daemon.sockets.close()
