An open that its target relays back is accepted once

What callers saw: opens that one agent placed twice; if the second was not accepted in time, the flow of the first left the agent's record.

Cause: the record of the relay and its deadline stayed when this agent accepted the open itself, so that it was placed again 25 ms after the relay.

Change: accepting an open settles its relay.

Measured: test_open_that_its_target_relays_back_is_accepted_once fails before (accepted twice), passes after.

--- a/bilberrypath/coordination/open_handler.py
+++ b/bilberrypath/coordination/open_handler.py
@@ -246,6 +246,7 @@
     def _accept(self, opened: PendingOpen, now: Seconds) -> list[FlowEffect]:
         """Send an open to this agent's upstream, and wait for its acceptance."""
         agent, packet = self.agent, opened.packet
+        self.record_taken(packet.flow)
         held = agent.flows.add(packet, is_confirmed=True, now=now)
         agent.flows.record_client_packet(held, packet, now)
         agent.upstream.health.record_open(now)
--- a/tests/coordination/test_flow_opens.py
+++ b/tests/coordination/test_flow_opens.py
@@ -265,6 +265,36 @@
         open_counts = [len(u.opens) for u in world.upstream_by_host.values()]
         assert sum(open_counts) == 10
 
+    def test_open_that_its_target_relays_back_is_accepted_once(self):
+        """Guard against placing an accepted open again at the timeout of its relay."""
+        world = make_world(agents=2)
+        home, other = "10.2.0.1", "10.2.0.2"
+        node = world.node_by_host[home]
+        self.set_misleading_loads(world, count=2)
+        world.cut.add((home, other))
+        client = world.make_client()
+        datagram = write_packet(client.flow, SYN, 1)
+        forwarded = ForwardedPacket(
+            1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram
+        )
+
+        def receive(packet, sender):
+            sender = (sender, 7600)
+            effects = node.handle_forwarded_packet(packet, sender, world.now)
+            world.perform(home, effects)
+
+        receive(forwarded, "10.1.0.1")
+        assert world.counts["open_passed_on", "load"] == 1
+        node.flows.busy_count = 0
+        own_id = f"{home}:7600"
+        relayed_back = msgspec.structs.replace(
+            forwarded, home_agent=own_id, relayed_by=(own_id,), hops=2
+        )
+        receive(relayed_back, other)
+        world.run(0.5)
+        assert world.counts["open", "accepted"] == 1
+        assert node.flows.get(client.flow).is_confirmed
+
     def test_open_is_not_queued_once_the_first_report_is_overdue(self):
         """Guard against opens that wait for the report of an upstream that is down.
 
