A deadline that an earlier one has settled is not handled

Cause of the KeyErrors' other half: the due deadlines were taken out of the queue all at once, so that a handler could neither clear nor replace another one of that moment, and an error in one lost the rest.

Change: Deadlines.pop_due yields one key at a time.

--- a/bilberrypath/coordination/deadlines.py
+++ b/bilberrypath/coordination/deadlines.py
@@ -12,6 +12,8 @@
 from attrs import Factory, define
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from bilberrypath.types import Seconds
 
 Key = TypeVar("Key")
@@ -52,13 +54,18 @@
             heapq.heappop(self._heap)
         return None
 
-    def pop_due(self, now: Seconds) -> list[Key]:
-        """Remove and return the keys whose deadline is due, in order of time."""
-        due_keys = []
-        while True:
-            due_at = self.next_at()
-            if due_at is None or due_at > now:
-                return due_keys
-            key = heapq.heappop(self._heap)[1]
+    def pop_due(self, now: Seconds) -> Iterator[Key]:
+        """Remove and yield the keys whose deadline is due, in order of time.
+
+        The caller handles each key before it asks for the next, so that a deadline
+        which it clears or replaces meanwhile is not yielded. A key is yielded once.
+        """
+        yielded: set[Key] = set()
+        while (due_at := self.next_at()) is not None and due_at <= now:
+            key = self._heap[0][1]
+            if key in yielded:
+                return
+            heapq.heappop(self._heap)
             del self._due_at_by_key[key]
-            due_keys.append(key)
+            yielded.add(key)
+            yield key
