Newer routes are pulled from whoever sent a packet that no balancer brought

The pull of the newer table was lost.

Cause: a flow that its upstream returned is looked up without a balancer, and the empty name of it was taken for the peer that has the newer routes.

Change: the process that sent the packet is asked, as it has that revision.

--- a/bilberrypath/coordination/flow_agent.py
+++ b/bilberrypath/coordination/flow_agent.py
@@ -155,11 +155,11 @@
         if packet.is_syn and self.pause_detector.is_reading_backlog(now):
             return [fx.Count("open_dropped", "waited_through_pause")]
         effects: list[FlowEffect] = []
+        sender_id = format_node_id(sender)
         if forwarded.revision != self.routes.revision:
-            effects += self.routes.observe_revision(
-                forwarded.origin_balancer, forwarded.revision, now
-            )
-        return effects + self.route(forwarded, packet, format_node_id(sender), now)
+            peer = forwarded.origin_balancer or sender_id
+            effects += self.routes.observe_revision(peer, forwarded.revision, now)
+        return effects + self.route(forwarded, packet, sender_id, now)
 
     def route(
         self,
