An agent that knows no other is not certain of a denial at once

Cause: the three seeds restarted within 9 s, and two of them saw only each other and one agent, which had restarted too. It had an empty list of agents for 5 s, asked nobody, and denied the flows with certainty. The fourth balancer knew all the others. That an empty list counted as complete after a second is the fault here; that the balancers need seconds to find each other again stays.

Change: beside an upstream that is older than its agent, a list without any other agent, present or absent, is not complete until LATE_AGENT_TIME after the start.

Measured: test_is_not_certain_while_others_may_be_known_elsewhere fails before, passes after; not run again under that load.

--- a/bilberrypath/coordination/lost_flows.py
+++ b/bilberrypath/coordination/lost_flows.py
@@ -87,7 +87,8 @@
         upstream = self.agent.upstream
         if not upstream.started_together(now):
             is_quiet = quiet_for > AGENTS_SETTLE_TIME
-            return is_quiet and not upstream.may_others_be_silent(now)
+            is_quiet &= not upstream.may_others_be_silent(now)
+            return is_quiet and self._knows_others_if_any(now)
         if quiet_for > JOINT_START_SETTLE_TIME:
             return True
         loss = self._unproven_losses.get(flow)
@@ -97,6 +98,17 @@
             and now - loss.since >= NEW_FLOW_JOIN_TIME
         )
 
+    def _knows_others_if_any(self, now: Seconds) -> bool:
+        """Return whether the list of agents is not just that of isolated balancers.
+
+        Balancers that have restarted at about one time may know only each other and
+        this agent. Its service counts as having no other agent after
+        ``LATE_AGENT_TIME``.
+        """
+        placement = self.agent.placement
+        knows_others = bool(placement.peer_by_id or placement.absent.list_ids())
+        return knows_others or now - self.agent.started_at >= LATE_AGENT_TIME
+
     def _is_agent_list_known(self, now: Seconds) -> bool:
         return self.agent.agents_changed_at <= now
 
--- a/tests/coordination/test_restarted_home_agent.py
+++ b/tests/coordination/test_restarted_home_agent.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from bilberrypath.coordination.flow_effects import PullRoutes
 from bilberrypath.coordination.flow_lookup import FlowLookup
+from bilberrypath.coordination.unproven_losses import LATE_AGENT_TIME
 from bilberrypath.platform.packet_codec import ACK
 from bilberrypath.protocol.flow_messages import FlowQueryReply, ForwardedPacket
 from tests.coordination.test_absent_agents import (
@@ -81,6 +83,33 @@
         assert not any(is_relayed(effect) for effect in effects)
 
 
+class TestAgentThatKnowsNoOther:
+    @pytest.fixture
+    def agent(self):
+        """Return an agent that has restarted beside its upstream, all alone."""
+        world = make_world(agents=1)
+        world.kill(AWAY)
+        world.run(0.5)
+        add_restarted_agent(world, AWAY)
+        world.run(LATE_AGENT_TIME - 1.0)
+        return world.node_by_host[AWAY]
+
+    def is_settled(self, agent, seconds):
+        now = agent.started_at + seconds
+        return agent.locator.lost_flows.is_agent_list_settled(bytes(12), now)
+
+    def test_is_not_certain_while_others_may_be_known_elsewhere(self, agent):
+        """Guard against resets where restarted balancers know only each other."""
+        assert not self.is_settled(agent, LATE_AGENT_TIME - 0.5)
+
+    def test_is_certain_later(self, agent):
+        assert self.is_settled(agent, LATE_AGENT_TIME)
+
+    def test_is_certain_with_an_absent_agent_that_can_be_asked(self, agent):
+        agent.placement.absent.record("10.2.0.2:7600", agent.started_at)
+        assert self.is_settled(agent, LATE_AGENT_TIME - 0.5)
+
+
 class TestLateReply:
     FLOW = bytes(12)
     HOLDER = "10.2.0.3:7600"
@@ -116,6 +145,20 @@
         assert self.reply(agent, self.HOLDER) is None
 
 
+class TestPacketWithoutABalancer:
+    def test_has_newer_routes_pulled_from_its_sender(self):
+        """Guard against a pull from an empty address."""
+        world = make_world()
+        agent = world.node_by_host[AWAY]
+        datagram = write_packet(bytes(12), ACK)
+        forwarded = ForwardedPacket(
+            agent.routes.revision + 1, "board", "", False, "", (), 1, True, datagram
+        )
+        sender = ("10.2.0.2", 7600)
+        effects = agent.handle_forwarded_packet(forwarded, sender, world.now)
+        assert [e.peer for e in effects if isinstance(e, PullRoutes)] == [OTHER]
+
+
 def is_relayed(effect):
     return isinstance(getattr(effect, "message", None), ForwardedPacket)
 
