--- a/bilberrypath/coordination/flow_explanation.py
+++ b/bilberrypath/coordination/flow_explanation.py
@@ -33,7 +33,7 @@
     from bilberrypath.coordination.flow_agent import FlowAgent
     from bilberrypath.coordination.flow_balancer import FlowBalancer
     from bilberrypath.coordination.flow_effects import FlowEffect
-    from bilberrypath.coordination.open_placement import PeerAgent
+    from bilberrypath.coordination.peer_agent import PeerAgent
     from bilberrypath.coordination.placement_constraints import PlacementConstraints
     from bilberrypath.coordination.route_tracker import RouteTracker
     from bilberrypath.types import DataCentreName, NodeId, Seconds
--- a/bilberrypath/transport/flow_daemon.py
+++ b/bilberrypath/transport/flow_daemon.py
@@ -8,8 +8,6 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any, TypeVar
 
-from attrs import evolve
-
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination import flow_effects as ffx
@@ -24,7 +22,6 @@
     parse_address,
 )
 from bilberrypath.protocol.flow_packet import format_flow
-from bilberrypath.settings_reader import SettingsError
 from bilberrypath.state.route_delta import RouteTableReply
 from bilberrypath.transport.bulk_calls import (
     BulkServer,
@@ -42,6 +39,7 @@
 from bilberrypath.transport.http_server import HttpRequest, HttpResponse, HttpServer
 from bilberrypath.transport.json_log import JsonLog, describe_loop_error
 from bilberrypath.transport.metrics import Metrics
+from bilberrypath.transport.settings_reloader import SettingsReloader
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -56,8 +54,6 @@
     from bilberrypath.types import Address, NodeId, Seconds
 
 Socket = TypeVar("Socket", DatagramSocket, ConnectedDatagramSocket)
-# The seeds in use lag changes of the fleet by at most 3 s.
-SETTINGS_RELOAD_PERIOD: Seconds = 2.0
 DRAIN_TIMEOUT: Seconds = 4.5  # a process is given 6 s to end
 
 
@@ -80,10 +76,12 @@
         self.sockets = sockets
         self.settings = settings
         self.core = core
-        self._load_settings = load_settings
         self._http_servers: list[tuple[HttpServer, Address]] = []
         self.metrics = Metrics()
         self.log = JsonLog(format_node_id(settings.peer_address), self.role)
+        self._settings_reloader = SettingsReloader(
+            settings, load_settings, self.set_seeds, self.write_log
+        )
         self._tasks: set[asyncio.Task] = set()
         self._sockets_to_close: list[
             DatagramSocket | ConnectedDatagramSocket | StreamServer
@@ -129,12 +127,12 @@
         loop.set_exception_handler(self._log_exception)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        loop.add_signal_handler(signal.SIGHUP, self._settings_reloader.reload)
         for opened in self._sockets_to_read:
             opened.start_reading()
         self.write_log("started", data_centre=self.settings.data_centre)
         self.start(self._tick_forever())
-        self.start(self._watch_settings())
+        self.start(self._settings_reloader.reload_forever())
 
     def _close(self) -> None:
         for task in self._tasks:
@@ -223,27 +221,6 @@
         self.metrics.count("internal_error", type(error).__name__)
         self.write_log("internal_error", **describe_loop_error(context))
 
-    def _reload_settings(self) -> None:
-        """Apply changed seeds; log whether other changes require a restart."""
-        try:
-            settings = self._load_settings()
-        except SettingsError as error:
-            self.write_log("settings_refused", error=str(error))
-            return
-        if settings == self.settings:
-            return
-        self.set_seeds(settings.seeds)
-        only_seeds_differ = evolve(settings, seeds=self.settings.seeds) == self.settings
-        self.settings = evolve(self.settings, seeds=settings.seeds)
-        self.write_log(
-            "settings_changed", seeds=len(settings.seeds), restart=not only_seeds_differ
-        )
-
-    async def _watch_settings(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_RELOAD_PERIOD)
-            self._reload_settings()
-
     async def _tick_forever(self) -> None:
         while True:
             try:
--- a/tests/coordination/test_agent_list.py
+++ b/tests/coordination/test_agent_list.py
@@ -5,7 +5,7 @@
 
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
-from bilberrypath.coordination.open_placement import MAX_REPORT_AGE
+from bilberrypath.coordination.peer_agent import MAX_REPORT_AGE
 from bilberrypath.protocol import flow_messages as msg
 from bilberrypath.state.members import Status
 from tests.support.flow_world import FlowWorld, make_world
--- a/tests/coordination/test_learned_speed.py
+++ b/tests/coordination/test_learned_speed.py
@@ -9,10 +9,8 @@
 from bilberrypath.coordination import effects as fx
 from bilberrypath.coordination import events as ev
 from bilberrypath.coordination.held_flows import HeldFlows
-from bilberrypath.coordination.open_placement import (
-    MAX_SPEED_AGE,
-    OpenPlacement,
-)
+from bilberrypath.coordination.open_placement import OpenPlacement
+from bilberrypath.coordination.peer_agent import MAX_SPEED_AGE
 from bilberrypath.coordination.placement_constraints import (
     OwnLoad,
     PlacementConstraints,
--- a/tests/coordination/test_open_placement.py
+++ b/tests/coordination/test_open_placement.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from bilberrypath.coordination.open_placement import (
-    MAX_REPORT_AGE,
-    MIN_GAIN,
-    OpenPlacement,
-)
+from bilberrypath.coordination.open_placement import MIN_GAIN, OpenPlacement
+from bilberrypath.coordination.peer_agent import MAX_REPORT_AGE
 from bilberrypath.coordination.placement_constraints import (
     DISTANCE_PENALTY,
     OwnLoad,
