An agent does not name itself for an open that its client took elsewhere

When its agent had restarted, the agent beside another one named itself as the holder, as it had the flow in its record since it accepted the open; two packets that were queued went there.

Ruled out: a stale location (no restarted agent delivered the packet, there is no `flow_tried`). Not found: where the third packet arrived; the log names no trial.

Change: an agent states such a flow as unchosen in its reply, and is then one of those that are tried, after a holder that is named by anyone. Its upstream may have the flow, if the client's first packet took another way, so it does not deny it either.

--- a/bilberrypath/coordination/flow_lookup.py
+++ b/bilberrypath/coordination/flow_lookup.py
@@ -128,7 +128,8 @@
         excluded = (*lookup.tried_agents, lookup.ignored_holder)
         if reply.holder and reply.holder not in excluded:
             return HolderFound(reply.holder)
-        if reply.may_hold and reply.flow not in reply.returned_flows:
+        may_hold = reply.may_hold or reply.flow in reply.unchosen_flows
+        if may_hold and reply.flow not in reply.returned_flows:
             (
                 lookup.possible_holders
                 if reply.has_upstream_reported
--- a/bilberrypath/coordination/held_flows.py
+++ b/bilberrypath/coordination/held_flows.py
@@ -97,6 +97,14 @@
         waiting, self.waiting = self.waiting or [], None
         return waiting
 
+    @property
+    def is_unchosen(self) -> bool:
+        """Whether the client may have chosen another upstream that accepted its open.
+
+        That is so until a packet shows that it has chosen this one.
+        """
+        return self.is_confirmed and not self.is_chosen
+
     @property
     def is_ended(self) -> bool:
         """Whether both ends have closed the flow."""
--- a/bilberrypath/coordination/query_answers.py
+++ b/bilberrypath/coordination/query_answers.py
@@ -19,6 +19,7 @@
     others = [(flow, find_holder(agent, flow, now)) for flow in query.other_flows]
     flows = (query.flow, *query.other_flows)
     returned = tuple(flow for flow in flows if memory.was_returned(flow))
+    unchosen = tuple(flow for flow in flows if is_unchosen(agent, flow))
     return FlowQueryReply(
         query.flow,
         find_holder(agent, query.flow, now),
@@ -28,14 +29,25 @@
         returned,
         agent.placement.report_absent(now),
         tuple(memory.trials.list_recent(now, flows)),
+        unchosen,
     )
 
 
+def is_unchosen(agent: FlowAgent, flow: bytes) -> bool:
+    """Return whether an agent's upstream accepted an open that may be at another."""
+    held = agent.flows.get(flow)
+    return held is not None and held.is_unchosen
+
+
 def find_holder(agent: FlowAgent, flow: bytes, now: Seconds) -> NodeId:
     """Return this agent if it has a flow, else the holder of its redirect or "".
 
-    A redirect to this agent itself came from an agent that ended.
+    A redirect to this agent itself came from an agent that ended. Nobody is named for
+    a flow whose open was accepted here while its client may have chosen another
+    upstream: the agent of that one is asked too.
     """
+    if is_unchosen(agent, flow):
+        return ""
     held = agent.flows.get(flow)
     if held is not None and not has_unanswered_trial(agent, held, now):
         return agent.node_id
--- a/bilberrypath/protocol/flow_messages.py
+++ b/bilberrypath/protocol/flow_messages.py
@@ -115,6 +115,8 @@
     returned packets of ``returned_flows``, and does not have them. ``absent``
     are agents that may have flows, although they are not listed any more.
     ``trials`` are those that the agent knows of and that limit further ones.
+    The upstream accepted the opens of ``unchosen_flows``, but their clients have not
+    gone on with it: it may have them even if ``may_hold`` is false.
     """
 
     flow: bytes
@@ -125,6 +127,7 @@
     returned_flows: tuple[bytes, ...] = ()
     absent: tuple[AbsentAgent, ...] = ()
     trials: tuple[PastTrial, ...] = ()
+    unchosen_flows: tuple[bytes, ...] = ()
 
 
 class LoadReport(ControlStruct, tag=24):
--- a/tests/coordination/test_flow_lookup.py
+++ b/tests/coordination/test_flow_lookup.py
@@ -34,6 +34,12 @@
     def test_first_reply_that_names_the_holder_ends_the_lookup(self, lookups):
         assert send_reply(lookups, "y:1", "y:1") == HolderFound("y:1")
 
+    def test_agent_whose_upstream_accepted_the_open_is_a_candidate(self, lookups):
+        """Guard against the reset of a flow whose first packet took another way."""
+        reply = FlowQueryReply(FLOW, "", False, unchosen_flows=(FLOW,))
+        assert lookups.handle_query_reply(reply, "x:1") is None
+        assert send_reply(lookups, "y:1") == TryCandidates(("x:1",), True)
+
     def test_holder_that_was_already_tried_is_ignored(self, lookups):
         assert send_reply(lookups, "x:1", "me:1") is None
         assert send_reply(lookups, "y:1") == NoHolder(is_certain=True)
--- a/tests/coordination/test_restarted_home_agent.py
+++ b/tests/coordination/test_restarted_home_agent.py
@@ -4,9 +4,14 @@
 
 from bilberrypath.coordination.flow_effects import PullRoutes
 from bilberrypath.coordination.flow_lookup import FlowLookup
+from bilberrypath.coordination.query_answers import answer_query
 from bilberrypath.coordination.unproven_losses import LATE_AGENT_TIME
-from bilberrypath.platform.packet_codec import ACK
-from bilberrypath.protocol.flow_messages import FlowQueryReply, ForwardedPacket
+from bilberrypath.platform.packet_codec import ACK, SYN
+from bilberrypath.protocol.flow_messages import (
+    FlowQuery,
+    FlowQueryReply,
+    ForwardedPacket,
+)
 from tests.coordination.test_absent_agents import (
     AWAY,
     add_restarted_agent,
@@ -19,6 +24,7 @@
     count_foreign,
     find_holder,
     make_world,
+    open_flows,
     write_packet,
 )
 
@@ -110,6 +116,49 @@
         assert self.is_settled(agent, LATE_AGENT_TIME - 0.5)
 
 
+class TestOpenThatTwoUpstreamsAccepted:
+    @pytest.fixture
+    def world(self):
+        return make_world(agents=3)
+
+    def open_at_two(self, world):
+        """Return the client of a flow at AWAY whose open OTHER accepted as well."""
+        clients = open_flows(world, 20)
+        client = next(c for c in clients if find_holder(world, c.flow) == AWAY)
+        agent = world.node_by_host["10.2.0.2"]
+        syn = agent.codec.parse_client_packet(write_packet(client.flow, SYN, 1))
+        agent.flows.add(syn, is_confirmed=True, now=world.now)
+        client.send_request()
+        world.run(0.2)
+        return client
+
+    def ask(self, world, host, flow):
+        return answer_query(world.node_by_host[host], FlowQuery(flow), world.now)
+
+    def test_is_named_by_the_agent_alone_that_the_client_chose(self, world):
+        """Guard against packets to an upstream that the client did not choose."""
+        flow = self.open_at_two(world).flow
+        assert self.ask(world, AWAY, flow).holder == f"{AWAY}:7600"
+        assert self.ask(world, AWAY, flow).unchosen_flows == ()
+        assert self.ask(world, "10.2.0.2", flow).holder == ""
+        assert self.ask(world, "10.2.0.2", flow).unchosen_flows == (flow,)
+
+    def test_is_found_at_the_agent_that_the_client_chose(self, world):
+        client = self.open_at_two(world)
+        third = world.node_by_host["10.2.0.3"]
+        datagram = write_packet(client.flow, ACK, 2, client.acknowledged, b"request")
+        forwarded = ForwardedPacket(
+            1, "board", "10.1.0.1:7600", True, "", (), 0, True, datagram
+        )
+        sender = ("10.1.0.1", 7600)
+        third.redirects.forget(client.flow)
+        effects = third.handle_forwarded_packet(forwarded, sender, world.now)
+        world.perform("10.2.0.3", effects)
+        world.run(0.3)
+        assert client.answers == 2
+        assert count_foreign(world) == 0
+
+
 class TestLateReply:
     FLOW = bytes(12)
     HOLDER = "10.2.0.3:7600"
