--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -53,7 +53,6 @@
     "reorderMs": 2000,
     "flowTtlS": 60,
 }
-BEAT_S = 1.2  # heartbeatMs of pedalwise-cpt
 COLD_X = 1.6  # by which the site files let a cold server be slower
 CONTRACTS = "base drain config cost recover flows places platform".split()
 
@@ -284,7 +283,7 @@
         self.queue = terms.get("queue", 20)
         self.max_conns = terms.get("max_conns", 2000)
         self.work_s = terms.get("work_s", 0.0468)
-        self.beat_s = BEAT_S
+        self.beat_s = deployment.beat_s
         self.falls_over = terms.get("falls_over", False)
         self.cold_until = 0.0
         self.starts = 0
@@ -639,13 +638,17 @@
     """Machines, store, servers and clients of one small deployment.
 
     ``fronts`` are the zones of the machines of clients, ``sides`` the (zone, service)
-    of the machines of servers. ``record`` gets a line for what was sent, answered and
-    run, with the time since the start of traffic.
+    of the machines of servers, and ``server_terms`` those of :class:`Server`.
+    ``record`` gets a line for what was sent, answered and run, with the time since the
+    start of traffic.
     """
 
-    def __init__(self, folder, fronts, sides, cold_per_s=0.0, **server_terms):
+    def __init__(
+        self, folder, fronts, sides, cold_per_s=0.0, beat_s=1.2, **server_terms
+    ):
         self.record = open(Path(folder) / "record.txt", "w")
         self.began = time.monotonic()
+        self.beat_s = beat_s  # heartbeatMs of the settings
         self.cold_per_s = cold_per_s
         self.cold_bound = cold_per_s * BOUNDS["coldFactor"] + BOUNDS["coldSlack"]
         self.seed = random.randrange(1 << 30)
@@ -778,7 +781,7 @@
             "internalPorts": [port["peer"], port["metrics"]],
             "seeds": seeds,
             "bootstrap": bootstrap,
-            "heartbeatMs": round(BEAT_S * 1000),
+            "heartbeatMs": round(self.beat_s * 1000),
             "contracts": CONTRACTS,
             "bounds": BOUNDS,
             "hash": "steady",
@@ -798,7 +801,7 @@
             await clients.start()
         for server in self.servers:
             await server.start()
-            await asyncio.sleep(BEAT_S / len(self.servers))
+            await asyncio.sleep(self.beat_s / len(self.servers))
         for ip, zone in self.front_zone_by_ip.items():
             self.launch(ip, "balancer", self._make_settings(ip, zone, "frontend"))
         for server in self.servers:
