--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,7 +13,8 @@
 
 ADDRESS = ("198.18.0.1", 443)
 SERVICE = "dispatch-desk"
-ZONE = "wc-b"
+EVACUATED = ("wc-b", "wc-a", "wc-b")  # one after the other
+EVACUATED_S = 6.0
 PER_S = 120
 COLD_PER_S = 8.0
 COLD_START_S = 2.0  # coldStartS of the configuration
@@ -21,6 +22,21 @@
 IS_TROUBLED = os.environ.get("TROUBLE") != "0"
 
 
+async def evacuate(deployment, zone):
+    """Empty a zone and take it back; its servers have become cold shortly before."""
+    deployment.store.put(f"op/evacuate/{zone}", {})
+    deployment.note("evacuated", zone)
+    await asyncio.sleep(EVACUATED_S)
+    if IS_TROUBLED:
+        for server in deployment.servers:
+            if server.zone == zone:
+                server.cold_until = time.monotonic() + COLD_START_S
+                deployment.note("is cold", server.name)
+        await asyncio.sleep(SHORTLY_S)
+    deployment.store.remove(f"op/evacuate/{zone}")
+    deployment.note("taken back", zone)
+
+
 async def play():
     deployment = Deployment(
         FOLDER,
@@ -32,28 +48,21 @@
     result = Counter()
     try:
         await deployment.start({ADDRESS: SERVICE})
-        load = asyncio.create_task(deployment.press(ADDRESS, PER_S, 22, result))
-        await asyncio.sleep(5)
-        deployment.store.put(f"op/evacuate/{ZONE}", {})
-        deployment.note("evacuated", ZONE)
-        await asyncio.sleep(8)
-        zone_servers = [server for server in deployment.servers if server.zone == ZONE]
-        if IS_TROUBLED:
-            for server in zone_servers:
-                server.cold_until = time.monotonic() + COLD_START_S
-                deployment.note("is cold", server.name)
-            await asyncio.sleep(SHORTLY_S)
-        deployment.store.remove(f"op/evacuate/{ZONE}")
-        deployment.note("taken back", ZONE)
+        load = asyncio.create_task(deployment.press(ADDRESS, PER_S, 38, result))
+        for zone in EVACUATED:
+            await asyncio.sleep(4)
+            await evacuate(deployment, zone)
         await load
-        return judge(deployment, zone_servers, result)
+        return judge(deployment, result)
     finally:
         deployment.close(os.environ.get("KEEP_LOGS"))
 
 
-def judge(deployment, zone_servers, result):
+def judge(deployment, result):
     is_broken = False
-    for server in zone_servers:
+    for server in deployment.servers:
+        if server.zone not in EVACUATED:
+            continue
         times = [at for at, is_cold in server.opens if is_cold]
         most = max(
             (sum(at <= other < at + 1.0 for other in times) for at in times), default=0
--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -361,7 +361,9 @@
                 "born": self.born,
             }
             body = json.dumps(beat).encode()
-            status = await call_http(control, "PUT", f"/v1/instances/{self.id}", body)
+            path = f"/v1/instances/{self.id}"
+            self.last_beat = path, body
+            status = await call_http(control, "PUT", path, body)
             self.deployment.note(
                 "beat", self.name, status, beat["state"], beat["coldRemainingMs"]
             )
@@ -924,6 +926,49 @@
             if status == 200 or b"Not-Executed" not in answer:
                 return
 
+    def find_holder(self, flow):
+        """Return the living server that holds an open flow, or None."""
+        for server in self.servers:
+            held = server.flow_by_key.get(flow.key)
+            if server.is_up and held is not None and held.is_open:
+                return server
+        return None
+
+    async def keep_flow(self, clients, address, until, result, on_reset):
+        """Keep one long flow with a request after each pause; end it if one fails.
+
+        ``on_reset`` is called with the flow at the first reset that its client gets.
+        """
+        flow = clients.make_flow(address)
+        if not await flow.open():
+            result["did not open"] += 1
+            return
+        while time.monotonic() < until:
+            request_id = f"{random.randrange(1 << 60):015x}"
+            data = (
+                f"GET /board HTTP/1.1\r\nHost: x\r\nBilberrypath-Request-Id: "
+                f"{request_id}\r\nContent-Length: 0\r\n\r\n"
+            ).encode()
+            self.sent.add(request_id)
+            self.note("sent", request_id, flow.key[1], clients.zone)
+            answer = await flow.ask(data, time.monotonic() + 1.0)
+            if flow.is_reset:
+                result["reset"] += 1
+                on_reset(flow)
+                return
+            if answer is None:
+                result["no answer"] += 1
+                self.note("no answer", request_id, flow.key[1])
+                break
+            result[int(answer.split()[1])] += 1
+            self.note("answered", request_id)
+            pause = random.uniform(0.4, 1.6)
+            if await flow.wait(lambda: flow.is_reset, pause):
+                result["reset"] += 1
+                on_reset(flow)
+                return
+        flow.close()
+
     async def press(self, address, per_s, seconds, result):
         """Have the clients of all zones open flows at a steady rate."""
         begun = time.monotonic()
