Review case 13: a restarted frontend and added servers that see only each other

A script: a zone that holds two of the three seeds loses power while the third is started again, and two servers are added. They deny flows of living servers with certainty, and the frontend resets them.

--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -120,7 +120,7 @@
         self._handle = handle
 
     def datagram_received(self, data, addr):
-        self._handle(data)
+        self._handle(data, addr[0])
 
 
 async def bind_udp(address, handle):
@@ -382,7 +382,7 @@
         returned[23:26] = b"\0\0\0"
         self._udp.sendto(bytes(returned), (self.ip, self.deployment.port["outbound"]))
 
-    def _receive(self, datagram):
+    def _receive(self, datagram, _sender):
         if not self.is_up or len(datagram) < HEAD.size:
             return
         packet = Packet(datagram)
@@ -514,7 +514,8 @@
 class ClientFlow:
     """One flow of a client, for one request after another.
 
-    ``resets`` holds those that the client got: (time, whether the flow was open).
+    ``reset_by`` is the machine that sent the reset that the client got, and ``front``
+    the one that took the flow's last packet.
     """
 
     def __init__(self, clients, sport, address):
@@ -524,7 +525,7 @@
         self.expected = 0
         self.is_open = False
         self.is_reset = False
-        self.resets = []
+        self.reset_by = self.front = None
         self.answer = b""
         self.changed = asyncio.Event()
 
@@ -582,10 +583,10 @@
         loop = asyncio.get_running_loop()
         loop.call_later(3.0, self.clients.flow_by_key.pop, self.key, None)
 
-    def receive(self, packet):
+    def receive(self, packet, sender):
         if packet.flags & RST:
             self.is_reset = True
-            self.resets.append((time.monotonic(), self.is_open))
+            self.reset_by = sender
         elif packet.flags & SYN:
             if not self.is_open:
                 self.is_open = True
@@ -622,10 +623,12 @@
 
     def send(self, key, datagram):
         front = self.deployment.choose_front(self.zone, key)
+        if key in self.flow_by_key:
+            self.flow_by_key[key].front = front
         if front is not None:
             self._udp.sendto(datagram, (front, self.deployment.port["datagram"]))
 
-    def _receive(self, datagram):
+    def _receive(self, datagram, sender):
         if len(datagram) < HEAD.size:
             return
         packet = Packet(datagram)
@@ -633,7 +636,7 @@
             (packet.dst, packet.dport, packet.src, packet.sport)
         )
         if flow is not None and (packet.flags & RST or packet.is_genuine):
-            flow.receive(packet)
+            flow.receive(packet, sender)
 
 
 class Deployment:
@@ -646,7 +649,14 @@
     """
 
     def __init__(
-        self, folder, fronts, sides, cold_per_s=0.0, beat_s=1.2, **server_terms
+        self,
+        folder,
+        fronts,
+        sides,
+        cold_per_s=0.0,
+        beat_s=1.2,
+        seeds=(0, 1, 2),
+        **server_terms,
     ):
         self.record = open(Path(folder) / "record.txt", "w")
         self.began = time.monotonic()
@@ -658,6 +668,7 @@
         self.temporary = tempfile.TemporaryDirectory(prefix="bilberrypath-case-")
         self.process_by_ip = {}
         self.settings_by_ip = {}
+        self.disturbed_at = {}  # of a machine: when it was last started or signalled
         self.ready_fronts = set()
         self.runs = Counter()
         self.service_of_run = {}
@@ -668,19 +679,36 @@
             f"{net}.{1 + ZONES.index(zone)}.{number + 10}": zone
             for number, zone in enumerate(fronts)
         }
+        front_ips = list(self.front_zone_by_ip)
+        self.seed_ips = [front_ips[index] for index in seeds]
+        self.server_terms = server_terms
         self.servers = []
         self.store_ip = f"{net}.200.1"
-        for number, (zone, service) in enumerate(sides):
-            ip = f"{net}.{101 + ZONES.index(zone)}.{number + 10}"
-            name = f"s{number + 1}-{zone}"
-            server = Server(self, name, ip, zone, service, **server_terms)
-            self.servers.append(server)
+        self.net = net
+        for zone, service in sides:
+            self._make_server(zone, service)
         self.clients = [
             Clients(self, zone, f"{net}.{151 + index}.1")
             for index, zone in enumerate(ZONES)
         ]
         self.port = self._choose_ports()
 
+    def _make_server(self, zone, service):
+        number = len(self.servers)
+        ip = f"{self.net}.{101 + ZONES.index(zone)}.{number + 10}"
+        name = f"s{number + 1}-{zone}"
+        server = Server(self, name, ip, zone, service, **self.server_terms)
+        self.servers.append(server)
+        return server
+
+    async def add_server(self, zone, service):
+        """Add a machine with a server and the agent beside it."""
+        server = self._make_server(zone, service)
+        self.note("added", server.name)
+        await server.start()
+        settings = self._make_settings(server.ip, zone, "side", server, False)
+        self.launch(server.ip, "agent", settings)
+
     def _choose_ports(self):
         names = "datagram ready control app outbound store peer metrics".split()
         addresses = [
@@ -769,9 +797,7 @@
         }
         if server is not None:
             listen["outbound"] = f"{ip}:{port['outbound']}"
-        seeds = [
-            f"{seed}:{port['control']}" for seed in list(self.front_zone_by_ip)[:3]
-        ]
+        seeds = [f"{seed}:{port['control']}" for seed in self.seed_ips]
         settings = {
             "nodeName": f"{machine_class}-{ip}",
             "machineClass": machine_class,
@@ -822,6 +848,7 @@
         if settings is None:
             settings = {**self.settings_by_ip[ip][1], "bootstrap": False}
         self.settings_by_ip[ip] = role, settings
+        self.disturbed_at[ip] = time.monotonic()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         entry = deploy["roles"][role]
         template = (ROOT / entry["template"]).read_text()
@@ -851,6 +878,7 @@
 
     def signal(self, ip, number):
         self.note("process", ip, signal.Signals(number).name)
+        self.disturbed_at[ip] = time.monotonic()
         self.process_by_ip[ip].send_signal(number)
 
     async def wait_for_end(self, ip, timeout):
@@ -926,6 +954,11 @@
             if status == 200 or b"Not-Executed" not in answer:
                 return
 
+    def is_in_touch(self, ip):
+        """Return whether a machine has been calm for stableWindowMs."""
+        calm_for = time.monotonic() - self.disturbed_at.get(ip, 0)
+        return calm_for > BOUNDS["stableWindowMs"] / 1000
+
     def find_holder(self, flow):
         """Return the living server that holds an open flow, or None."""
         for server in self.servers:
