--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -1052,10 +1052,17 @@
     return re.sub(r"\{\{([\w.]+)\}\}", find, template)
 
 
+async def play_until_stopped(play):
+    """Play a case for 110 s at most; SIGTERM ends it early, and its processes too."""
+    task = asyncio.create_task(play())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, 110)
+
+
 def run_case(play):
     """Run a case; return its exit status: 1 broken, 0 held, 2 could not run."""
     try:
-        return int(asyncio.run(asyncio.wait_for(play(), 110)))
-    except (CannotRun, OSError, TimeoutError) as error:
+        return int(asyncio.run(play_until_stopped(play)))
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         return 2
